--- /dev/null
+++ b/src/main/java/io/pepperfield/cli/Cancel.java
@@ -0,0 +1,21 @@
+package io.pepperfield.cli;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Parameters;
+
+import java.util.concurrent.Callable;
+
+@Command(name = "cancel", mixinStandardHelpOptions = true, description = "Cancels a job.")
+final class Cancel implements Callable<Integer> {
+
+    @Mixin
+    private Remote remote;
+
+    @Parameters(paramLabel = "JOB", description = "The job's id, such as run-000412.")
+    private String job;
+
+    @Override public Integer call() {
+        return remote.call("POST", "/api/jobs/" + job + "/cancel", new byte[0]);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/cli/Check.java
@@ -0,0 +1,27 @@
+package io.pepperfield.cli;
+
+import io.pepperfield.config.Settings;
+import io.pepperfield.config.SettingsException;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+import java.util.concurrent.Callable;
+
+@Command(name = "check", mixinStandardHelpOptions = true, description = "Checks settings files and says what they hold.")
+final class Check implements Callable<Integer> {
+
+    @Mixin
+    private SettingsFiles files;
+
+    @Override public Integer call() {
+        try {
+            Settings settings = files.read();
+            System.out.println("good: " + settings.node() + " in " + settings.zone() + ", " + (settings.members().size() + 1)
+                    + " controllers, " + settings.deployment().teams().size() + " teams");
+            return 0;
+        } catch (SettingsException e) {
+            System.err.println("pepperfield: " + e.getMessage());
+            return 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/cli/Nodes.java
@@ -0,0 +1,18 @@
+package io.pepperfield.cli;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+import java.util.concurrent.Callable;
+
+@Command(name = "nodes", mixinStandardHelpOptions = true,
+        description = "Shows what a controller knows: the leader, and on the leader machines, teams and what waits for what.")
+final class Nodes implements Callable<Integer> {
+
+    @Mixin
+    private Remote remote;
+
+    @Override public Integer call() {
+        return remote.call("GET", "/api/nodes", null);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/cli/Remote.java
@@ -0,0 +1,76 @@
+package io.pepperfield.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.pepperfield.http.HttpClient;
+import io.pepperfield.http.Outcome;
+import picocli.CommandLine.Option;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** The public interface from outside: the first controller that answers is asked. */
+final class Remote {
+
+    private static final long DEADLINE_MS = 5000;
+
+    @Option(names = "--server", split = ",", paramLabel = "HOST:PORT", defaultValue = "${env:PEPPERFIELD_SERVER:-127.0.0.1:8080}",
+            description = "Controllers to ask, in turn (default: ${DEFAULT-VALUE}).")
+    private List<String> servers;
+
+    /** Prints the answer; 0 for a 2xx, 1 otherwise. */
+    int call(String method, String path, byte[] body) {
+        EventLoopGroup network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try {
+            HttpClient client = new HttpClient(network, 16 * 1024 * 1024);
+            String trouble = "";
+            for (String server : servers) {
+                int colon = server.lastIndexOf(':');
+                int port = port(server.substring(colon + 1));
+                if (colon < 1 || port < 0) {
+                    trouble = server + ": want HOST:PORT";
+                    continue;
+                }
+                CompletableFuture<Outcome> outcome = new CompletableFuture<>();
+                client.send(server.substring(0, colon), port, 1, method, path, body, DEADLINE_MS, outcome::complete);
+                if (outcome.join() instanceof Outcome.Answered answer) {
+                    return print(answer);
+                }
+                trouble = server + " does not answer";
+            }
+            System.err.println("pepperfield: " + trouble);
+            return 1;
+        } finally {
+            network.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static int port(String text) {
+        try {
+            int port = Integer.parseInt(text);
+            return port <= 65535 ? port : -1;
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    private static int print(Outcome.Answered answer) {
+        JsonNode json = answer.json();
+        boolean fine = answer.status() / 100 == 2;
+        if (!fine) {
+            System.err.println("pepperfield: " + answer.status() + (json.has("error") ? ": " + json.path("error").asText() : ""));
+            return 1;
+        }
+        try {
+            System.out.println(new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT).writeValueAsString(json));
+        } catch (IOException e) {
+            throw new IllegalStateException("a tree cannot fail to be written", e);
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/cli/Show.java
@@ -0,0 +1,21 @@
+package io.pepperfield.cli;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Parameters;
+
+import java.util.concurrent.Callable;
+
+@Command(name = "status", mixinStandardHelpOptions = true, description = "Shows a job's state.")
+final class Show implements Callable<Integer> {
+
+    @Mixin
+    private Remote remote;
+
+    @Parameters(paramLabel = "JOB", description = "The job's id, such as run-000412.")
+    private String job;
+
+    @Override public Integer call() {
+        return remote.call("GET", "/api/jobs/" + job, null);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/cli/Submit.java
@@ -0,0 +1,31 @@
+package io.pepperfield.cli;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Parameters;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+
+@Command(name = "submit", mixinStandardHelpOptions = true, description = "Submits a job described in a JSON file (- for standard input).")
+final class Submit implements Callable<Integer> {
+
+    @Mixin
+    private Remote remote;
+
+    @Parameters(paramLabel = "FILE", description = "The job.")
+    private String file;
+
+    @Override public Integer call() {
+        byte[] body;
+        try {
+            body = file.equals("-") ? System.in.readAllBytes() : Files.readAllBytes(Path.of(file));
+        } catch (IOException e) {
+            System.err.println("pepperfield: " + file + " cannot be read");
+            return 1;
+        }
+        return remote.call("POST", "/api/jobs", body);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/cloud/Renting.java
@@ -0,0 +1,210 @@
+package io.pepperfield.cloud;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pepperfield.fleet.Fleet;
+import io.pepperfield.fleet.Machine;
+import io.pepperfield.http.Json;
+import io.pepperfield.node.Loop;
+import io.pepperfield.steering.Pool;
+import io.pepperfield.store.Keys;
+import io.pepperfield.store.Writer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The leader's rentals and releases. A rental's name is durable before the request leaves and holds the leader's token,
+ * so that no two requests ever share one; a request without an answer is repeated by its name, by a later leader too.
+ */
+public final class Renting {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Renting.class);
+    private static final int MOST_AT_ONCE = 50;
+    private static final int MOST_RELEASED = 100;
+
+    private static final class Hire {
+        final String name;
+        final Pool pool;
+        final String zone;
+        final int count;
+        final long atMs;
+        final Set<String> hosts = new LinkedHashSet<>();
+        /** Answered or given up: the record says which machines it brought. */
+        boolean answered;
+
+        Hire(String name, Pool pool, String zone, int count, long atMs) {
+            this.name = name;
+            this.pool = pool;
+            this.zone = zone;
+            this.count = count;
+            this.atMs = atMs;
+        }
+
+        JsonNode write() {
+            ObjectNode node = Json.object().put("t", pool.type()).put("p", pool.spot()).put("z", zone).put("n", count)
+                    .put("at", atMs).put("a", answered);
+            var all = node.putArray("h");
+            hosts.forEach(all::add);
+            return node;
+        }
+    }
+
+    private final Loop loop;
+    private final Cloud cloud;
+    private final Writer writer;
+    private final Fleet fleet;
+    private final long token;
+    private final double retryS;
+    private final double refusalS;
+    private final Map<String, Hire> hires = new LinkedHashMap<>();
+    private final Map<String, Double> refusedUntil = new HashMap<>();
+    private final Set<String> toRelease = new LinkedHashSet<>();
+    private boolean releasing;
+    private int sequence;
+    private boolean over;
+
+    /**
+     * @param retryS   after how long a request without an answer is repeated
+     * @param refusalS how long a refusal for want of capacity is believed
+     */
+    public Renting(Loop loop, Cloud cloud, Writer writer, Fleet fleet, long token, double retryS, double refusalS) {
+        this.loop = loop;
+        this.cloud = cloud;
+        this.writer = writer;
+        this.fleet = fleet;
+        this.token = token;
+        this.retryS = retryS;
+        this.refusalS = refusalS;
+    }
+
+    /** The leadership has ended: nothing is sent from here any more. */
+    public void stop() {
+        over = true;
+    }
+
+    /** Takes over an earlier leader's rental from its durable record. */
+    public void restore(String name, JsonNode data) {
+        Hire hire = new Hire(name, new Pool(data.path("t").asText(), data.path("p").asBoolean()), data.path("z").asText(),
+                data.path("n").asInt(), data.path("at").asLong());
+        hire.answered = data.path("a").asBoolean();
+        data.path("h").forEach(host -> hire.hosts.add(host.asText()));
+        if (hire.answered && hire.hosts.isEmpty()) {
+            return;
+        }
+        hires.put(name, hire);
+        if (hire.answered) {
+            hire.hosts.forEach(host -> expect(hire, host));
+        } else {
+            request(hire);
+        }
+    }
+
+    private void expect(Hire hire, String host) {
+        double ageS = Math.max(0, (loop.wallMs() - hire.atMs) / 1000.0);
+        fleet.expect(host, hire.pool.type(), hire.zone, hire.pool.spot(), loop.now() - ageS, loop.now());
+    }
+
+    public boolean open(Pool pool, String zone) {
+        return refusedUntil.getOrDefault(pool + "@" + zone, Double.NEGATIVE_INFINITY) <= loop.now();
+    }
+
+    /** Machines asked for and not yet named by the cloud. */
+    public int underWay(Pool pool) {
+        return hires.values().stream().filter(h -> !h.answered && h.pool.equals(pool)).mapToInt(h -> h.count).sum();
+    }
+
+    public void rent(Pool pool, String zone, int count) {
+        Hire hire = new Hire("p" + token + "-" + ++sequence, pool, zone, Math.min(count, MOST_AT_ONCE), loop.wallMs());
+        hires.put(hire.name, hire);
+        writer.mark(Keys.HIRE + hire.name, hire::write, () -> request(hire), null);
+    }
+
+    private void request(Hire hire) {
+        if (over) {
+            return;
+        }
+        cloud.rent(hire.name, hire.pool.type(), hire.zone, hire.pool.spot(), hire.count, result -> {
+            if (over) {
+                return;
+            }
+            if (result instanceof Cloud.Rented.Failed) {
+                loop.after(retryS, () -> request(hire));
+                return;
+            }
+            hire.answered = true;
+            int got = 0;
+            if (result instanceof Cloud.Rented.Machines machines) {
+                got = machines.names().size();
+                hire.hosts.addAll(machines.names());
+                machines.names().forEach(host -> expect(hire, host));
+            }
+            if (got < hire.count) {
+                refusedUntil.put(hire.pool + "@" + hire.zone, loop.now() + refusalS);
+            }
+            LOG.info("rented {} of {} {} in {}", got, hire.count, hire.pool, hire.zone);
+            writer.mark(Keys.HIRE + hire.name, hire::write, null, null);
+            if (hire.hosts.isEmpty()) {
+                hires.remove(hire.name);
+            }
+        });
+    }
+
+    /** Gives machines back. What is asked for once is repeated until the cloud confirms it: it may take effect late. */
+    public void release(Machine machine, String why) {
+        if (!machine.releasing()) {
+            LOG.info("releasing {}: {}", machine.describe(), why);
+            fleet.releasing(machine);
+            toRelease.add(machine.name);
+            send();
+        }
+    }
+
+    /** How many are waiting for the cloud's word. */
+    public int releasing() {
+        return toRelease.size();
+    }
+
+    private void send() {
+        if (releasing || over || toRelease.isEmpty()) {
+            return;
+        }
+        releasing = true;
+        // Those that are asked for in the same batch of commands go in one request.
+        loop.post(() -> {
+            List<String> names = toRelease.stream().limit(MOST_RELEASED).toList();
+            cloud.release(names, done -> {
+                releasing = false;
+                if (over) {
+                    return;
+                }
+                if (!done) {
+                    loop.after(retryS, this::send);
+                    return;
+                }
+                names.forEach(toRelease::remove);
+                names.forEach(this::gone);
+                send();
+            });
+        });
+    }
+
+    private void gone(String name) {
+        fleet.gone(name);
+        for (Hire hire : new ArrayList<>(hires.values())) {
+            if (hire.hosts.remove(name)) {
+                writer.mark(Keys.HIRE + hire.name, hire::write, null, null);
+                if (hire.hosts.isEmpty() && hire.answered) {
+                    hires.remove(hire.name);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/config/OperatorsReader.java
@@ -0,0 +1,127 @@
+package io.pepperfield.config;
+
+import org.w3c.dom.Element;
+import org.w3c.dom.Node;
+import org.xml.sax.ErrorHandler;
+import org.xml.sax.SAXException;
+import org.xml.sax.SAXParseException;
+
+import javax.xml.XMLConstants;
+import javax.xml.parsers.DocumentBuilder;
+import javax.xml.parsers.DocumentBuilderFactory;
+import javax.xml.parsers.ParserConfigurationException;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Reads operators' XML: {@code <pepperfield><charge-s>60</charge-s>...</pepperfield>}. Unlike the platform's TOML an
+ * unknown element is a fault, since here it can only be a slip of the person who wrote it.
+ */
+public final class OperatorsReader {
+
+    private enum Field {
+        CHARGE_S("charge-s", 1, 86400), RESTART_SHARE("restart-share", 0, 1), PARTLY_SHARE("partly-share", 0, 1),
+        HEADROOM("headroom", 0, 10), SILENT_AT_ONCE("silent-at-once", 1, 1000);
+
+        final String element;
+        final double least;
+        final double most;
+
+        Field(String element, double least, double most) {
+            this.element = element;
+            this.least = least;
+            this.most = most;
+        }
+    }
+
+    private OperatorsReader() { }
+
+    public static Operators read(Path file) throws SettingsException {
+        try {
+            return parse(file.toString(), Files.readAllBytes(file));
+        } catch (IOException e) {
+            throw new SettingsException(file.toString(), List.of("cannot be read (" + e.getClass().getSimpleName() + ")"));
+        }
+    }
+
+    public static Operators parse(String name, byte[] xml) throws SettingsException {
+        Element root = document(name, xml);
+        List<String> faults = new ArrayList<>();
+        Map<Field, Double> values = new HashMap<>();
+        if (!root.getTagName().equals("pepperfield")) {
+            faults.add("root element <" + root.getTagName() + ">: want <pepperfield>");
+        }
+        for (Node child = root.getFirstChild(); child != null; child = child.getNextSibling()) {
+            if (child instanceof Element element) {
+                take(element, values, faults);
+            }
+        }
+        if (!faults.isEmpty()) {
+            throw new SettingsException(name, faults);
+        }
+        Operators defaults = Operators.DEFAULTS;
+        return new Operators(values.getOrDefault(Field.CHARGE_S, defaults.chargeS()),
+                values.getOrDefault(Field.RESTART_SHARE, defaults.restartShare()),
+                values.getOrDefault(Field.PARTLY_SHARE, defaults.partlyShare()),
+                values.getOrDefault(Field.HEADROOM, defaults.headroom()),
+                values.getOrDefault(Field.SILENT_AT_ONCE, (double) defaults.silentAtOnce()).intValue());
+    }
+
+    private static void take(Element element, Map<Field, Double> values, List<String> faults) {
+        String tag = element.getTagName();
+        String text = element.getTextContent().strip();
+        for (Field field : Field.values()) {
+            if (!field.element.equals(tag)) {
+                continue;
+            }
+            double value = Double.NaN;
+            try {
+                value = Double.parseDouble(text);
+            } catch (NumberFormatException e) {
+                value = Double.NaN;
+            }
+            if (!(value >= field.least && value <= field.most)) {
+                faults.add("<" + tag + "> = \"" + text + "\": want a number from " + field.least + " to " + field.most);
+            } else if (values.put(field, value) != null) {
+                faults.add("<" + tag + "> is there twice");
+            }
+            return;
+        }
+        faults.add("<" + tag + "> is not a setting");
+    }
+
+    private static Element document(String name, byte[] xml) throws SettingsException {
+        try {
+            DocumentBuilderFactory factory = DocumentBuilderFactory.newInstance();
+            // A settings file has no business naming other files or growing by entities.
+            factory.setFeature("http://apache.org/xml/features/disallow-doctype-decl", true);
+            factory.setFeature(XMLConstants.FEATURE_SECURE_PROCESSING, true);
+            DocumentBuilder builder = factory.newDocumentBuilder();
+            builder.setErrorHandler(new Strict());
+            return builder.parse(new ByteArrayInputStream(xml)).getDocumentElement();
+        } catch (SAXParseException e) {
+            throw new SettingsException(name, List.of("is not XML in line " + e.getLineNumber() + ": " + e.getMessage()));
+        } catch (SAXException | IOException | ParserConfigurationException e) {
+            throw new SettingsException(name, List.of("is not XML: " + e.getMessage()));
+        }
+    }
+
+    /** The parser's own handler prints to standard error before it throws; this one only throws. */
+    private static final class Strict implements ErrorHandler {
+        @Override public void warning(SAXParseException e) { }
+
+        @Override public void error(SAXParseException e) throws SAXException {
+            throw e;
+        }
+
+        @Override public void fatalError(SAXParseException e) throws SAXException {
+            throw e;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/config/SettingsException.java
@@ -0,0 +1,11 @@
+package io.pepperfield.config;
+
+import java.util.List;
+
+/** A settings file that cannot be used; the message is one line that names every wrong field with its value. */
+public final class SettingsException extends Exception {
+
+    public SettingsException(String file, List<String> faults) {
+        super(file + ": " + String.join("; ", faults));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/fleet/Attempt.java
@@ -0,0 +1,79 @@
+package io.pepperfield.fleet;
+
+import io.pepperfield.jobs.Job;
+
+/** One start of one task on one machine; possibly alive from its durable intent until proven gone. */
+public final class Attempt {
+
+    public enum Phase {
+        /** The intent is being made durable; no order has left. */
+        INTENDED,
+        /** Durable; the order may be on its way, the machine has not shown it. */
+        ORDERED, PULLING, RUNNING, SAVING,
+        /** Ended on its machine, which keeps it in its reports until cleared. */
+        ENDED
+    }
+
+    public final Job job;
+    public final int task;
+    public final int number;
+    public final Machine machine;
+    public final long tenure;
+    public final TaskRef ref;
+    public final double intendedAt;
+
+    Phase phase;
+    /** The highest token under which a run order may have left by the direct way, where it may be carried out late. */
+    long directToken;
+    /** From a durable record of an earlier leader, which may have cleared it: it is not ordered again, only seen or gone. */
+    boolean restored;
+    double runningSince = Double.NaN;
+    boolean stopWanted;
+    double drainS;
+    double stopWantedAt;
+    /** What ended it is durable or of no consequence: nothing is lost by clearing it. */
+    boolean settled;
+
+    Attempt(Job job, int task, int number, Machine machine, long tenure, Phase phase, long directToken, double intendedAt) {
+        this.job = job;
+        this.task = task;
+        this.number = number;
+        this.machine = machine;
+        this.tenure = tenure;
+        this.phase = phase;
+        this.directToken = directToken;
+        this.intendedAt = intendedAt;
+        this.ref = new TaskRef(job.spec.id(), task);
+    }
+
+    public Phase phase() {
+        return phase;
+    }
+
+    /** Alive as far as anyone can prove. */
+    public boolean live() {
+        return phase != Phase.ENDED;
+    }
+
+    public boolean running() {
+        return phase == Phase.RUNNING || phase == Phase.SAVING;
+    }
+
+    public boolean stopWanted() {
+        return stopWanted;
+    }
+
+    public double drainS() {
+        return drainS;
+    }
+
+    /** Loop time since which it runs, NaN before. */
+    public double runningSince() {
+        return runningSince;
+    }
+
+    /** What ended it is durable now: it may be cleared once no late order can bring it back. */
+    public void settle() {
+        settled = true;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/fleet/Fleet.java
@@ -0,0 +1,360 @@
+package io.pepperfield.fleet;
+
+import io.pepperfield.fleet.Report.Cause;
+import io.pepperfield.jobs.Job;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The leader's machines and attempts, and the proofs that an attempt is gone. Pure state: reports and times go in,
+ * orders and events come out.
+ */
+public final class Fleet {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+
+    /** What the leader does about events in the fleet. */
+    public interface Listener {
+        /** The attempt runs now, for the first time as far as this leader knows. */
+        void started(Attempt attempt);
+
+        /** Completed; the attempt stays in the machine's reports until it is settled and cleared. */
+        void completed(Attempt attempt, double ranS);
+
+        /** Proven gone without being completed; its task may be started again. */
+        void gone(Attempt attempt, Cause cause);
+
+        /** Nothing has been known of this machine, or it was up before and its worker has begun a new session. */
+        void appeared(Machine machine);
+    }
+
+    private final Listener listener;
+    private final long electedToken;
+    private long token;
+    private final Map<String, Machine> machines = new LinkedHashMap<>();
+    /** Released with the cloud's word: a late report of one must not bring it back. */
+    private final Set<String> released = new HashSet<>();
+    private boolean newerTokenWanted;
+
+    public Fleet(Listener listener, long electedToken) {
+        this.listener = listener;
+        this.electedToken = electedToken;
+        this.token = electedToken;
+    }
+
+    public void token(long renewed) {
+        token = renewed;
+        newerTokenWanted = false;
+    }
+
+    /** Something waits for the machines to see a newer token, after which no order under the old one is carried out. */
+    public boolean newerTokenWanted() {
+        return newerTokenWanted;
+    }
+
+    public Collection<Machine> machines() {
+        return machines.values();
+    }
+
+    public Machine get(String name) {
+        return machines.get(name);
+    }
+
+    public boolean wasReleased(String name) {
+        return released.contains(name);
+    }
+
+    /** A machine that should exist, by a rental, the cloud's list or a durable record. */
+    public Machine expect(String name, String type, String zone, boolean spot, double rentedAt, double now) {
+        Machine machine = machines.computeIfAbsent(name, n -> new Machine(n, now));
+        if (!type.isEmpty() && machine.type.isEmpty()) {
+            machine.type = type;
+            machine.zone = zone;
+            machine.spot = spot;
+            machine.rentedAt = Math.min(rentedAt, now);
+        }
+        return machine;
+    }
+
+    /** Takes an attempt from a durable record of an earlier leader: possibly alive, its orders possibly under way. */
+    public Attempt restore(Job job, int task, int number, String machineName, long tenure, double now) {
+        Machine machine = expect(machineName, "", "", false, now, now);
+        Attempt attempt = new Attempt(job, task, number, machine, tenure, Attempt.Phase.ORDERED, electedToken - 1, now);
+        attempt.restored = true;
+        machine.attempts.put(attempt.ref, attempt);
+        return attempt;
+    }
+
+    public Attempt intend(Job job, int task, int number, Machine machine, double now) {
+        Attempt attempt = new Attempt(job, task, number, machine, machine.tenure, Attempt.Phase.INTENDED, 0, now);
+        Attempt old = machine.attempts.put(attempt.ref, attempt);
+        if (old != null) {
+            // A worker refuses a task that it still holds, and to forget the old attempt would lose its late orders.
+            throw new IllegalStateException(attempt.ref + " is intended on " + machine.name + ", which still holds it");
+        }
+        machine.images.remove(job.spec.image());
+        machine.images.add(job.spec.image());
+        return attempt;
+    }
+
+    /** The intent is durable. True if the run order may leave now. */
+    public boolean ordered(Attempt attempt) {
+        if (attempt.phase != Attempt.Phase.INTENDED) {
+            return false;
+        }
+        if (attempt.stopWanted || attempt.machine.tenure != attempt.tenure || attempt.machine.releasing) {
+            // Nothing has left for it, so it is certain never to have been alive.
+            end(attempt, Cause.STOPPED);
+            return false;
+        }
+        attempt.phase = Attempt.Phase.ORDERED;
+        return true;
+    }
+
+    /** To be called before run orders leave by the direct way: from here on they may be carried out late. */
+    public void sendingDirect(List<Attempt> attempts) {
+        attempts.forEach(a -> a.directToken = Math.max(a.directToken, token));
+    }
+
+    /** Wants the attempt stopped; an intent that has not left yet ends once its write does. */
+    public void stop(Attempt attempt, double drainS, double now) {
+        if (attempt.live() && (!attempt.stopWanted || drainS < attempt.drainS)) {
+            if (!attempt.stopWanted) {
+                attempt.stopWantedAt = now;
+            }
+            attempt.stopWanted = true;
+            attempt.drainS = drainS;
+            if (attempt.phase == Attempt.Phase.ORDERED) {
+                newerTokenWanted = true;
+            }
+        }
+    }
+
+    /** A worker's report by its own message: state is taken if it is news; its answer are the orders, or null for none. */
+    public List<Order> beat(Report report, double now) {
+        Machine known = machines.get(report.machine());
+        if (known != null && (report.tenure() < known.beatTenure
+                || report.tenure() == known.beatTenure && report.serial() <= known.beatSerial)) {
+            // A late copy: its sender has given it up, and it says nothing about whether the machine is still there.
+            return null;
+        }
+        Machine machine = take(report, true, now);
+        if (machine == null) {
+            return null;
+        }
+        machine.beatTenure = report.tenure();
+        machine.beatSerial = report.serial();
+        machine.reportedAt = now;
+        return ordersFor(machine, report);
+    }
+
+    /** A report that came as the answer to direct orders; it renews nothing and proves no absence. */
+    public void heard(Report report, double now) {
+        if (machines.containsKey(report.machine())) {
+            take(report, false, now);
+        }
+    }
+
+    private Machine take(Report report, boolean beat, double now) {
+        if (released.contains(report.machine())) {
+            return null;
+        }
+        Machine machine = machines.computeIfAbsent(report.machine(), n -> new Machine(n, now));
+        machine.type = report.type();
+        machine.zone = report.zone();
+        machine.spot = report.spot();
+        machine.address = report.address();
+        if (report.tenure() < machine.tenure || report.tenure() == machine.tenure && report.serial() <= machine.serial) {
+            return machine;
+        }
+        boolean appeared = !machine.up();
+        if (report.tenure() > machine.tenure) {
+            newTenure(machine, report.tenure());
+            appeared = true;
+        }
+        machine.serial = report.serial();
+        machine.seenToken = Math.max(machine.seenToken, report.token());
+        machine.takenAt = report.noticeS() == null ? Double.NaN : now + report.noticeS();
+        Set<TaskRef> shown = new HashSet<>();
+        for (Report.Line line : report.lines()) {
+            Attempt attempt = machine.attempts.get(line.ref());
+            if (attempt != null && attempt.number == line.attempt() && attempt.tenure == machine.tenure) {
+                shown.add(line.ref());
+                show(attempt, line, now);
+            }
+        }
+        if (beat) {
+            absent(machine, shown);
+        }
+        if (appeared && beat) {
+            listener.appeared(machine);
+        }
+        return machine;
+    }
+
+    /** Proof 2: a worker that begins a new session has killed and forgotten all of the one before. */
+    private void newTenure(Machine machine, long tenure) {
+        machine.tenure = tenure;
+        for (Attempt attempt : List.copyOf(machine.attempts.values())) {
+            if (attempt.tenure < tenure) {
+                machine.attempts.remove(attempt.ref, attempt);
+                if (attempt.live()) {
+                    end(attempt, Cause.OTHER);
+                }
+            }
+        }
+    }
+
+    private void show(Attempt attempt, Report.Line line, double now) {
+        if (!attempt.live() || attempt.phase == Attempt.Phase.INTENDED) {
+            return;
+        }
+        switch (line.state()) {
+            case PULLING -> attempt.phase = Attempt.Phase.PULLING;
+            case RUNNING, SAVING -> {
+                boolean first = Double.isNaN(attempt.runningSince);
+                attempt.phase = line.state() == Report.State.RUNNING ? Attempt.Phase.RUNNING : Attempt.Phase.SAVING;
+                if (first) {
+                    attempt.runningSince = now;
+                    listener.started(attempt);
+                }
+            }
+            case ENDED -> {
+                if (line.cause() == Cause.DONE) {
+                    attempt.phase = Attempt.Phase.ENDED;
+                    attempt.machine.failedJobs.clear();
+                    listener.completed(attempt, Double.isNaN(attempt.runningSince) ? 0 : now - attempt.runningSince);
+                } else {
+                    // Proof 1. The machine goes on holding the attempt until cleared, so no late order starts it again.
+                    attempt.settled = true;
+                    end(attempt, line.cause());
+                }
+            }
+        }
+    }
+
+    /**
+     * Proof 4, for attempts that the machine's own report does not hold: it has seen a newer token than any direct order
+     * for them carried, and what answers to its earlier reports offered is over, since a report answers one at a time.
+     */
+    private void absent(Machine machine, Set<TaskRef> shown) {
+        for (Attempt attempt : List.copyOf(machine.attempts.values())) {
+            if (shown.contains(attempt.ref) || attempt.phase == Attempt.Phase.INTENDED) {
+                continue;
+            }
+            if (machine.seenToken <= attempt.directToken) {
+                continue;
+            }
+            if (!attempt.live()) {
+                machine.attempts.remove(attempt.ref, attempt);
+            } else if (attempt.phase != Attempt.Phase.ORDERED || attempt.stopWanted || attempt.restored) {
+                machine.attempts.remove(attempt.ref, attempt);
+                end(attempt, Cause.OTHER);
+            }
+        }
+    }
+
+    private void end(Attempt attempt, Cause cause) {
+        attempt.phase = Attempt.Phase.ENDED;
+        if (cause == Cause.ERROR) {
+            attempt.machine.failedJobs.add(attempt.job.spec.id());
+        }
+        if (attempt.machine.tenure != attempt.tenure) {
+            attempt.machine.attempts.remove(attempt.ref, attempt);
+        }
+        listener.gone(attempt, cause);
+    }
+
+    private List<Order> ordersFor(Machine machine, Report report) {
+        List<Order> orders = new ArrayList<>();
+        if (report.tenure() != machine.tenure) {
+            return orders;
+        }
+        Set<TaskRef> known = new HashSet<>();
+        for (Attempt attempt : machine.attempts.values()) {
+            if (attempt.phase == Attempt.Phase.INTENDED || attempt.tenure != machine.tenure) {
+                continue;
+            }
+            known.add(attempt.ref);
+            if (!attempt.live()) {
+                // A clear makes the worker forget; a direct run under a token it still accepts would start it once more.
+                if (attempt.settled && machine.seenToken > attempt.directToken) {
+                    orders.add(new Order.Clear(attempt.ref, attempt.number));
+                } else if (attempt.settled) {
+                    newerTokenWanted = true;
+                }
+            } else if (attempt.stopWanted) {
+                orders.add(new Order.Stop(attempt.ref, attempt.number, attempt.drainS));
+                newerTokenWanted |= attempt.phase == Attempt.Phase.ORDERED && machine.seenToken <= attempt.directToken;
+            } else if (attempt.phase == Attempt.Phase.ORDERED && !attempt.restored && !machine.releasing) {
+                orders.add(new Order.Run(attempt.ref, attempt.number));
+            }
+        }
+        for (Report.Line line : report.lines()) {
+            Attempt attempt = machine.attempts.get(line.ref());
+            boolean ours = attempt != null && attempt.number == line.attempt();
+            if (ours && (known.contains(line.ref()) || attempt.phase == Attempt.Phase.INTENDED)) {
+                continue;
+            }
+            // An attempt that no durable record knows any more, by a leader before this one.
+            if (line.state() != Report.State.ENDED) {
+                orders.add(new Order.Stop(line.ref(), line.attempt(), 0));
+            } else if (machine.seenToken >= electedToken) {
+                orders.add(new Order.Clear(line.ref(), line.attempt()));
+            }
+        }
+        return orders;
+    }
+
+    public void releasing(Machine machine) {
+        machine.releasing = true;
+    }
+
+    /** Proof 3: the cloud has answered that the machine is gone with everything on it. */
+    public void gone(String name) {
+        released.add(name);
+        Machine machine = machines.remove(name);
+        if (machine == null) {
+            return;
+        }
+        LOG.info("{} is gone with {} attempts", machine.describe(), machine.attempts.values().stream().filter(Attempt::live).count());
+        for (Attempt attempt : List.copyOf(machine.attempts.values())) {
+            if (attempt.live()) {
+                end(attempt, Cause.OTHER);
+            }
+        }
+    }
+
+    /** The attempts that may be alive, over all machines. */
+    public List<Attempt> live() {
+        List<Attempt> all = new ArrayList<>();
+        for (Machine machine : machines.values()) {
+            for (Attempt attempt : machine.attempts.values()) {
+                if (attempt.live()) {
+                    all.add(attempt);
+                }
+            }
+        }
+        return all;
+    }
+
+    /** How many machines have this many seconds of silence or more, among those that were up. */
+    public Map<String, Integer> census(double now, double silentS) {
+        Map<String, Integer> census = new HashMap<>();
+        for (Machine machine : machines.values()) {
+            String state = machine.releasing ? "releasing" : !machine.up() ? "awaited"
+                    : machine.silentFor(now) > silentS ? "silent" : "up";
+            census.merge(state, 1, Integer::sum);
+        }
+        return census;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/fleet/Order.java
@@ -0,0 +1,42 @@
+package io.pepperfield.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pepperfield.http.Json;
+
+import java.util.List;
+
+/** A command to a worker about one attempt. */
+public sealed interface Order {
+
+    TaskRef ref();
+
+    int attempt();
+
+    record Run(TaskRef ref, int attempt) implements Order { }
+
+    record Stop(TaskRef ref, int attempt, double drainS) implements Order { }
+
+    record Clear(TaskRef ref, int attempt) implements Order { }
+
+    /** The body of an answer to a report. */
+    public static ObjectNode reply(long token, List<Order> orders) {
+        ObjectNode body = Json.object().put("epoch", token);
+        ArrayNode all = body.putArray("orders");
+        for (Order order : orders) {
+            ObjectNode node = all.addObject();
+            node.put("verb", order instanceof Run ? "run" : order instanceof Stop ? "stop" : "clear");
+            node.put("shard", order.ref().toString()).put("try", order.attempt());
+            if (order instanceof Stop stop) {
+                node.put("drainS", stop.drainS());
+            }
+        }
+        return body;
+    }
+
+    /** The body of a direct message, which holds for one session of the worker only. */
+    public static JsonNode message(long token, long tenure, List<Order> orders) {
+        return reply(token, orders).put("tenure", tenure);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/fleet/Workers.java
@@ -0,0 +1,20 @@
+package io.pepperfield.fleet;
+
+import java.util.List;
+import java.util.function.Consumer;
+
+/** The direct way to the workers; callbacks run on the owner. */
+public interface Workers {
+
+    sealed interface Result {
+        /** The worker's report after the orders; {@code executed} false where it refused all of them. */
+        record Heard(boolean executed, Report report) implements Result { }
+
+        record NotSent() implements Result { }
+
+        /** The orders may be carried out at any later time. */
+        record NoAnswer() implements Result { }
+    }
+
+    void orders(String address, long token, long tenure, List<Order> orders, Consumer<Result> done);
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/http/Call.java
@@ -0,0 +1,20 @@
+package io.pepperfield.http;
+
+import io.netty.handler.codec.http.QueryStringDecoder;
+
+import java.util.List;
+import java.util.Map;
+
+/** One request as the server received it. */
+public record Call(String method, String path, Map<String, List<String>> query, byte[] body) {
+
+    static Call of(String method, String uri, byte[] body) {
+        QueryStringDecoder decoder = new QueryStringDecoder(uri);
+        return new Call(method, decoder.path(), decoder.parameters(), body);
+    }
+
+    public String parameter(String name, String otherwise) {
+        List<String> values = query.get(name);
+        return values == null || values.isEmpty() ? otherwise : values.get(0);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/http/HttpServer.java
@@ -0,0 +1,198 @@
+package io.pepperfield.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** HTTP/1.1 server: whole requests in, one answer each, with limits that keep a bad client from harming the others. */
+public final class HttpServer {
+
+    public static final int MOST_BYTES = 64 * 1024;
+    private static final long RECEIVE_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(180);
+
+    /** Called on the network thread; must hand the request on at once. */
+    public interface Handler {
+        void handle(Call call, Consumer<Reply> answer);
+    }
+
+    private final EventLoopGroup loops;
+    private final Handler handler;
+    private final int mostConnections;
+    private final Set<Connection> open = new HashSet<>();
+    private Channel listening;
+
+    public HttpServer(EventLoopGroup loops, int mostConnections, Handler handler) {
+        this.loops = loops;
+        this.mostConnections = mostConnections;
+        this.handler = handler;
+    }
+
+    public int start(String host, int port) throws InterruptedException {
+        ServerBootstrap bootstrap = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 256)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override protected void initChannel(SocketChannel channel) {
+                        if (open.size() >= mostConnections) {
+                            // Beyond this the process would run out of sockets for the state service and the workers.
+                            channel.close();
+                            return;
+                        }
+                        Connection connection = new Connection(channel);
+                        channel.pipeline().addLast(connection, new HttpServerCodec(4096, 8192, 8192),
+                                new BoundedAggregator(), new Requests(connection));
+                    }
+                });
+        listening = bootstrap.bind(new InetSocketAddress(host, port)).sync().channel();
+        listening.eventLoop().scheduleWithFixedDelay(this::sweep, 1, 1, TimeUnit.SECONDS);
+        return ((InetSocketAddress) listening.localAddress()).getPort();
+    }
+
+    public void close() {
+        if (listening != null) {
+            listening.close();
+        }
+    }
+
+    /** One coarse timer for all connections: ends those that drip a request in or have been idle for minutes. */
+    private void sweep() {
+        long now = System.nanoTime();
+        for (Connection connection : open.toArray(new Connection[0])) {
+            boolean dripping = connection.receiving && now - connection.since > RECEIVE_NANOS;
+            boolean idle = !connection.receiving && !connection.answering && now - connection.since > IDLE_NANOS;
+            if (dripping || idle) {
+                connection.channel.close();
+            }
+        }
+    }
+
+    /** Sees the raw bytes first, so that a half-sent request line counts as a request being received. */
+    private final class Connection extends ChannelInboundHandlerAdapter {
+        final Channel channel;
+        boolean receiving;
+        boolean answering;
+        long since = System.nanoTime();
+
+        Connection(Channel channel) {
+            this.channel = channel;
+        }
+
+        @Override public void handlerAdded(ChannelHandlerContext ctx) {
+            open.add(this);
+        }
+
+        @Override public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            if (!receiving && !answering) {
+                receiving = true;
+                since = System.nanoTime();
+            }
+            ctx.fireChannelRead(bytes);
+        }
+
+        @Override public void channelInactive(ChannelHandlerContext ctx) {
+            open.remove(this);
+            ctx.fireChannelInactive();
+        }
+    }
+
+    /** Answers 400 where the library would answer 413: the protocol knows one kind of malformed request. */
+    private static final class BoundedAggregator extends HttpObjectAggregator {
+        BoundedAggregator() {
+            super(MOST_BYTES);
+        }
+
+        @Override protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
+            write(ctx, Reply.error(400, "the body is longer than 64 KiB"), false);
+        }
+    }
+
+    private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Connection connection;
+
+        Requests(Connection connection) {
+            this.connection = connection;
+        }
+
+        @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            connection.receiving = false;
+            if (connection.answering) {
+                // A second request before the first answer is pipelining, which the protocol rules out.
+                ctx.close();
+                return;
+            }
+            connection.answering = true;
+            boolean keep = HttpUtil.isKeepAlive(request);
+            Consumer<Reply> answer = reply -> ctx.channel().eventLoop().execute(() -> {
+                connection.answering = false;
+                connection.since = System.nanoTime();
+                write(ctx, reply, keep);
+            });
+            if (request.decoderResult().isFailure()) {
+                write(ctx, Reply.error(400, "malformed request"), false);
+                return;
+            }
+            Call call;
+            try {
+                call = Call.of(request.method().name(), request.uri(), ByteBufUtil.getBytes(request.content()));
+            } catch (IllegalArgumentException e) {
+                answer.accept(Reply.error(400, "malformed address"));
+                return;
+            }
+            handler.handle(call, answer);
+        }
+
+        @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // A reset or broken connection concerns nobody else.
+            ctx.close();
+        }
+    }
+
+    private static void write(ChannelHandlerContext ctx, Reply reply, boolean keep) {
+        ByteBuf body = Unpooled.wrappedBuffer(reply.body());
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(reply.status()), body);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        if (body.isReadable()) {
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+        }
+        if (reply.retryAfterS() > 0) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, reply.retryAfterS());
+        }
+        if (!keep) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        var written = ctx.writeAndFlush(response);
+        if (!keep) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/http/Outcome.java
@@ -0,0 +1,19 @@
+package io.pepperfield.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** How an outgoing request ended. */
+public sealed interface Outcome {
+
+    record Answered(int status, byte[] body) implements Outcome {
+        public JsonNode json() {
+            return Json.read(body);
+        }
+    }
+
+    /** No byte of it left: it was certainly not carried out. */
+    record NotSent(String why) implements Outcome { }
+
+    /** It left and nothing came back: it may have been carried out, or may be at any later time. */
+    record NoAnswer(String why) implements Outcome { }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/http/Reply.java
@@ -0,0 +1,26 @@
+package io.pepperfield.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** One answer; {@code retryAfterS} above 0 tells the client when to come back. */
+public record Reply(int status, byte[] body, int retryAfterS) {
+
+    private static final byte[] NOTHING = new byte[0];
+
+    public static Reply json(int status, JsonNode body) {
+        return new Reply(status, Json.write(body), 0);
+    }
+
+    public static Reply empty(int status) {
+        return new Reply(status, NOTHING, 0);
+    }
+
+    public static Reply error(int status, String why) {
+        return json(status, Json.object().put("error", why));
+    }
+
+    /** The service cannot take this now: said at once, with the time to come back. */
+    public static Reply later(String why) {
+        return new Reply(503, Json.write(Json.object().put("error", why)), 1);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/jobs/JobSpec.java
@@ -0,0 +1,48 @@
+package io.pepperfield.jobs;
+
+import java.util.List;
+
+/**
+ * What a user asked for.
+ *
+ * @param types      allowed machine types, or null for any
+ * @param zone       the only allowed zone, or null
+ * @param oneZone    all tasks in the same zone
+ * @param spread     at most half of the tasks, rounded up, in one zone
+ * @param spot       may use spot machines
+ * @param dueS       deadline after the submission, or null
+ * @param acceptedMs time of day of the submission
+ * @param chunk      tasks per durable run record
+ */
+public record JobSpec(String id, String workload, String team, Shape shape, Rank rank, int tasks, double cpus, double gpus,
+                      double memGb, String image, double imageGb, List<String> types, String zone, boolean oneZone,
+                      boolean spread, boolean spot, double expectedS, double checkpointEveryS, double checkpointS,
+                      Double dueS, long acceptedMs, int chunk) {
+
+    public enum Shape { ARRAY, SERVICE }
+
+    /** From the highest to the lowest. */
+    public enum Rank { PRODUCTION, URGENT, STANDARD, BEST_EFFORT }
+
+    public boolean service() {
+        return shape == Shape.SERVICE;
+    }
+
+    /** How many tasks may be in one zone at the same time. */
+    public int mostPerZone() {
+        return spread ? (tasks + 1) / 2 : tasks;
+    }
+
+    public int chunks() {
+        return (tasks + chunk - 1) / chunk;
+    }
+
+    public boolean saves() {
+        return checkpointEveryS > 0;
+    }
+
+    /** Whether a machine of that type, in that zone and of that kind may hold a task. */
+    public boolean allows(String type, String inZone, boolean onSpot) {
+        return (spot || !onSpot) && (types == null || types.contains(type)) && (zone == null || zone.equals(inZone));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/jobs/RunRecord.java
@@ -0,0 +1,34 @@
+package io.pepperfield.jobs;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import io.pepperfield.http.Json;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The durable line of one task: its latest attempt, where it may be alive, or that it is done. */
+public record RunRecord(int task, int attempt, State state, String machine, long tenure) {
+
+    public enum State { GONE, LIVE, DONE }
+
+    public static JsonNode write(List<RunRecord> records) {
+        ArrayNode all = Json.array();
+        for (RunRecord record : records) {
+            ArrayNode line = all.addArray().add(record.task).add(record.attempt).add(record.state.ordinal());
+            if (record.state == State.LIVE) {
+                line.add(record.machine).add(record.tenure);
+            }
+        }
+        return all;
+    }
+
+    public static List<RunRecord> read(JsonNode data) {
+        List<RunRecord> records = new ArrayList<>();
+        for (JsonNode line : data) {
+            records.add(new RunRecord(line.path(0).asInt(), line.path(1).asInt(), State.values()[line.path(2).asInt()],
+                    line.path(3).asText(""), line.path(4).asLong()));
+        }
+        return records;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/jobs/Status.java
@@ -0,0 +1,16 @@
+package io.pepperfield.jobs;
+
+import java.util.Locale;
+
+/** A job's state as its user is told; the last two are final. */
+public enum Status {
+    PENDING, RUNNING, DONE, CANCELLED;
+
+    public boolean ended() {
+        return this == DONE || this == CANCELLED;
+    }
+
+    public String word() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/jobs/UserRequests.java
@@ -0,0 +1,151 @@
+package io.pepperfield.jobs;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.http.Json;
+import io.pepperfield.http.Reply;
+import io.pepperfield.node.Loop;
+import io.pepperfield.store.Keys;
+import io.pepperfield.store.StateService;
+import io.pepperfield.store.Sync;
+
+import java.util.function.Consumer;
+
+/**
+ * Submissions, queries and cancellations, on any node. A final state is answered from memory for ever; everything else
+ * only after the state service has confirmed, during the request, that the replica holds all that was decided before.
+ */
+public final class UserRequests {
+
+    /** Whether a job can ever run: null, or why not; throws where that cannot be decided yet. */
+    public interface Feasibility {
+        String refusal(JobSpec job) throws Undecided;
+    }
+
+    /** The machine types are not known yet. */
+    public static final class Undecided extends Exception { }
+
+    private static final String NO_STATE = "the state service does not answer";
+
+    private final Loop loop;
+    private final Catalog catalog;
+    private final Sync sync;
+    private final Feasibility feasibility;
+    private final Once submissions;
+    private final Once cancellations;
+    private final int chunk;
+    private final int mostValueBytes;
+
+    public UserRequests(Loop loop, Catalog catalog, Sync sync, StateService state, Feasibility feasibility, int mostChanges,
+                        double valueKb) {
+        this.loop = loop;
+        this.catalog = catalog;
+        this.sync = sync;
+        this.feasibility = feasibility;
+        this.mostValueBytes = (int) (valueKb * 1024 * 0.9);
+        // A run record takes up to about 60 bytes a task; half of a value leaves room for long machine names.
+        this.chunk = Math.max(1, (int) (valueKb * 1024 / 120));
+        this.submissions = new Once(state, StateService.Urgency.JOB, mostChanges, 40 * 1024);
+        this.cancellations = new Once(state, StateService.Urgency.END, mostChanges, 40 * 1024);
+    }
+
+    public void flush() {
+        cancellations.flush();
+        submissions.flush();
+    }
+
+    public void submit(byte[] body, Consumer<Reply> answer) {
+        JsonNode json = Json.read(body);
+        String id = JobMessages.idOf(json);
+        if (!json.isObject() || id.isEmpty()) {
+            answer.accept(Reply.error(400, json.isMissingNode() ? "the body is not JSON" : "nameId: want run- and at least six digits"));
+            return;
+        }
+        if (catalog.get(id) != null) {
+            query(id, answer);
+            return;
+        }
+        JobSpec job;
+        try {
+            job = JobMessages.submission(json, loop.wallMs(), chunk);
+        } catch (JobMessages.Malformed e) {
+            unlessKnown(id, Reply.error(400, e.getMessage()), answer);
+            return;
+        }
+        JsonNode durable = JobMessages.durable(job);
+        if (Json.write(durable).length > mostValueBytes) {
+            unlessKnown(id, Reply.error(400, "the names are too long"), answer);
+            return;
+        }
+        String refusal;
+        try {
+            refusal = feasibility.refusal(job);
+        } catch (Undecided e) {
+            unlessKnown(id, Reply.later("the machine types are not known yet"), answer);
+            return;
+        }
+        if (refusal != null) {
+            unlessKnown(id, Reply.error(422, refusal), answer);
+            return;
+        }
+        submissions.create(Keys.JOB + id, durable, result -> {
+            switch (result) {
+                case CREATED -> answer.accept(Reply.json(201, JobMessages.brief(id, Status.PENDING)));
+                case EXISTS -> query(id, answer);
+                case UNAVAILABLE -> answer.accept(Reply.later(NO_STATE));
+            }
+        });
+    }
+
+    /** A known id gets 200 whatever its body says: the job was accepted, perhaps by another node and a moment ago. */
+    private void unlessKnown(String id, Reply refusal, Consumer<Reply> answer) {
+        sync.confirm(current -> {
+            Catalog.Record record = catalog.get(id);
+            if (!current) {
+                answer.accept(Reply.later(NO_STATE));
+            } else {
+                answer.accept(record == null ? refusal : Reply.json(200, record.answer()));
+            }
+        });
+    }
+
+    public void query(String id, Consumer<Reply> answer) {
+        Catalog.Record record = catalog.get(id);
+        if (record != null && record.end() != null) {
+            answer.accept(Reply.json(200, record.answer()));
+            return;
+        }
+        unlessKnown(id, Reply.error(404, "no such job"), answer);
+    }
+
+    public void cancel(String id, Consumer<Reply> answer) {
+        Catalog.Record record = catalog.get(id);
+        if (record != null && record.end() != null) {
+            answer.accept(Reply.json(200, JobMessages.brief(id, record.end())));
+        } else if (record != null) {
+            cancellations.create(Keys.END + id, JobMessages.durableEnd(Status.CANCELLED), result -> {
+                switch (result) {
+                    case CREATED -> answer.accept(Reply.json(200, JobMessages.brief(id, Status.CANCELLED)));
+                    case EXISTS -> ended(id, answer);
+                    case UNAVAILABLE -> answer.accept(Reply.later(NO_STATE));
+                }
+            });
+        } else {
+            sync.confirm(current -> {
+                if (!current) {
+                    answer.accept(Reply.later(NO_STATE));
+                } else if (catalog.get(id) == null) {
+                    answer.accept(Reply.error(404, "no such job"));
+                } else {
+                    cancel(id, answer);
+                }
+            });
+        }
+    }
+
+    private void ended(String id, Consumer<Reply> answer) {
+        sync.confirm(current -> {
+            Status end = current ? catalog.get(id).end() : null;
+            answer.accept(end == null ? Reply.later(NO_STATE) : Reply.json(200, JobMessages.brief(id, end)));
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/leadership/Leadership.java
@@ -0,0 +1,245 @@
+package io.pepperfield.leadership;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.http.Json;
+import io.pepperfield.node.Loop;
+import io.pepperfield.store.Keys;
+import io.pepperfield.store.StateService;
+import io.pepperfield.store.StateService.Change;
+import io.pepperfield.store.StateService.Guard;
+import io.pepperfield.store.StateService.TxnResult;
+import io.pepperfield.store.StateService.Urgency;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import java.util.List;
+
+/**
+ * Who decides. The key {@code leader} is bound to a grant; the stamp that writing it returned is the token. A write
+ * guarded by that stamp proves that its writer still led when it took effect.
+ */
+public final class Leadership {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
+
+    /** The owner's reaction to changes of role; called on the owner. */
+    public interface Listener {
+        void elected(long token);
+
+        void renewedToken(long token);
+
+        void deposed(String why);
+    }
+
+    private final Loop loop;
+    private final StateService state;
+    private final String node;
+    private final double ttlS;
+    private final Listener listener;
+
+    private String leader = "";
+    private long leaderGrant;
+    private boolean known;
+    private long token;
+    private long grant;
+    private double grantUntil;
+    private boolean busy;
+    private boolean minting;
+    private boolean touching;
+    private double touchAt;
+    private double abstainUntil;
+    private boolean orphanChecked;
+    private boolean doubted;
+    private double doubtedAt;
+
+    public Leadership(Loop loop, StateService state, String node, double ttlS, Listener listener) {
+        this.loop = loop;
+        this.state = state;
+        this.node = node;
+        this.ttlS = ttlS;
+        this.listener = listener;
+    }
+
+    /** Leading as far as this node knows: enough to keep leases alive, not to decide anything new. */
+    public boolean leading() {
+        return token != 0 && !doubted;
+    }
+
+    /** Leading, and the grant cannot have ended yet by this node's own reckoning. */
+    public boolean confirmed() {
+        return leading() && loop.now() < grantUntil;
+    }
+
+    public long token() {
+        return token;
+    }
+
+    /** The leading node as far as known, or empty. */
+    public String leader() {
+        return leader;
+    }
+
+    public Guard guard() {
+        return new Guard(Keys.LEADER, token);
+    }
+
+    /** The replica's news of the leader key. */
+    public void leaderKey(JsonNode data, long stamp) {
+        known = true;
+        leader = data == null ? "" : data.path("node").asText();
+        leaderGrant = data == null ? 0 : data.path("grant").longValue();
+        boolean mine = data != null && leader.equals(node) && leaderGrant == grant && grant != 0;
+        if (mine && token == 0) {
+            lead(stamp);
+        } else if (mine && stamp > token) {
+            // A renewal of which no answer came has taken effect: older guards fail from here on.
+            token = stamp;
+            listener.renewedToken(token);
+        } else if (!mine && token != 0 && (data == null || stamp > token)) {
+            depose("another node has the leader key");
+        }
+    }
+
+    /**
+     * A worker or peer showed a token beyond this node's own: it stops acting until the state service has renewed the
+     * grant, which it does only for the node that still has the key. A made-up token thus stops it for a moment only.
+     */
+    public void sawToken(long seen) {
+        if (token != 0 && seen > token && !doubted) {
+            LOG.info("a newer token {} is about, own {}", seen, token);
+            doubted = true;
+            doubtedAt = loop.now();
+        }
+    }
+
+    /** Called when the replica is known to be loaded, so that a missing key means a missing leader. */
+    public void replicaLoaded() {
+        known = true;
+    }
+
+    /** To be called a few times per ttl. */
+    public void tick() {
+        if (token != 0) {
+            renew();
+        } else if (known && leader.isEmpty() && !busy && loop.now() >= abstainUntil) {
+            stand();
+        } else if (known && leader.equals(node) && grant == 0 && !orphanChecked) {
+            // The key names this node, which holds no grant: an earlier process of this node wrote it and has ended.
+            orphanChecked = true;
+            LOG.info("ending the grant of this node's earlier process");
+            state.endGrant(leaderGrant);
+        }
+    }
+
+    private void stand() {
+        busy = true;
+        double sent = loop.now();
+        state.grant(ttlS, granted -> {
+            if (granted.id() == 0) {
+                retry();
+                return;
+            }
+            grant = granted.id();
+            grantUntil = validity(sent);
+            state.txn(Urgency.GRANT, List.of(new Guard(Keys.LEADER, 0)),
+                    List.of(new Change(Keys.LEADER, Json.object().put("node", node).put("grant", grant), grant)), result -> {
+                busy = false;
+                if (result instanceof TxnResult.Committed done) {
+                    leader = node;
+                    leaderGrant = grant;
+                    if (token == 0) {
+                        lead(done.revision());
+                    }
+                } else if (!(result instanceof TxnResult.Unknown) && token == 0) {
+                    state.endGrant(grant);
+                    grant = 0;
+                    abstainUntil = loop.now() + ttlS / 10;
+                } else if (token == 0) {
+                    // Perhaps elected without knowing it: ending the grant undoes it whenever it takes effect.
+                    state.endGrant(grant);
+                    grant = 0;
+                    abstainUntil = loop.now() + ttlS / 4;
+                }
+            });
+        });
+    }
+
+    private void retry() {
+        busy = false;
+        abstainUntil = loop.now() + ttlS / 10;
+    }
+
+    private void lead(long stamp) {
+        token = stamp;
+        doubted = false;
+        LOG.info("leading with token {}", token);
+        listener.elected(token);
+    }
+
+    /** Counted from the sending, less clock drift and a margin: the service may have started its clock then. */
+    private double validity(double sent) {
+        return sent + ttlS * 0.9;
+    }
+
+    private void renew() {
+        double sent = loop.now();
+        if (touching || sent < touchAt) {
+            return;
+        }
+        touching = true;
+        touchAt = sent + ttlS / 4;
+        long touched = grant;
+        state.touch(touched, result -> {
+            touching = false;
+            if (grant != touched) {
+                return;
+            }
+            if (result.id() != 0) {
+                grantUntil = Math.max(grantUntil, validity(sent));
+                doubted &= sent < doubtedAt;
+            } else if (result.gone() && token != 0) {
+                depose("the grant has ended");
+            }
+        });
+    }
+
+    /** Writes the leader key again: workers that have seen the new token refuse every order under the old one. */
+    public void mint() {
+        if (!confirmed() || minting) {
+            return;
+        }
+        minting = true;
+        long before = token;
+        state.txn(Urgency.GRANT, List.of(guard()),
+                List.of(new Change(Keys.LEADER, Json.object().put("node", node).put("grant", grant), grant)), result -> {
+            minting = false;
+            if (result instanceof TxnResult.Committed done && token == before) {
+                token = done.revision();
+                listener.renewedToken(token);
+            }
+        });
+    }
+
+    /** Gives the lead away, for a node that can reach the state service but not the workers. */
+    public void abdicate(String why, double forS) {
+        if (token != 0) {
+            long given = grant;
+            depose(why);
+            state.endGrant(given);
+            abstainUntil = loop.now() + forS;
+        }
+    }
+
+    private void depose(String why) {
+        LOG.info("no longer leading: {}", why);
+        token = 0;
+        grant = 0;
+        minting = false;
+        if (leader.equals(node)) {
+            leader = "";
+        }
+        // The replica still has to bring the end of the old key before this node may stand again.
+        abstainUntil = Math.max(abstainUntil, loop.now() + ttlS / 4);
+        listener.deposed(why);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -0,0 +1,299 @@
+package io.pepperfield.node;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pepperfield.cloud.Cloud;
+import io.pepperfield.config.Settings;
+import io.pepperfield.fleet.Report;
+import io.pepperfield.fleet.Workers;
+import io.pepperfield.http.Call;
+import io.pepperfield.http.Json;
+import io.pepperfield.http.Reply;
+import io.pepperfield.jobs.Catalog;
+import io.pepperfield.jobs.JobMessages;
+import io.pepperfield.jobs.UserRequests;
+import io.pepperfield.leadership.Leadership;
+import io.pepperfield.peer.Peers;
+import io.pepperfield.store.Keys;
+import io.pepperfield.store.Replica;
+import io.pepperfield.store.StateService;
+import io.pepperfield.store.Sync;
+import io.pepperfield.store.Writer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import java.util.function.Consumer;
+
+/** One controller: every node answers users; the leading one also answers workers and decides. All of it runs on the owner. */
+public final class Controller implements Leadership.Listener {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+
+    /** Sets this node's part of the state service's rates. */
+    public interface Rates {
+        void share(double requests, double writes);
+    }
+
+    private final Loop loop;
+    private final Settings settings;
+    private final Cloud cloud;
+    private final Workers workers;
+    private final Rates rates;
+    private final Peers peers;
+    private final Types types;
+    private final Catalog catalog = new Catalog();
+    private final Replica replica;
+    private final Sync sync;
+    private final Leadership leadership;
+    private final Writer writer;
+    private final UserRequests users;
+    private final Latencies latencies = new Latencies();
+    private final double reportS;
+    private final double tickS;
+    private Leader leader;
+    private boolean askingTypes;
+    private double typesAt = Double.NEGATIVE_INFINITY;
+    private double summaryAt;
+
+    public Controller(Loop loop, Settings settings, StateService state, Cloud cloud, Workers workers, Peers peers, Rates rates) {
+        this.loop = loop;
+        this.settings = settings;
+        this.cloud = cloud;
+        this.workers = workers;
+        this.rates = rates;
+        this.peers = peers;
+        this.types = new Types(settings);
+        this.reportS = settings.deployment().workers().reportS();
+        Settings.State limits = settings.deployment().state();
+        int size = settings.deployment().size();
+        // A user waits for a confirmation and a worker for a new job: a twentieth of the rate for each kind of question.
+        double spacingS = 10.0 * size / limits.rps() / 4;
+        this.replica = new Replica(this::changed);
+        this.sync = new Sync(loop, state, replica, reportS / 2, spacingS);
+        // Below a worker's patience of a lease by far, so that a take-over costs no task; above a pause of this process.
+        double ttlS = Math.min(settings.deployment().workers().leaseS() / 4, reportS);
+        this.leadership = new Leadership(loop, state, settings.node(), ttlS, this);
+        this.tickS = ttlS / 20;
+        this.writer = new Writer(loop, state, replica, sync, new Writer.Lead() {
+            @Override public boolean confirmed() {
+                return leader != null && leadership.confirmed();
+            }
+
+            @Override public StateService.Guard guard() {
+                return leadership.guard();
+            }
+        }, limits.txnOps(), reportS / 10);
+        this.users = new UserRequests(loop, catalog, sync, state, types, limits.txnOps(), limits.valueKb());
+    }
+
+    public void start() {
+        share(false);
+        sync.start();
+        tick();
+    }
+
+    /** The leader writes most; the others need enough to confirm answers and to take submissions. */
+    private void share(boolean leading) {
+        Settings.State limits = settings.deployment().state();
+        int others = settings.deployment().size() - 1;
+        double part = others == 0 ? 0.95 : leading ? 0.45 : 0.5 / others;
+        double writes = others == 0 ? 0.95 : leading ? 0.65 : 0.3 / others;
+        rates.share(limits.rps() * part, limits.writeRps() * writes);
+    }
+
+    private void changed(String key, JsonNode data, long stamp) {
+        if (key.equals(Keys.LEADER)) {
+            leadership.leaderKey(data, stamp);
+            return;
+        }
+        catalog.changed(key, data);
+        if (leader != null && (key.startsWith(Keys.JOB) || key.startsWith(Keys.END))) {
+            leader.catalogChanged(key.substring(key.lastIndexOf('/') + 1));
+        }
+    }
+
+    private void tick() {
+        loop.after(tickS, this::tick);
+        if (sync.loaded()) {
+            leadership.replicaLoaded();
+        }
+        leadership.tick();
+        if (leader != null) {
+            leader.tick();
+        }
+        peers.tick(loop.now(), sync.contactAt(), leadership.token());
+        double now = loop.now();
+        // Prices move: the leader asks now and then; the others need no more than to know the types once.
+        if (!askingTypes && now - typesAt >= (types.known() ? settings.operators().chargeS() : 2)
+                && (!types.known() || leadership.leading())) {
+            askingTypes = true;
+            typesAt = now;
+            cloud.types(heard -> {
+                askingTypes = false;
+                if (heard != null) {
+                    types.heard(heard);
+                }
+            });
+        }
+        if (now - summaryAt >= settings.operators().chargeS()) {
+            summaryAt = now;
+            String line = latencies.summary();
+            if (!line.isEmpty()) {
+                LOG.info("answered {}", line);
+            }
+            if (leader != null) {
+                LOG.info("{}", leader.summary());
+            }
+        }
+    }
+
+    /** At the end of each batch of commands. */
+    public void flush() {
+        if (leader != null) {
+            leader.flush();
+        }
+        users.flush();
+    }
+
+    /** A command threw: books that may be half-written are dropped, and whoever leads next reads the durable ones. */
+    public void failed() {
+        leadership.abdicate("an internal error", reportS);
+    }
+
+    // ---- leadership
+
+    @Override public void elected(long token) {
+        share(true);
+        writer.reset();
+        begin(token);
+    }
+
+    private void begin(long elected) {
+        sync.confirm(current -> {
+            if (leadership.token() < elected || leader != null) {
+                return;
+            }
+            if (!current) {
+                loop.after(tickS, () -> begin(elected));
+                return;
+            }
+            leader = new Leader(loop, settings, leadership, replica, catalog, writer, workers, cloud, types);
+            leader.takeOver();
+        });
+    }
+
+    @Override public void renewedToken(long token) {
+        if (leader != null) {
+            leader.renewedToken(token);
+        }
+    }
+
+    @Override public void deposed(String why) {
+        share(false);
+        if (leader != null) {
+            leader.stop();
+            leader = null;
+        }
+        writer.reset();
+    }
+
+    // ---- requests
+
+    /** Takes a request of a user, a worker or the load balancer. */
+    public void handle(Call call, Consumer<Reply> answer) {
+        double began = loop.now();
+        String path = call.path();
+        if (path.equals("/up")) {
+            only("GET", call, answer, () -> answer.accept(Reply.empty(healthy() ? 200 : 503)));
+        } else if (path.equals("/agent/beat")) {
+            only("POST", call, answer, () -> beat(call, timed("beat", began, answer)));
+        } else if (path.equals("/api/jobs")) {
+            only("POST", call, answer, () -> users.submit(call.body(), timed("submit", began, answer)));
+        } else if (path.equals("/api/nodes")) {
+            only("GET", call, answer, () -> answer.accept(Reply.json(200, overview())));
+        } else if (path.startsWith("/api/jobs/")) {
+            String rest = path.substring("/api/jobs/".length());
+            boolean cancel = rest.endsWith("/cancel");
+            String id = cancel ? rest.substring(0, rest.length() - "/cancel".length()) : rest;
+            if (!JobMessages.validId(id)) {
+                // No job of such a name can ever have been accepted.
+                answer.accept(Reply.error(404, "no such job"));
+            } else if (cancel) {
+                only("POST", call, answer, () -> users.cancel(id, timed("cancel", began, answer)));
+            } else {
+                only("GET", call, answer, () -> users.query(id, timed("query", began, answer)));
+            }
+        } else {
+            answer.accept(Reply.error(404, "no such path"));
+        }
+    }
+
+    private static void only(String method, Call call, Consumer<Reply> answer, Runnable then) {
+        if (call.method().equals(method)) {
+            then.run();
+        } else {
+            answer.accept(Reply.error(405, "want " + method));
+        }
+    }
+
+    private Consumer<Reply> timed(String kind, double began, Consumer<Reply> answer) {
+        return reply -> {
+            latencies.record(kind, loop.now() - began);
+            answer.accept(reply);
+        };
+    }
+
+    /** A node alone without the state service leaves the load balancer; one among many in an outage stays. */
+    private boolean healthy() {
+        return sync.loaded() && (loop.now() - sync.contactAt() < 2 * reportS || !peers.anyInContact(loop.now()));
+    }
+
+    private void beat(Call call, Consumer<Reply> answer) {
+        Report report = Report.read(Json.read(call.body()));
+        if (report == null) {
+            answer.accept(Reply.error(400, "not a report"));
+            return;
+        }
+        if (!leadership.leading()) {
+            String other = leadership.leader();
+            if (!other.isEmpty() && !other.equals(settings.node())) {
+                answer.accept(Reply.json(421, Json.object().put("manager", other)));
+            } else {
+                answer.accept(Reply.error(503, "no leader is known"));
+            }
+            return;
+        }
+        if (report.token() > leadership.token()) {
+            leadership.sawToken(report.token());
+            answer.accept(Reply.error(503, "a newer token is about"));
+            return;
+        }
+        if (leader == null || !mayRenewLeases()) {
+            answer.accept(Reply.error(503, "not in touch with the state service"));
+            return;
+        }
+        byte[] body = leader.report(report);
+        answer.accept(body == null ? Reply.error(503, "an old report") : new Reply(200, body, 0));
+    }
+
+    /**
+     * A node without the state service may not know of a cancellation. All that it renews now has ended by itself
+     * cancel_s after the last moment for which it knows all cancellations, with the drift of two clocks and a margin.
+     */
+    private boolean mayRenewLeases() {
+        Settings.Workers w = settings.deployment().workers();
+        double margin = w.cancelS() / 500 + reportS / 2;
+        return loop.now() <= sync.contactAt() + w.cancelS() - w.leaseS() - margin;
+    }
+
+    /** What operators see of this node. */
+    private JsonNode overview() {
+        ObjectNode node = Json.object().put("node", settings.node()).put("zone", settings.zone())
+                .put("leader", leadership.leader()).put("leading", leadership.leading()).put("epoch", leadership.token())
+                .put("stateContactS", Math.round(100 * (loop.now() - sync.contactAt())) / 100.0);
+        if (leader != null) {
+            leader.describe(node);
+        }
+        return node;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/node/Owner.java
@@ -0,0 +1,96 @@
+package io.pepperfield.node;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** The one thread that owns all state. It takes commands from its queue in batches; what follows from a batch is done once. */
+public final class Owner implements Loop {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Owner.class);
+    private static final int MOST_IN_BATCH = 256;
+
+    private record Timer(long at, long order, Runnable command) implements Comparable<Timer> {
+        @Override public int compareTo(Timer other) {
+            return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
+        }
+    }
+
+    private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private final long zero = System.nanoTime();
+    private long order;
+    private Runnable afterBatch = () -> { };
+    private Runnable afterFailure = () -> { };
+    private volatile boolean stopped;
+
+    /** @param afterFailure what to do when a command threw and the books may be half-written */
+    public void handlers(Runnable afterBatch, Runnable afterFailure) {
+        this.afterBatch = afterBatch;
+        this.afterFailure = afterFailure;
+    }
+
+    @Override public double now() {
+        return (System.nanoTime() - zero) / 1e9;
+    }
+
+    @Override public long wallMs() {
+        return System.currentTimeMillis();
+    }
+
+    @Override public void post(Runnable command) {
+        queue.add(command);
+    }
+
+    /** Called on the owner only; other threads post. */
+    @Override public void after(double seconds, Runnable command) {
+        timers.add(new Timer(System.nanoTime() - zero + (long) (Math.max(0, seconds) * 1e9), order++, command));
+    }
+
+    public void stop() {
+        stopped = true;
+        queue.add(() -> { });
+    }
+
+    /** Works until stopped. */
+    public void run() {
+        List<Runnable> batch = new ArrayList<>();
+        while (!stopped) {
+            try {
+                long wait = timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at - (System.nanoTime() - zero);
+                Runnable first = wait > 0 ? queue.poll(wait, TimeUnit.NANOSECONDS) : queue.poll();
+                if (first != null) {
+                    batch.add(first);
+                    queue.drainTo(batch, MOST_IN_BATCH);
+                }
+            } catch (InterruptedException e) {
+                return;
+            }
+            long now = System.nanoTime() - zero;
+            while (!timers.isEmpty() && timers.peek().at <= now) {
+                batch.add(timers.poll().command);
+            }
+            batch.forEach(this::guarded);
+            batch.clear();
+            guarded(afterBatch);
+        }
+    }
+
+    private void guarded(Runnable command) {
+        try {
+            command.run();
+        } catch (RuntimeException e) {
+            LOG.error("a command failed", e);
+            try {
+                afterFailure.run();
+            } catch (RuntimeException again) {
+                LOG.error("and so did giving up the lead", again);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/node/Service.java
@@ -0,0 +1,63 @@
+package io.pepperfield.node;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.pepperfield.cloud.HttpCloud;
+import io.pepperfield.config.Settings;
+import io.pepperfield.fleet.HttpWorkers;
+import io.pepperfield.http.HttpClient;
+import io.pepperfield.http.HttpServer;
+import io.pepperfield.peer.Peers;
+import io.pepperfield.store.HttpStateService;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller process: a network thread, the owner, and the slices wired to both. */
+public final class Service {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Service.class);
+    /** A follow holds all changes at once; beyond this the keys are read in pages instead. */
+    private static final int MOST_ANSWER_BYTES = 4 * 1024 * 1024;
+
+    private final Settings settings;
+    private final Owner owner = new Owner();
+    private final EventLoopGroup network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private HttpServer users;
+    private HttpServer others;
+
+    public Service(Settings settings) {
+        this.settings = settings;
+    }
+
+    /** Listens; gives the port for users and workers. */
+    public int start() throws InterruptedException {
+        HttpClient client = new HttpClient(network, MOST_ANSWER_BYTES);
+        HttpStateService state = new HttpStateService(owner, client, settings.state());
+        HttpCloud cloud = new HttpCloud(owner, client, settings.cloud(), settings.deployment().cloud().rps());
+        HttpWorkers workers = new HttpWorkers(owner, client, settings.deployment().workers().reportS());
+        Peers peers = new Peers(owner, settings, client);
+        Controller controller = new Controller(owner, settings, state, cloud, workers, peers, state::share);
+        owner.handlers(controller::flush, controller::failed);
+        int sockets = settings.deployment().quota().sockets();
+        users = new HttpServer(network, sockets * 7 / 10, (call, answer) -> owner.post(() -> controller.handle(call, answer)));
+        others = new HttpServer(network, sockets / 10, (call, answer) -> owner.post(() -> peers.handle(call, answer)));
+        int port = users.start(settings.bind().host(), settings.bind().port());
+        others.start(settings.peerListen().host(), settings.peerListen().port());
+        owner.post(controller::start);
+        LOG.info("{} in {} listens on {}:{}", settings.node(), settings.zone(), settings.bind().host(), port);
+        return port;
+    }
+
+    /** Works on the calling thread until stopped. */
+    public void run() {
+        owner.run();
+    }
+
+    public void stop() {
+        users.close();
+        others.close();
+        owner.stop();
+        network.shutdownGracefully();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/placement/Placer.java
@@ -0,0 +1,135 @@
+package io.pepperfield.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Which waiting task goes to which machine. A queue for each team, served in turn: work within a guarantee first, then by
+ * rank, then the team that uses least of its share. Pure: the same input gives the same choices.
+ */
+public final class Placer {
+
+    public record Choice(String job, String machine) { }
+
+    private static final double SLACK = 1e-6;
+    private static final Comparator<Want> IN_TEAM = Comparator.comparing((Want w) -> !w.guaranteed)
+            .thenComparing(w -> w.job.rank()).thenComparing(w -> !w.job.service()).thenComparing(w -> w.submittedAt)
+            .thenComparing(w -> w.job.id());
+
+    private Placer() { }
+
+    public static List<Choice> place(List<Want> wants, List<Room> rooms, Map<String, Share> shares) {
+        Map<String, List<Want>> queues = new HashMap<>();
+        for (Want want : wants) {
+            if (shares.containsKey(want.job.team())) {
+                queues.computeIfAbsent(want.job.team(), t -> new ArrayList<>()).add(want);
+            }
+        }
+        queues.values().forEach(queue -> queue.sort(IN_TEAM));
+        List<String> teams = queues.keySet().stream().sorted().toList();
+        List<Choice> choices = new ArrayList<>();
+        while (true) {
+            Want next = null;
+            for (String team : teams) {
+                Want head = head(queues.get(team), shares.get(team));
+                if (head != null && (next == null || before(head, next, shares))) {
+                    next = head;
+                }
+            }
+            if (next == null) {
+                return choices;
+            }
+            Room room = choose(next, rooms);
+            if (room == null) {
+                // Nothing fits this one now; what comes behind it may be smaller or allowed elsewhere.
+                next.stuck = true;
+                continue;
+            }
+            take(next, room, shares.get(next.job.team()));
+            choices.add(new Choice(next.job.id(), room.machine));
+        }
+    }
+
+    private static Want head(List<Want> queue, Share share) {
+        for (Want want : queue) {
+            if (want.waiting > 0 && !want.stuck && share.allows(want.job.cpus(), want.job.gpus())) {
+                return want;
+            }
+        }
+        return null;
+    }
+
+    private static boolean before(Want a, Want b, Map<String, Share> shares) {
+        if (a.guaranteed != b.guaranteed) {
+            return a.guaranteed;
+        }
+        if (a.job.rank() != b.job.rank()) {
+            return a.job.rank().compareTo(b.job.rank()) < 0;
+        }
+        int byUse = Double.compare(shares.get(a.job.team()).used(), shares.get(b.job.team()).used());
+        return byUse != 0 ? byUse < 0 : a.submittedAt < b.submittedAt;
+    }
+
+    private static void take(Want want, Room room, Share share) {
+        want.waiting--;
+        want.perZone.merge(room.zone, 1, Integer::sum);
+        room.cpus -= want.job.cpus();
+        room.gpus -= want.job.gpus();
+        room.memGb -= want.job.memGb();
+        share.cpus += want.job.cpus();
+        share.gpus += want.job.gpus();
+    }
+
+    private static Room choose(Want want, List<Room> rooms) {
+        Room best = null;
+        for (Room room : rooms) {
+            if (fits(want, room) && (best == null || better(want, room, best))) {
+                best = room;
+            }
+        }
+        return best;
+    }
+
+    static boolean fits(Want want, Room room) {
+        return room.cpus + SLACK >= want.job.cpus() && room.memGb + SLACK >= want.job.memGb() && room.gpus + SLACK >= want.job.gpus()
+                && allowed(want, room) && !want.avoid.contains(room.machine);
+    }
+
+    /** Type, zone and kind, with regard to where the job's other tasks may be alive at this moment. */
+    static boolean allowed(Want want, Room room) {
+        if (!want.job.allows(room.type, room.zone, room.spot)) {
+            return false;
+        }
+        int here = want.perZone.getOrDefault(room.zone, 0);
+        if (want.job.oneZone()) {
+            for (Map.Entry<String, Integer> zone : want.perZone.entrySet()) {
+                if (zone.getValue() > 0 && !zone.getKey().equals(room.zone)) {
+                    return false;
+                }
+            }
+        }
+        return here < want.job.mostPerZone();
+    }
+
+    private static boolean better(Want want, Room a, Room b) {
+        boolean imageA = a.images.contains(want.job.image());
+        boolean imageB = b.images.contains(want.job.image());
+        if (imageA != imageB) {
+            return imageA;
+        }
+        if (a.spot != b.spot) {
+            // Spot machines cost less and take nothing else away; where the job allows both they come first.
+            return a.spot;
+        }
+        int hereA = want.job.spread() ? want.perZone.getOrDefault(a.zone, 0) : 0;
+        int hereB = want.job.spread() ? want.perZone.getOrDefault(b.zone, 0) : 0;
+        if (hereA != hereB) {
+            return hereA < hereB;
+        }
+        // The fullest first, so that the emptiest can be given back.
+        return a.cpus != b.cpus ? a.cpus < b.cpus : a.machine.compareTo(b.machine) < 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/placement/Room.java
@@ -0,0 +1,31 @@
+package io.pepperfield.placement;
+
+import java.util.Set;
+
+/** A machine that may take tasks, with the room left on it; the placer uses it up. */
+public final class Room {
+
+    final String machine;
+    final String type;
+    final String zone;
+    final boolean spot;
+    final Set<String> images;
+    double cpus;
+    double gpus;
+    double memGb;
+
+    public Room(String machine, String type, String zone, boolean spot, Set<String> images, double cpus, double gpus, double memGb) {
+        this.machine = machine;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.images = images;
+        this.cpus = cpus;
+        this.gpus = gpus;
+        this.memGb = memGb;
+    }
+
+    public String machine() {
+        return machine;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/placement/Share.java
@@ -0,0 +1,33 @@
+package io.pepperfield.placement;
+
+import io.pepperfield.config.Settings;
+
+/** A team's limit and guarantee, and what its tasks that may be alive take of them. */
+public final class Share {
+
+    final Settings.Team team;
+    double cpus;
+    double gpus;
+
+    public Share(Settings.Team team, double cpus, double gpus) {
+        this.team = team;
+        this.cpus = cpus;
+        this.gpus = gpus;
+    }
+
+    /** Rounding in sums of decimal figures must neither break a limit nor waste its last task. */
+    private static final double SLACK = 1e-6;
+
+    boolean allows(double moreCpus, double moreGpus) {
+        return cpus + moreCpus <= team.cpusMax() + SLACK && (moreGpus == 0 || gpus + moreGpus <= team.gpusMax() + SLACK);
+    }
+
+    /** How much of its guarantee the team uses; a team with none comes last. */
+    double used() {
+        return team.cpus() > 0 ? cpus / team.cpus() : Double.MAX_VALUE;
+    }
+
+    public double cpus() {
+        return cpus;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/placement/Want.java
@@ -0,0 +1,47 @@
+package io.pepperfield.placement;
+
+import io.pepperfield.jobs.JobSpec;
+
+import java.util.Map;
+import java.util.Set;
+
+/** A job with tasks that wait. */
+public final class Want {
+
+    final JobSpec job;
+    int waiting;
+    final boolean guaranteed;
+    final double submittedAt;
+    /** Tasks of this job that may be alive, by zone. */
+    final Map<String, Integer> perZone;
+    /** Machines that are not to be used for this job now. */
+    final Set<String> avoid;
+    boolean stuck;
+
+    public Want(JobSpec job, int waiting, boolean guaranteed, double submittedAt, Map<String, Integer> perZone, Set<String> avoid) {
+        this.job = job;
+        this.waiting = waiting;
+        this.guaranteed = guaranteed;
+        this.submittedAt = submittedAt;
+        this.perZone = perZone;
+        this.avoid = avoid;
+    }
+
+    public JobSpec job() {
+        return job;
+    }
+
+    /** Tasks still without a place. */
+    public int waiting() {
+        return waiting;
+    }
+
+    public boolean guaranteed() {
+        return guaranteed;
+    }
+
+    /** No machine had room for it; where tasks wait and this is false, its team's limit holds them up. */
+    public boolean stuck() {
+        return stuck;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/predict/PeerTimes.java
@@ -0,0 +1,46 @@
+package io.pepperfield.predict;
+
+import it.unimi.dsi.fastutil.doubles.Double2ObjectMap;
+import it.unimi.dsi.fastutil.doubles.Double2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
+
+import java.util.OptionalDouble;
+
+/** Run times of a job's finished tasks, and those of equal input size apart where sizes exist. */
+public final class PeerTimes {
+
+    private final DoubleArrayList finished = new DoubleArrayList();
+    private final Double2ObjectMap<DoubleArrayList> bySize = new Double2ObjectOpenHashMap<>();
+    private final OnlineGradient gradient = new OnlineGradient();
+
+    public void finished(double seconds, OptionalDouble size) {
+        finished.add(seconds);
+        if (size.isPresent()) {
+            bySize.computeIfAbsent(size.getAsDouble(), s -> new DoubleArrayList()).add(seconds);
+        }
+    }
+
+    public int count() {
+        return finished.size();
+    }
+
+    public double median() {
+        return Medians.of(finished);
+    }
+
+    OptionalDouble medianOfSize(double size) {
+        DoubleArrayList group = bySize.get(size);
+        return group == null ? OptionalDouble.empty() : OptionalDouble.of(Medians.of(group));
+    }
+
+    /** One step of the online fit over the groups of equal size; once in each interval. */
+    public void learn() {
+        if (!bySize.isEmpty()) {
+            gradient.step(bySize);
+        }
+    }
+
+    double fitted(double size) {
+        return gradient.at(size);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/steering/DemandWindow.java
@@ -0,0 +1,34 @@
+package io.pepperfield.steering;
+
+import java.util.ArrayDeque;
+import java.util.Arrays;
+
+/** What was asked for of late, in CPUs: the expected work that WIRE's projection of submitted tasks cannot see. */
+public final class DemandWindow {
+
+    private record Sample(double at, double cpus) { }
+
+    private final ArrayDeque<Sample> samples = new ArrayDeque<>();
+    private final double lengthS;
+
+    public DemandWindow(double lengthS) {
+        this.lengthS = lengthS;
+    }
+
+    public void add(double now, double cpus) {
+        samples.addLast(new Sample(now, cpus));
+        while (samples.peekFirst().at < now - lengthS) {
+            samples.pollFirst();
+        }
+    }
+
+    /** The demand that this share of the samples does not exceed. */
+    public double quantile(double share) {
+        if (samples.isEmpty()) {
+            return 0;
+        }
+        double[] sorted = samples.stream().mapToDouble(Sample::cpus).toArray();
+        Arrays.sort(sorted);
+        return sorted[(int) Math.min(sorted.length - 1, Math.floor(share * sorted.length))];
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/store/Replica.java
@@ -0,0 +1,93 @@
+package io.pepperfield.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/**
+ * This node's copy of the state service, as of one revision. Two streams feed it, the long follow and the short
+ * confirmations; each answer holds all changes since some revision this copy already had, so that taking only what is
+ * newer than the copy keeps it whole in whatever order they come.
+ */
+public final class Replica {
+
+    /** Told of every change in the order of revisions; {@code data} is null where the key is gone. */
+    public interface Listener {
+        void changed(String key, JsonNode data, long stamp);
+    }
+
+    public record Entry(JsonNode data, long stamp) { }
+
+    private final Map<String, Entry> entries = new HashMap<>();
+    private final Listener listener;
+    private long revision;
+
+    public Replica(Listener listener) {
+        this.listener = listener;
+    }
+
+    public long revision() {
+        return revision;
+    }
+
+    public Entry get(String key) {
+        return entries.get(key);
+    }
+
+    public long stamp(String key) {
+        Entry entry = entries.get(key);
+        return entry == null ? 0 : entry.stamp;
+    }
+
+    public void each(String prefix, BiConsumer<String, JsonNode> visit) {
+        entries.forEach((key, entry) -> {
+            if (key.startsWith(prefix)) {
+                visit.accept(key, entry.data);
+            }
+        });
+    }
+
+    /** Takes a full reading, which may be older than what the follow has brought meanwhile. */
+    public void reset(List<StateService.Item> all, long asOf) {
+        Map<String, Entry> missing = new HashMap<>(entries);
+        for (StateService.Item item : all) {
+            missing.remove(item.key());
+            // What is as old as this copy it has seen; where it lacks it, the key was deleted since and must stay so.
+            if (item.stamp() > revision) {
+                put(item);
+            }
+        }
+        missing.forEach((key, entry) -> {
+            if (entry.stamp <= asOf) {
+                entries.remove(key);
+                listener.changed(key, null, asOf);
+            }
+        });
+        revision = Math.max(revision, asOf);
+    }
+
+    public void advance(List<StateService.Item> changes, long to) {
+        for (StateService.Item item : changes) {
+            if (item.stamp() > revision) {
+                put(item);
+            }
+        }
+        revision = Math.max(revision, to);
+    }
+
+    private void put(StateService.Item item) {
+        Entry known = entries.get(item.key());
+        if (known != null && known.stamp >= item.stamp()) {
+            return;
+        }
+        if (item.data() == null) {
+            entries.remove(item.key());
+        } else {
+            entries.put(item.key(), new Entry(item.data(), item.stamp()));
+        }
+        listener.changed(item.key(), item.data(), item.stamp());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/store/Sync.java
@@ -0,0 +1,138 @@
+package io.pepperfield.store;
+
+import io.pepperfield.node.Loop;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * Keeps the replica up to date, and confirms on demand that it is: an answer such as "not ended yet" or 404 holds only
+ * if the state service said so after the question was asked.
+ */
+public final class Sync {
+
+    private final Loop loop;
+    private final StateService state;
+    private final Replica replica;
+    private final double holdS;
+    private final double spacingS;
+    private boolean loaded;
+    private boolean loading;
+    private boolean confirming;
+    private double contactAt = Double.NEGATIVE_INFINITY;
+    private List<Consumer<Boolean>> waiting = new ArrayList<>();
+    private int failures;
+
+    /**
+     * @param holdS    how long the service holds a follow without news
+     * @param spacingS least time between two questions of one kind, which bounds their number per second
+     */
+    public Sync(Loop loop, StateService state, Replica replica, double holdS, double spacingS) {
+        this.loop = loop;
+        this.state = state;
+        this.replica = replica;
+        this.holdS = holdS;
+        this.spacingS = spacingS;
+    }
+
+    public void start() {
+        load();
+        follow();
+    }
+
+    public boolean loaded() {
+        return loaded;
+    }
+
+    /** When the last question was sent that was answered with all changes up to then. */
+    public double contactAt() {
+        return contactAt;
+    }
+
+    /** Calls back with true once the replica holds everything that was decided before this call. */
+    public void confirm(Consumer<Boolean> done) {
+        if (!loaded) {
+            done.accept(false);
+            return;
+        }
+        waiting.add(done);
+        if (!confirming) {
+            ask();
+        }
+    }
+
+    private void ask() {
+        confirming = true;
+        List<Consumer<Boolean>> asked = waiting;
+        waiting = new ArrayList<>();
+        double sent = loop.now();
+        state.follow(replica.revision(), 0, result -> {
+            boolean current = take(result, sent);
+            asked.forEach(done -> done.accept(current));
+            loop.after(spacingS, () -> {
+                confirming = false;
+                if (!waiting.isEmpty()) {
+                    ask();
+                }
+            });
+        });
+    }
+
+    private void follow() {
+        if (!loaded) {
+            loop.after(4 * spacingS, this::follow);
+            return;
+        }
+        double sent = loop.now();
+        state.follow(replica.revision(), holdS, result -> {
+            boolean fine = take(result, sent);
+            failures = fine ? 0 : failures + 1;
+            if (failures > 3 && result instanceof StateService.ReadResult.Failed && loop.now() - contactAt > 8 * holdS) {
+                // An answer too large to read fails for ever; a reading in pages does not.
+                failures = 0;
+                load();
+            }
+            loop.after(fine ? spacingS : 4 * spacingS, this::follow);
+        });
+    }
+
+    private boolean take(StateService.ReadResult result, double sent) {
+        if (result instanceof StateService.ReadResult.Read read) {
+            contactAt = Math.max(contactAt, sent);
+            replica.advance(read.items(), read.revision());
+            return true;
+        }
+        if (result instanceof StateService.ReadResult.TooOld) {
+            load();
+        }
+        return false;
+    }
+
+    private void load() {
+        if (!loading) {
+            loading = true;
+            page("", new ArrayList<>(), -1);
+        }
+    }
+
+    private void page(String after, List<StateService.Item> all, long asOf) {
+        state.range(after, result -> {
+            if (!(result instanceof StateService.ReadResult.Read read)) {
+                loading = false;
+                loop.after(4 * spacingS, this::load);
+                return;
+            }
+            all.addAll(read.items());
+            // Later pages may be newer than the first; counting from the first repeats changes, which does no harm.
+            long first = asOf < 0 ? read.revision() : asOf;
+            if (read.more() && !read.items().isEmpty()) {
+                page(read.items().get(read.items().size() - 1).key(), all, first);
+                return;
+            }
+            replica.reset(all, first);
+            loaded = true;
+            loading = false;
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/store/Writer.java
@@ -0,0 +1,192 @@
+package io.pepperfield.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.http.Json;
+import io.pepperfield.node.Loop;
+import io.pepperfield.store.StateService.Change;
+import io.pepperfield.store.StateService.Guard;
+import io.pepperfield.store.StateService.TxnResult;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/**
+ * The leader's durable writes: many keys share one transaction, one transaction is under way. Every key is guarded by
+ * its own stamp besides the leader's token, so that a transaction that was given up and is applied late finds its keys
+ * changed and does nothing.
+ */
+public final class Writer {
+
+    /** Where the leader stands now; a write without a valid guard is not even tried. */
+    public interface Lead {
+        boolean confirmed();
+
+        Guard guard();
+    }
+
+    private static final class Pending {
+        final Supplier<JsonNode> content;
+        final List<Runnable> effects = new ArrayList<>();
+        final Runnable taken;
+
+        Pending(Supplier<JsonNode> content, Runnable taken) {
+            this.content = content;
+            this.taken = taken;
+        }
+    }
+
+    /** 64 KiB are allowed in all; guards and names need their part. */
+    private static final int MOST_BYTES = 40 * 1024;
+
+    private final Loop loop;
+    private final StateService state;
+    private final Replica replica;
+    private final Sync sync;
+    private final Lead lead;
+    private final int mostChanges;
+    private final double retryS;
+    private final Map<String, Long> stamps = new LinkedHashMap<>();
+    private Map<String, Pending> pending = new LinkedHashMap<>();
+    private boolean writing;
+    private boolean paused;
+    private int generation;
+
+    public Writer(Loop loop, StateService state, Replica replica, Sync sync, Lead lead, int mostChanges, double retryS) {
+        this.loop = loop;
+        this.state = state;
+        this.replica = replica;
+        this.sync = sync;
+        this.lead = lead;
+        this.mostChanges = mostChanges;
+        this.retryS = retryS;
+    }
+
+    /** Forgets what was waiting: it was the wish of a leadership that has ended. */
+    public void reset() {
+        pending = new LinkedHashMap<>();
+        stamps.clear();
+        writing = false;
+        paused = false;
+        generation++;
+    }
+
+    public int waiting() {
+        return pending.size();
+    }
+
+    /**
+     * The key is to hold what {@code content} gives when the write leaves; {@code effect} runs once it is durable. A
+     * {@code taken} that is not null makes the key write-once: it runs instead if the key is found written. Keys are never
+     * deleted here: a late first write would find its key missing, as it expects, and bring it back.
+     */
+    public void mark(String key, Supplier<JsonNode> content, Runnable effect, Runnable taken) {
+        Pending entry = pending.computeIfAbsent(key, k -> new Pending(content, taken));
+        if (effect != null) {
+            entry.effects.add(effect);
+        }
+    }
+
+    /** To be called at the end of each batch of commands. */
+    public void flush() {
+        if (writing || paused || pending.isEmpty() || !lead.confirmed()) {
+            return;
+        }
+        Map<String, Pending> batch = new LinkedHashMap<>();
+        List<Change> changes = new ArrayList<>();
+        List<Guard> guards = new ArrayList<>();
+        guards.add(lead.guard());
+        int bytes = 0;
+        for (var it = pending.entrySet().iterator(); it.hasNext() && batch.size() < mostChanges; ) {
+            Map.Entry<String, Pending> next = it.next();
+            JsonNode content = next.getValue().content.get();
+            int size = Json.write(content).length + 2 * next.getKey().length();
+            if (!batch.isEmpty() && bytes + size > MOST_BYTES) {
+                break;
+            }
+            bytes += size;
+            it.remove();
+            batch.put(next.getKey(), next.getValue());
+            changes.add(Change.set(next.getKey(), content));
+            // A final state is written once: its guard stays 0 whatever a retry has learned meanwhile.
+            guards.add(new Guard(next.getKey(), next.getValue().taken != null ? 0 : stamp(next.getKey())));
+        }
+        writing = true;
+        int mine = generation;
+        state.txn(StateService.Urgency.RUN, guards, changes, result -> {
+            if (mine == generation) {
+                writing = false;
+                finish(batch, changes, result);
+            }
+        });
+    }
+
+    private long stamp(String key) {
+        return Math.max(stamps.getOrDefault(key, 0L), replica.stamp(key));
+    }
+
+    private void finish(Map<String, Pending> batch, List<Change> changes, TxnResult result) {
+        if (result instanceof TxnResult.Committed done) {
+            changes.forEach(change -> stamps.put(change.key(), done.revision()));
+            batch.values().forEach(entry -> entry.effects.forEach(Runnable::run));
+            flush();
+            return;
+        }
+        requeue(batch);
+        paused = true;
+        int mine = generation;
+        if (result instanceof TxnResult.Refused) {
+            loop.after(retryS, () -> {
+                if (mine == generation) {
+                    paused = false;
+                    flush();
+                }
+            });
+        } else {
+            settle(batch);
+        }
+    }
+
+    /** After a conflict or no answer: what is there now decides which stamps the next try is guarded by. */
+    private void settle(Map<String, Pending> batch) {
+        int mine = generation;
+        sync.confirm(current -> {
+            if (mine != generation) {
+                return;
+            }
+            if (!current) {
+                loop.after(retryS, () -> {
+                    if (mine == generation) {
+                        settle(batch);
+                    }
+                });
+                return;
+            }
+            paused = false;
+            batch.forEach((key, entry) -> {
+                // A key in a newer version than expected was written by an earlier try of this very writer.
+                stamps.remove(key);
+                if (entry.taken != null && replica.get(key) != null) {
+                    pending.remove(key);
+                    entry.taken.run();
+                }
+            });
+            // Spaced, so that a guard which keeps failing until the replica brings the reason does not spin.
+            loop.after(retryS / 4, this::flush);
+        });
+    }
+
+    /** Puts a batch back in front, joined with what was marked meanwhile. */
+    private void requeue(Map<String, Pending> batch) {
+        Map<String, Pending> later = pending;
+        pending = new LinkedHashMap<>(batch);
+        later.forEach((key, entry) -> {
+            Pending first = pending.putIfAbsent(key, entry);
+            if (first != null) {
+                first.effects.addAll(entry.effects);
+            }
+        });
+    }
+}
