--- a/src/main/java/io/pepperfield/cloud/HttpCloud.java
+++ b/src/main/java/io/pepperfield/cloud/HttpCloud.java
@@ -4,9 +4,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.config.Settings;
-import io.pepperfield.http.HttpClient;
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Outcome;
+import io.pepperfield.http.Sender;
 import io.pepperfield.node.Loop;
 
 import java.util.ArrayDeque;
@@ -21,7 +21,7 @@
     private static final int PAGE = 500;
 
     private final Loop loop;
-    private final HttpClient client;
+    private final Sender client;
     private final Settings.Address address;
     private final double spacingS;
     private final ArrayDeque<Runnable> urgent = new ArrayDeque<>();
@@ -29,7 +29,7 @@
     private double nextAt;
     private boolean pumping;
 
-    public HttpCloud(Loop loop, HttpClient client, Settings.Address address, double rps) {
+    public HttpCloud(Loop loop, Sender client, Settings.Address address, double rps) {
         this.loop = loop;
         this.client = client;
         this.address = address;
--- a/src/main/java/io/pepperfield/fleet/HttpWorkers.java
+++ b/src/main/java/io/pepperfield/fleet/HttpWorkers.java
@@ -1,8 +1,8 @@
 package io.pepperfield.fleet;
 
-import io.pepperfield.http.HttpClient;
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Outcome;
+import io.pepperfield.http.Sender;
 import io.pepperfield.node.Loop;
 
 import java.util.List;
@@ -12,10 +12,10 @@
 public final class HttpWorkers implements Workers {
 
     private final Loop loop;
-    private final HttpClient client;
+    private final Sender client;
     private final long deadlineMs;
 
-    public HttpWorkers(Loop loop, HttpClient client, double reportS) {
+    public HttpWorkers(Loop loop, Sender client, double reportS) {
         this.loop = loop;
         this.client = client;
         // A worker that has not answered by then is asked through its next report anyway.
--- a/src/main/java/io/pepperfield/fleet/Report.java
+++ b/src/main/java/io/pepperfield/fleet/Report.java
@@ -30,9 +30,10 @@
                 case "running" -> State.RUNNING;
                 case "saving" -> State.SAVING;
                 case "ended" -> State.ENDED;
-                default -> null;
+                // A state of a later version, or one such as waiting for mates: alive, and not counted as running.
+                default -> State.PULLING;
             };
-            if (ref == null || state == null || !count(shard.path("try"))) {
+            if (ref == null || !shard.path("status").isTextual() || !count(shard.path("try"))) {
                 return null;
             }
             lines.add(new Line(ref, shard.path("try").intValue(), state, cause(shard.path("cause").asText(""))));
--- a/src/main/java/io/pepperfield/http/HttpClient.java
+++ b/src/main/java/io/pepperfield/http/HttpClient.java
@@ -35,7 +35,7 @@
  * Pooled HTTP/1.1 client. Every request has a deadline that covers waiting for a connection, since a machine without
  * power gives no error; a connection that missed one is closed, so that a late answer cannot be taken for the next.
  */
-public final class HttpClient {
+public final class HttpClient implements Sender {
 
     private final EventLoop loop;
     private final int mostAnswerBytes;
@@ -46,8 +46,7 @@
         this.mostAnswerBytes = mostAnswerBytes;
     }
 
-    /** Sends on at most {@code connections} connections to that address; the callback runs on the network thread. */
-    public void send(String host, int port, int connections, String method, String path, byte[] body, long deadlineMs,
+    @Override public void send(String host, int port, int connections, String method, String path, byte[] body, long deadlineMs,
                      Consumer<Outcome> done) {
         Exchange exchange = new Exchange(method, path, body, done);
         loop.execute(() -> {
--- a/src/main/java/io/pepperfield/jobs/JobMessages.java
+++ b/src/main/java/io/pepperfield/jobs/JobMessages.java
@@ -49,6 +49,8 @@
         Shape shape = switch (text(body, "shape")) {
             case "sweep" -> Shape.ARRAY;
             case "standing" -> Shape.SERVICE;
+            // Not in the users' table of shapes, but among the words of their platform; see docs/QUESTIONS.md.
+            case "gang" -> Shape.GANG;
             default -> throw new Malformed("shape: want sweep or standing");
         };
         Rank rank = switch (text(body, "rank")) {
--- a/src/main/java/io/pepperfield/jobs/JobSpec.java
+++ b/src/main/java/io/pepperfield/jobs/JobSpec.java
@@ -19,7 +19,7 @@
                       boolean spread, boolean spot, double expectedS, double checkpointEveryS, double checkpointS,
                       Double dueS, long acceptedMs, int chunk) {
 
-    public enum Shape { ARRAY, SERVICE }
+    public enum Shape { ARRAY, SERVICE, GANG }
 
     /** From the highest to the lowest. */
     public enum Rank { PRODUCTION, URGENT, STANDARD, BEST_EFFORT }
@@ -28,6 +28,16 @@
         return shape == Shape.SERVICE;
     }
 
+    /** All tasks are started together or none. */
+    public boolean gang() {
+        return shape == Shape.GANG;
+    }
+
+    /** How many tasks must be able to run at the same time. */
+    public int leastAtOnce() {
+        return shape == Shape.ARRAY ? 1 : tasks;
+    }
+
     /** How many tasks may be in one zone at the same time. */
     public int mostPerZone() {
         return spread ? (tasks + 1) / 2 : tasks;
--- a/src/main/java/io/pepperfield/node/Types.java
+++ b/src/main/java/io/pepperfield/node/Types.java
@@ -45,7 +45,7 @@
         if (team == null) {
             return "owner: no such team";
         }
-        int atOnce = job.service() ? job.tasks() : 1;
+        int atOnce = job.leastAtOnce();
         if (atOnce * job.cpus() > team.cpusMax() + SLACK || atOnce * job.gpus() > team.gpusMax() + SLACK) {
             return "the job needs more than the team's limit";
         }
--- a/src/main/java/io/pepperfield/peer/Peers.java
+++ b/src/main/java/io/pepperfield/peer/Peers.java
@@ -3,10 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pepperfield.config.Settings;
 import io.pepperfield.http.Call;
-import io.pepperfield.http.HttpClient;
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Outcome;
 import io.pepperfield.http.Reply;
+import io.pepperfield.http.Sender;
 import io.pepperfield.node.Loop;
 
 import java.util.HashMap;
@@ -21,14 +21,14 @@
 
     private final Loop loop;
     private final Settings settings;
-    private final HttpClient client;
+    private final Sender client;
     private final double reportS;
     private final Map<String, Double> contactAt = new HashMap<>();
     private double askedAt = Double.NEGATIVE_INFINITY;
     private double ownContactAt = Double.NEGATIVE_INFINITY;
     private long token;
 
-    public Peers(Loop loop, Settings settings, HttpClient client) {
+    public Peers(Loop loop, Settings settings, Sender client) {
         this.loop = loop;
         this.settings = settings;
         this.client = client;
--- a/src/main/java/io/pepperfield/placement/Placer.java
+++ b/src/main/java/io/pepperfield/placement/Placer.java
@@ -42,20 +42,33 @@
             if (next == null) {
                 return choices;
             }
-            Room room = choose(next, rooms);
-            if (room == null) {
-                // Nothing fits this one now; what comes behind it may be smaller or allowed elsewhere.
+            Share share = shares.get(next.job.team());
+            List<Room> taken = new ArrayList<>();
+            int turn = next.job.gang() ? next.waiting : 1;
+            for (Room room = null; taken.size() < turn && (room = choose(next, rooms)) != null; ) {
+                take(next, room, share, 1);
+                taken.add(room);
+            }
+            if (taken.size() < turn) {
+                // Nothing fits this one now, or not all of a gang; what comes behind may be smaller or allowed elsewhere.
+                for (Room room : taken) {
+                    take(next, room, share, -1);
+                }
                 next.stuck = true;
                 continue;
             }
-            take(next, room, shares.get(next.job.team()));
-            choices.add(new Choice(next.job.id(), room.machine));
+            for (Room room : taken) {
+                choices.add(new Choice(next.job.id(), room.machine));
+            }
         }
     }
 
     private static Want head(List<Want> queue, Share share) {
         for (Want want : queue) {
-            if (want.waiting > 0 && !want.stuck && share.allows(want.job.cpus(), want.job.gpus())) {
+            int turn = want.job.gang() ? want.waiting : 1;
+            // A gang begins again only when all of its earlier attempts are gone.
+            if (want.waiting > 0 && !want.stuck && share.allows(turn * want.job.cpus(), turn * want.job.gpus())
+                    && !(want.job.gang() && want.live > 0)) {
                 return want;
             }
         }
@@ -73,14 +86,15 @@
         return byUse != 0 ? byUse < 0 : a.submittedAt < b.submittedAt;
     }
 
-    private static void take(Want want, Room room, Share share) {
-        want.waiting--;
-        want.perZone.merge(room.zone, 1, Integer::sum);
-        room.cpus -= want.job.cpus();
-        room.gpus -= want.job.gpus();
-        room.memGb -= want.job.memGb();
-        share.cpus += want.job.cpus();
-        share.gpus += want.job.gpus();
+    /** Books that many tasks on a machine; a negative number takes them back. */
+    private static void take(Want want, Room room, Share share, int tasks) {
+        want.waiting -= tasks;
+        want.perZone.merge(room.zone, tasks, Integer::sum);
+        room.cpus -= tasks * want.job.cpus();
+        room.gpus -= tasks * want.job.gpus();
+        room.memGb -= tasks * want.job.memGb();
+        share.cpus += tasks * want.job.cpus();
+        share.gpus += tasks * want.job.gpus();
     }
 
     private static Room choose(Want want, List<Room> rooms) {
--- a/src/main/java/io/pepperfield/placement/Want.java
+++ b/src/main/java/io/pepperfield/placement/Want.java
@@ -16,6 +16,8 @@
     final Map<String, Integer> perZone;
     /** Machines that are not to be used for this job now. */
     final Set<String> avoid;
+    /** Tasks of this job that may be alive. */
+    final int live;
     boolean stuck;
 
     public Want(JobSpec job, int waiting, boolean guaranteed, double submittedAt, Map<String, Integer> perZone, Set<String> avoid) {
@@ -25,6 +27,7 @@
         this.submittedAt = submittedAt;
         this.perZone = perZone;
         this.avoid = avoid;
+        this.live = perZone.values().stream().mapToInt(Integer::intValue).sum();
     }
 
     public JobSpec job() {
--- a/src/main/java/io/pepperfield/store/HttpStateService.java
+++ b/src/main/java/io/pepperfield/store/HttpStateService.java
@@ -4,9 +4,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.config.Settings;
-import io.pepperfield.http.HttpClient;
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Outcome;
+import io.pepperfield.http.Sender;
 import io.pepperfield.node.Loop;
 
 import java.util.ArrayList;
@@ -22,11 +22,11 @@
     private static final double DEADLINE_S = 1.2;
 
     private final Loop loop;
-    private final HttpClient client;
+    private final Sender client;
     private final Settings.Address address;
     private final Budget budget;
 
-    public HttpStateService(Loop loop, HttpClient client, Settings.Address address) {
+    public HttpStateService(Loop loop, Sender client, Settings.Address address) {
         this.loop = loop;
         this.client = client;
         this.address = address;
