--- /dev/null
+++ b/src/test/java/io/pepperfield/standin/CloudStandIn.java
@@ -0,0 +1,110 @@
+package io.pepperfield.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pepperfield.http.Call;
+import io.pepperfield.http.Json;
+import io.pepperfield.http.Reply;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+
+/** The cloud by its published protocol: one type of machine, two zones, a lagging list. */
+public final class CloudStandIn {
+
+    /** Starts and ends the machines that are rented. */
+    public interface Machines {
+        void boot(String name, String type, String zone, boolean spot);
+
+        void delete(String name);
+    }
+
+    private record Rented(String name, String zone, boolean spot, double at) { }
+
+    private final DoubleSupplier clock;
+    private final Machines machines;
+    private final int capacity;
+    private final Map<String, List<String>> requests = new LinkedHashMap<>();
+    private final Map<String, Rented> rented = new LinkedHashMap<>();
+    private int next;
+    private boolean out;
+
+    public CloudStandIn(DoubleSupplier clock, int capacity, Machines machines) {
+        this.clock = clock;
+        this.capacity = capacity;
+        this.machines = machines;
+    }
+
+    public void outage(boolean begins) {
+        out = begins;
+    }
+
+    public Reply handle(Call call) {
+        if (out) {
+            return Reply.error(503, "trouble");
+        }
+        JsonNode body = Json.read(call.body());
+        switch (call.path()) {
+            case "/machine_types" -> {
+                ObjectNode types = Json.object();
+                ObjectNode type = types.putArray("flavours").addObject().put("label", "box").put("vcpus", 8).put("accelerators", 0)
+                        .put("memGb", 32).put("localGb", 20).put("fetchGbPerS", 1).put("hourly", 1).put("spotPrice", 0.4).put("readyS", 5);
+                type.putArray("sites").add("east").add("west");
+                return Reply.json(200, types);
+            }
+            case "/rentals/release" -> {
+                body.path("hosts").forEach(host -> {
+                    if (rented.remove(host.asText()) != null) {
+                        machines.delete(host.asText());
+                    }
+                });
+                return Reply.json(200, Json.object());
+            }
+            case "/rentals" -> {
+                return call.method().equals("POST") ? rent(body) : list();
+            }
+            default -> {
+                return Reply.empty(400);
+            }
+        }
+    }
+
+    private Reply rent(JsonNode body) {
+        String request = body.path("hire").asText();
+        List<String> names = requests.get(request);
+        if (names == null) {
+            names = new ArrayList<>();
+            for (int i = 0; i < body.path("howMany").asInt() && rented.size() < capacity; i++) {
+                String name = String.format("host-%06d", next++);
+                rented.put(name, new Rented(name, body.path("site").asText(), body.path("reclaimable").asBoolean(), clock.getAsDouble()));
+                machines.boot(name, "box", body.path("site").asText(), body.path("reclaimable").asBoolean());
+                names.add(name);
+            }
+            if (names.isEmpty()) {
+                return Reply.error(503, "no capacity");
+            }
+            requests.put(request, names);
+        }
+        ObjectNode reply = Json.object();
+        ArrayNode hosts = reply.putArray("hosts");
+        names.forEach(hosts::add);
+        return Reply.json(200, reply);
+    }
+
+    private Reply list() {
+        ObjectNode reply = Json.object().put("truncated", false);
+        ArrayNode hosts = reply.putArray("hosts");
+        for (Rented r : rented.values()) {
+            double age = clock.getAsDouble() - r.at;
+            if (age > 2) {
+                hosts.addObject().put("nameId", r.name).put("addr", "").put("flavour", "box").put("site", r.zone)
+                        .put("reclaimable", r.spot).put("status", "running").put("ageS", age);
+            }
+        }
+        return Reply.json(200, reply);
+    }
+}
--- /dev/null
+++ b/src/test/java/io/pepperfield/standin/SimWorld.java
@@ -0,0 +1,127 @@
+package io.pepperfield.standin;
+
+import io.pepperfield.http.Outcome;
+import io.pepperfield.http.Reply;
+import io.pepperfield.http.Sender;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.Consumer;
+
+/** Simulated time and a simulated network: delays, losses, late deliveries and cuts, all drawn from one seed. */
+public final class SimWorld {
+
+    /** Whatever listens at an address. */
+    public interface Host {
+        /** Null answers never come. */
+        void request(String method, String path, byte[] body, Consumer<Reply> answer);
+
+        /** Connections are refused while this is false. */
+        boolean alive();
+    }
+
+    private record Event(double at, long order, Runnable run) implements Comparable<Event> {
+        @Override public int compareTo(Event other) {
+            return at != other.at ? Double.compare(at, other.at) : Long.compare(order, other.order);
+        }
+    }
+
+    public final Random random;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Map<String, Host> hosts = new HashMap<>();
+    private final Map<String, Double> cutUntil = new HashMap<>();
+    private long order;
+    private double now;
+    /** Parts of all requests whose answer is lost, or which arrive only much later. */
+    public double lost;
+    public double late;
+
+    public SimWorld(long seed) {
+        this.random = new Random(seed);
+    }
+
+    public double now() {
+        return now;
+    }
+
+    public void at(double time, Runnable run) {
+        events.add(new Event(Math.max(now, time), order++, run));
+    }
+
+    public void after(double seconds, Runnable run) {
+        at(now + seconds, run);
+    }
+
+    public void run(double until) {
+        while (!events.isEmpty() && events.peek().at <= until) {
+            Event event = events.poll();
+            now = event.at;
+            event.run.run();
+        }
+        now = until;
+    }
+
+    public void listen(String address, Host host) {
+        hosts.put(address, host);
+    }
+
+    /** Cuts the way between two hosts (by name; a prefix cuts all that begin so) until then; packets are held back. */
+    public void cut(String from, String to, double until) {
+        cutUntil.merge(from + ">" + to, until, Math::max);
+    }
+
+    private double heldUntil(String from, String to) {
+        double until = now;
+        for (Map.Entry<String, Double> cut : cutUntil.entrySet()) {
+            int arrow = cut.getKey().indexOf('>');
+            String a = cut.getKey().substring(0, arrow);
+            String b = cut.getKey().substring(arrow + 1);
+            if (from.startsWith(a) && to.startsWith(b) || from.startsWith(b) && to.startsWith(a)) {
+                until = Math.max(until, cut.getValue());
+            }
+        }
+        return until;
+    }
+
+    private double delay() {
+        return 0.0005 + random.nextDouble() * 0.004;
+    }
+
+    /** The way out of one host. */
+    public Sender from(String name) {
+        return (host, port, connections, method, path, body, deadlineMs, done) -> {
+            String to = host + ":" + port;
+            boolean[] over = new boolean[1];
+            Consumer<Outcome> finish = outcome -> {
+                if (!over[0]) {
+                    over[0] = true;
+                    done.accept(outcome);
+                }
+            };
+            double held = heldUntil(name, to);
+            Host target = hosts.get(to);
+            if (held <= now && (target == null || !target.alive())) {
+                after(delay(), () -> finish.accept(new Outcome.NotSent("refused")));
+                return;
+            }
+            boolean[] sent = new boolean[1];
+            after(deadlineMs / 1000.0, () -> finish.accept(new Outcome.NoAnswer("deadline")));
+            double wait = random.nextDouble() < late ? 5 + random.nextDouble() * 60 : delay();
+            at(Math.max(held, now) + wait, () -> {
+                sent[0] = true;
+                Host there = hosts.get(to);
+                if (there == null || !there.alive()) {
+                    return;
+                }
+                there.request(method, path, body, reply -> {
+                    if (random.nextDouble() >= lost) {
+                        at(Math.max(heldUntil(name, to), now) + delay(),
+                                () -> finish.accept(new Outcome.Answered(reply.status(), reply.body())));
+                    }
+                });
+            });
+        };
+    }
+}
--- /dev/null
+++ b/src/test/java/io/pepperfield/standin/StateStandIn.java
@@ -0,0 +1,230 @@
+package io.pepperfield.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pepperfield.http.Call;
+import io.pepperfield.http.Json;
+import io.pepperfield.http.Reply;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
+
+/** The state service by its published protocol, in memory. Not thread-safe: its host calls it from one thread. */
+public final class StateStandIn {
+
+    private record Entry(JsonNode data, long stamp, long grant) { }
+
+    private record Event(String key, JsonNode data, long stamp) { }
+
+    private record Watch(String prefix, long since, double until, Consumer<Reply> answer) { }
+
+    private static final class Grant {
+        final double ttl;
+        double until;
+
+        Grant(double ttl, double until) {
+            this.ttl = ttl;
+            this.until = until;
+        }
+    }
+
+    private final DoubleSupplier clock;
+    private final int kept;
+    private final TreeMap<String, Entry> entries = new TreeMap<>();
+    private final List<Event> events = new ArrayList<>();
+    private final Map<Long, Grant> grants = new HashMap<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private long generation;
+    private long nextGrant = 1;
+    private long forgottenUpTo;
+    private boolean out;
+
+    public StateStandIn(DoubleSupplier clock, int kept) {
+        this.clock = clock;
+        this.kept = kept;
+    }
+
+    /** Begins or ends an outage; at its end every grant has its full time again. */
+    public void outage(boolean begins) {
+        out = begins;
+        if (!begins) {
+            grants.values().forEach(g -> g.until = clock.getAsDouble() + g.ttl);
+        }
+    }
+
+    public JsonNode get(String key) {
+        Entry entry = entries.get(key);
+        return entry == null ? null : entry.data;
+    }
+
+    public Iterable<String> keys() {
+        return entries.keySet();
+    }
+
+    /** To be called often: ends grants and watches whose time is over. */
+    public void tick() {
+        if (out) {
+            return;
+        }
+        double now = clock.getAsDouble();
+        for (Long id : List.copyOf(grants.keySet())) {
+            if (grants.get(id).until <= now) {
+                end(id);
+            }
+        }
+        wake(now);
+    }
+
+    private void end(long id) {
+        grants.remove(id);
+        List<String> gone = entries.entrySet().stream().filter(e -> e.getValue().grant == id).map(Map.Entry::getKey).toList();
+        if (!gone.isEmpty()) {
+            generation++;
+            gone.forEach(key -> {
+                entries.remove(key);
+                events.add(new Event(key, null, generation));
+            });
+        }
+    }
+
+    private void wake(double now) {
+        for (Iterator<Watch> it = watches.iterator(); it.hasNext(); ) {
+            Watch watch = it.next();
+            boolean news = events.stream().anyMatch(e -> e.stamp > watch.since && e.key.startsWith(watch.prefix));
+            if (news || watch.until <= now) {
+                it.remove();
+                watch.answer.accept(since(watch.prefix, watch.since));
+            }
+        }
+    }
+
+    private Reply since(String prefix, long since) {
+        if (since < forgottenUpTo) {
+            return Reply.empty(410);
+        }
+        ObjectNode body = Json.object().put("generation", generation);
+        ArrayNode all = body.putArray("events");
+        for (Event event : events) {
+            if (event.stamp > since && event.key.startsWith(prefix)) {
+                ObjectNode node = all.addObject();
+                if (event.data == null) {
+                    node.put("delete", event.key);
+                } else {
+                    node.put("set", event.key).set("data", event.data);
+                }
+                node.put("stamp", event.stamp);
+            }
+        }
+        return Reply.json(200, body);
+    }
+
+    public void handle(Call call, Consumer<Reply> answer) {
+        if (call.path().equals("/follow")) {
+            String prefix = call.parameter("starts", "");
+            long since = Long.parseLong(call.parameter("since", "0"));
+            double hold = Double.parseDouble(call.parameter("holdMs", "0")) / 1000;
+            if (out && hold == 0) {
+                answer.accept(Reply.empty(503));
+                return;
+            }
+            watches.add(new Watch(prefix, since, clock.getAsDouble() + hold, answer));
+        } else {
+            answer.accept(out ? Reply.empty(503) : now(call));
+        }
+        if (!out) {
+            wake(clock.getAsDouble());
+        }
+    }
+
+    private Reply now(Call call) {
+        JsonNode body = Json.read(call.body());
+        if (call.path().equals("/txn")) {
+            return txn(body);
+        }
+        if (call.path().equals("/kv")) {
+            return range(call.parameter("starts", ""), call.parameter("since", ""), Integer.parseInt(call.parameter("limit", "1000")));
+        }
+        if (call.path().equals("/grants")) {
+            double ttl = body.path("ttlMs").asDouble() / 1000;
+            grants.put(nextGrant, new Grant(ttl, clock.getAsDouble() + ttl));
+            return Reply.json(200, Json.object().put("claim", nextGrant++));
+        }
+        if (call.path().startsWith("/grants/")) {
+            String rest = call.path().substring("/grants/".length());
+            long id = Long.parseLong(rest.replace("/touch", ""));
+            Grant grant = grants.get(id);
+            if (grant == null) {
+                return Reply.empty(404);
+            }
+            if (call.method().equals("DELETE")) {
+                end(id);
+            } else {
+                grant.until = clock.getAsDouble() + grant.ttl;
+            }
+            return Reply.json(200, Json.object());
+        }
+        return Reply.empty(400);
+    }
+
+    private Reply txn(JsonNode body) {
+        ObjectNode result = Json.object();
+        ArrayNode failed = Json.array();
+        for (JsonNode op : body.path("apply")) {
+            if (op.has("claim") && !grants.containsKey(op.path("claim").longValue())) {
+                return Reply.json(400, Json.object().put("error", "no such lease"));
+            }
+        }
+        for (JsonNode guard : body.path("guards")) {
+            Entry entry = entries.get(guard.path("k").asText());
+            if ((entry == null ? 0 : entry.stamp) != guard.path("stamp").longValue()) {
+                failed.add(guard.path("k").asText());
+            }
+        }
+        if (!failed.isEmpty()) {
+            result.set("failed", failed);
+            return Reply.json(409, result.put("generation", generation));
+        }
+        if (!body.path("apply").isEmpty()) {
+            generation++;
+        }
+        for (JsonNode op : body.path("apply")) {
+            if (op.has("delete")) {
+                entries.remove(op.path("delete").asText());
+                events.add(new Event(op.path("delete").asText(), null, generation));
+            } else {
+                String key = op.path("set").asText();
+                entries.put(key, new Entry(op.get("data"), generation, op.path("claim").longValue()));
+                events.add(new Event(key, op.get("data"), generation));
+            }
+        }
+        while (events.size() > kept) {
+            forgottenUpTo = events.remove(0).stamp;
+        }
+        return Reply.json(200, result.put("generation", generation));
+    }
+
+    private Reply range(String prefix, String after, int limit) {
+        ObjectNode body = Json.object().put("generation", generation);
+        ArrayNode pairs = body.putArray("pairs");
+        for (Map.Entry<String, Entry> entry : entries.tailMap(prefix).entrySet()) {
+            if (!entry.getKey().startsWith(prefix)) {
+                break;
+            }
+            if (entry.getKey().compareTo(after) <= 0) {
+                continue;
+            }
+            if (pairs.size() == limit) {
+                return Reply.json(200, body.put("truncated", true));
+            }
+            pairs.addObject().put("k", entry.getKey()).put("stamp", entry.getValue().stamp).set("data", entry.getValue().data);
+        }
+        return Reply.json(200, body.put("truncated", false));
+    }
+}
