--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -131,6 +131,7 @@
     private final CloudStandIn cloud;
     private final List<Node> nodes = new ArrayList<>();
     private final Map<String, WorkerStandIn> workers = new TreeMap<>();
+    private final Set<String> deleted = new HashSet<>();
     private final Map<String, UserJob> jobs = new LinkedHashMap<>();
     private final Map<String, WorkerStandIn> running = new HashMap<>();
     private double stateOutUntil;
@@ -146,6 +147,7 @@
             }
 
             @Override public void delete(String name) {
+                deleted.add(name);
                 WorkerStandIn worker = workers.remove(name);
                 if (worker != null) {
                     worker.die();
@@ -203,6 +205,9 @@
 
     private void bootLater(String name, String type, String zone, boolean spot) {
         world.after(1 + 5 * world.random.nextDouble(), () -> {
+            if (deleted.contains(name)) {
+                return;
+            }
             int mine = port++;
             String address = "10.1.0.1:" + mine;
             List<String> names = List.of("node-0", "node-1", "node-2");
