--- /dev/null
+++ b/src/test/java/io/pepperfield/placement/PlacerTest.java
@@ -0,0 +1,70 @@
+package io.pepperfield.placement;
+
+import io.pepperfield.config.Settings;
+import io.pepperfield.jobs.JobSpec;
+import io.pepperfield.jobs.JobSpec.Rank;
+import io.pepperfield.jobs.JobSpec.Shape;
+import io.pepperfield.standin.Trace;
+import org.junit.jupiter.api.Test;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+class PlacerTest {
+
+    private final List<Want> wants = new ArrayList<>();
+    private final List<Room> rooms = new ArrayList<>();
+    private final Map<String, Share> shares = new HashMap<>();
+
+    @Test void choices() throws IOException {
+        Trace.check("placement.txt", this::play);
+    }
+
+    private List<String> play(String[] words) {
+        Map<String, String> f = new HashMap<>();
+        Arrays.stream(words).filter(w -> w.contains("=")).forEach(w -> f.put(w.substring(0, w.indexOf('=')), w.substring(w.indexOf('=') + 1)));
+        switch (words[0]) {
+            case "new" -> {
+                wants.clear();
+                rooms.clear();
+                shares.clear();
+            }
+            case "team" -> shares.put(words[1], new Share(new Settings.Team(words[1], number(f, "guaranteed", 0), number(f, "most", 0), 0, 0),
+                    number(f, "used", 0), 0));
+            case "machine" -> rooms.add(new Room(words[1], "box", f.getOrDefault("zone", "east"), f.containsKey("spot"),
+                    Set.of(f.getOrDefault("has", "nothing")), number(f, "cpus", 8), 0, 64));
+            case "job" -> {
+                Shape shape = Shape.valueOf(f.getOrDefault("shape", "array").toUpperCase(Locale.ROOT));
+                int waiting = (int) number(f, "waiting", 1);
+                Map<String, Integer> perZone = new HashMap<>();
+                if (f.containsKey("live")) {
+                    perZone.put(f.get("live"), 1);
+                }
+                JobSpec job = new JobSpec(words[1], "w", f.getOrDefault("team", "red"), shape,
+                        Rank.valueOf(f.getOrDefault("rank", "standard").toUpperCase(Locale.ROOT)), (int) number(f, "tasks", waiting),
+                        number(f, "cpus", 4), 0, 1, f.getOrDefault("image", "img"), 1, null, f.get("zone"), f.containsKey("together"),
+                        f.containsKey("spread"), f.containsKey("spot"), 1, 0, 0, null, 0, 10);
+                Set<String> avoid = f.containsKey("avoid") ? new HashSet<>(Set.of(f.get("avoid"))) : new HashSet<>();
+                wants.add(new Want(job, waiting, f.containsKey("within"), wants.size(), perZone, avoid));
+            }
+            default -> {
+                Map<String, Integer> counts = new LinkedHashMap<>();
+                Placer.place(wants, rooms, shares).forEach(c -> counts.merge(c.job() + " on " + c.machine(), 1, Integer::sum));
+                return counts.entrySet().stream().map(e -> e.getValue() + " of " + e.getKey()).toList();
+            }
+        }
+        return List.of();
+    }
+
+    private static double number(Map<String, String> f, String name, double otherwise) {
+        return f.containsKey(name) ? Double.parseDouble(f.get(name)) : otherwise;
+    }
+}
--- /dev/null
+++ b/src/test/java/io/pepperfield/predict/PredictorTest.java
@@ -0,0 +1,46 @@
+package io.pepperfield.predict;
+
+import io.pepperfield.standin.Trace;
+import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
+import org.junit.jupiter.api.Test;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Locale;
+import java.util.OptionalDouble;
+
+class PredictorTest {
+
+    private PeerTimes times = new PeerTimes();
+    private final DoubleArrayList running = new DoubleArrayList();
+
+    @Test void policies() throws IOException {
+        Trace.check("predictor.txt", this::play);
+    }
+
+    private List<String> play(String[] words) {
+        switch (words[0]) {
+            case "job" -> {
+                times = new PeerTimes();
+                running.clear();
+            }
+            case "running" -> {
+                running.clear();
+                for (int i = 1; i < words.length; i++) {
+                    running.add(Double.parseDouble(words[i]));
+                }
+            }
+            case "finished" -> times.finished(Double.parseDouble(words[1]), size(words, 2));
+            case "interval" -> times.learn();
+            default -> {
+                double predicted = Predictor.runTime(times, running, words[0].equals("ready"), size(words, 1));
+                return List.of(String.format(Locale.ROOT, "%.2f", predicted));
+            }
+        }
+        return List.of();
+    }
+
+    private static OptionalDouble size(String[] words, int at) {
+        return words.length > at ? OptionalDouble.of(Double.parseDouble(words[at])) : OptionalDouble.empty();
+    }
+}
--- /dev/null
+++ b/src/test/java/io/pepperfield/steering/ResizeTest.java
@@ -0,0 +1,28 @@
+package io.pepperfield.steering;
+
+import io.pepperfield.standin.Trace;
+import org.junit.jupiter.api.Test;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+class ResizeTest {
+
+    @Test void machines() throws IOException {
+        Trace.check("resize.txt", ResizeTest::play);
+    }
+
+    /** machines COUNTxREMAINING/SLOTS ... with u = 60 and a fifth of it for the last machine. */
+    private static List<String> play(String[] words) {
+        List<Resize.Upcoming> tasks = new ArrayList<>();
+        for (int i = 1; i < words.length; i++) {
+            String[] part = words[i].split("[x/]");
+            double remaining = part[1].equals("ever") ? Double.POSITIVE_INFINITY : Double.parseDouble(part[1]);
+            for (int n = 0; n < Integer.parseInt(part[0]); n++) {
+                tasks.add(new Resize.Upcoming(remaining, 1 / Double.parseDouble(part[2])));
+            }
+        }
+        return List.of(String.valueOf(Resize.machines(tasks, 60, 0.2)));
+    }
+}
