--- /dev/null
+++ b/src/test/java/io/pepperfield/config/SettingsTest.java
@@ -0,0 +1,81 @@
+package io.pepperfield.config;
+
+import org.junit.jupiter.api.Test;
+
+import java.nio.charset.StandardCharsets;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class SettingsTest {
+
+    private static final String GOOD = """
+            node = "a"
+            zone = "east"
+            bind = "127.0.0.1:8080"
+            peer_listen = "127.0.0.1:8081"
+            not_known_yet = { x = 1 }
+            [[members]]
+            node = "b"
+            zone = "west"
+            addr = "127.0.0.1:9081"
+            [endpoints]
+            cloud = "127.0.0.1:1"
+            state = "127.0.0.1:2"
+            [deployment]
+            size = 2
+            [[deployment.teams]]
+            name = "red"
+            cpus = 16.0
+            cpus_max = 32.0
+            [deployment.workers]
+            report_s = 2.5
+            lease_s = 12.0
+            cancel_s = 37.0
+            [deployment.state]
+            rps = 150.0
+            write_rps = 50.0
+            value_kb = 8.0
+            txn_ops = 40
+            [deployment.cloud]
+            rps = 2.0
+            list_lag_s = 8.0
+            [deployment.quota]
+            core_share = 0.34
+            mem_mb = 263.0
+            sockets = 1200
+            """;
+
+    private static String fault(String toml) {
+        return assertThrows(SettingsException.class, () -> SettingsReader.parse("f.toml", toml, Operators.DEFAULTS)).getMessage();
+    }
+
+    @Test void readsWhatThePlatformHandsOver() throws SettingsException {
+        Settings settings = SettingsReader.parse("f.toml", GOOD, Operators.DEFAULTS);
+        assertEquals(2.5, settings.deployment().workers().reportS());
+        assertEquals(32, settings.deployment().teams().get("red").cpusMax());
+    }
+
+    @Test void namesEveryFaultInOneLine() {
+        String fault = fault(GOOD.replace("lease_s = 12.0", "lease_s = \"long\"").replace("127.0.0.1:8080", "8080").replace("txn_ops = 40", ""));
+        assertTrue(fault.contains("bind = \"8080\""), fault);
+        assertTrue(fault.contains("deployment.workers.lease_s = \"long\""), fault);
+        assertTrue(fault.contains("deployment.state.txn_ops is missing"), fault);
+        assertEquals(1, fault.lines().count());
+        assertTrue(fault("node = ").contains("is not TOML in line 1"));
+    }
+
+    private static Operators xml(String text) throws SettingsException {
+        return OperatorsReader.parse("f.xml", text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test void readsOperatorsXmlAndRefusesSlips() throws SettingsException {
+        assertEquals(90, xml("<pepperfield><charge-s>90</charge-s></pepperfield>").chargeS());
+        assertEquals(Operators.DEFAULTS, xml("<pepperfield/>"));
+        for (String bad : new String[] {"<pepperfield><charge-s>0</charge-s></pepperfield>", "<pepperfield><charge>1</charge></pepperfield>",
+            "<other/>", "<pepperfield>", "<!DOCTYPE x [<!ENTITY e SYSTEM 'file:///etc/passwd'>]><pepperfield/>"}) {
+            assertThrows(SettingsException.class, () -> xml(bad), bad);
+        }
+    }
+}
