--- a/src/main/java/io/pepperfield/steering/Steering.java
+++ b/src/main/java/io/pepperfield/steering/Steering.java
@@ -46,47 +46,67 @@
             loads.put(offer.pool(), new ArrayList<>());
         }
         for (Work task : work) {
-            Offer offer = task.on() == null ? choose(offers, task.job(), shares) : find(offers, task.on());
+            if (task.on() != null && find(offers, task.on()) != null) {
+                load(find(offers, task.on()), task, loads, shares);
+            }
+        }
+        for (Work task : work) {
+            Offer offer = task.on() == null ? choose(offers, task.job(), shares) : null;
             if (offer != null) {
-                double share = Math.min(1, offer.share(task.job()));
-                loads.get(offer.pool()).add(new Upcoming(task.remainingS(), share));
-                shares.merge(offer.pool(), share, Double::sum);
+                load(offer, task, loads, shares);
             }
         }
         Map<Pool, Integer> targets = new TreeMap<>();
         loads.forEach((pool, load) -> targets.put(pool, Resize.machines(load, unitS, partlyShare)));
-        Map<Pool, Double> floor = new HashMap<>();
-        double overflow = fill(offers, true, expected.anyCpus(), floor);
-        fill(offers, false, expected.ordinaryCpus() + overflow, floor);
+        floor(offers, expected).forEach((pool, machines) -> targets.merge(pool, machines, Math::max));
+        return targets;
+    }
+
+    private static void load(Offer offer, Work task, Map<Pool, List<Upcoming>> loads, Map<Pool, Double> shares) {
+        double share = Math.min(1, offer.share(task.job()));
+        loads.get(offer.pool()).add(new Upcoming(task.remainingS(), share));
+        shares.merge(offer.pool(), share, Double::sum);
+    }
+
+    /**
+     * Machines for the expected CPUs. What there is comes first, spot before ordinary: a pool that may have machines again
+     * after a refusal must not draw the demand away from machines that stand, or all of those would be returned at once.
+     */
+    private static Map<Pool, Integer> floor(List<Offer> offers, Expected expected) {
+        Map<Pool, Double> cpus = new HashMap<>();
+        double any = fill(offers, true, false, expected.anyCpus(), cpus);
+        double ordinary = fill(offers, false, false, expected.ordinaryCpus(), cpus);
+        any = fill(offers, false, false, any, cpus);
+        any = fill(offers, true, true, any, cpus);
+        fill(offers, false, true, ordinary + any, cpus);
+        Map<Pool, Integer> machines = new HashMap<>();
         for (Offer offer : offers) {
-            int expectedMachines = (int) Math.ceil(floor.getOrDefault(offer.pool(), 0.0) / offer.cpus() - 0.05);
-            targets.merge(offer.pool(), expectedMachines, Math::max);
+            machines.put(offer.pool(), (int) Math.ceil(cpus.getOrDefault(offer.pool(), 0.0) / offer.cpus() - 0.05));
         }
-        return targets;
+        return machines;
     }
 
     private static Offer find(List<Offer> offers, Pool pool) {
         return offers.stream().filter(o -> o.pool().equals(pool)).findFirst().orElse(null);
     }
 
-    /** The cheapest pool for a waiting task; one that gives no more machines takes what fits the present ones. */
+    /** Where a waiting task is expected to go: room that stands, else a pool that gives machines, else any; the cheapest. */
     private static Offer choose(List<Offer> offers, JobSpec job, Map<Pool, Double> shares) {
         Offer best = null;
-        Offer closed = null;
+        int bestClass = 3;
         for (Offer offer : offers) {
             boolean allowed = (job.spot() || !offer.pool().spot()) && (job.types() == null || job.types().contains(offer.pool().type()));
             double share = offer.share(job);
             if (!allowed || share > 1) {
                 continue;
             }
-            boolean room = offer.open() || shares.getOrDefault(offer.pool(), 0.0) + share <= offer.present();
-            if (room && (best == null || cheaper(offer, best, share, best.share(job)))) {
+            int itsClass = shares.getOrDefault(offer.pool(), 0.0) + share <= offer.present() ? 0 : offer.open() ? 1 : 2;
+            if (itsClass < bestClass || itsClass == bestClass && cheaper(offer, best, share, best.share(job))) {
                 best = offer;
-            } else if (!room && (closed == null || cheaper(offer, closed, share, closed.share(job)))) {
-                closed = offer;
+                bestClass = itsClass;
             }
         }
-        return best == null ? closed : best;
+        return best;
     }
 
     /** Prices within a tenth are alike, since they move; then the sooner one is the better. */
@@ -96,15 +116,16 @@
         return costA * ALIKE < costB || costA < costB * ALIKE && a.bootS() < b.bootS();
     }
 
-    /** Spreads expected CPUs over the pools of one kind, the cheapest first; gives back what they cannot take. */
-    private static double fill(List<Offer> offers, boolean spot, double cpus, Map<Pool, Double> floor) {
-        List<Offer> kind = offers.stream().filter(o -> o.pool().spot() == spot)
+    /** Puts expected CPUs on the pools of one kind, the cheapest first: on what stands, or on what can be had; gives back the rest. */
+    private static double fill(List<Offer> offers, boolean spot, boolean more, double cpus, Map<Pool, Double> taken) {
+        List<Offer> kind = offers.stream().filter(o -> o.pool().spot() == spot && (!more || o.open()))
                 .sorted(Comparator.comparingDouble((Offer o) -> Math.rint(10 * Math.log(o.price() / o.cpus())))
                         .thenComparingDouble(Offer::bootS).thenComparing(Offer::pool)).toList();
         double left = cpus;
         for (Offer offer : kind) {
-            double takes = offer.open() ? left : Math.min(left, offer.present() * offer.cpus());
-            floor.merge(offer.pool(), takes, Double::sum);
+            double free = offer.present() * offer.cpus() - taken.getOrDefault(offer.pool(), 0.0);
+            double takes = more ? left : Math.max(0, Math.min(left, free));
+            taken.merge(offer.pool(), takes, Double::sum);
             left -= takes;
         }
         return left;
