--- a/src/main/java/io/pepperfield/config/Operators.java
+++ b/src/main/java/io/pepperfield/config/Operators.java
@@ -11,5 +11,5 @@
  */
 public record Operators(double chargeS, double restartShare, double partlyShare, double headroom, int silentAtOnce) {
 
-    public static final Operators DEFAULTS = new Operators(60, 0.2, 0.2, 0.85, 3);
+    public static final Operators DEFAULTS = new Operators(60, 0.2, 0.2, 0.7, 3);
 }
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -94,8 +94,8 @@
         this.renting = new Renting(loop, cloud, writer, fleet, leadership.token(), reportS, settings.operators().chargeS());
         this.startedAt = loop.now();
         this.mintedAt = startedAt;
-        this.ordinaryDemand = new DemandWindow(2 * settings.operators().chargeS());
-        this.anyDemand = new DemandWindow(2 * settings.operators().chargeS());
+        this.ordinaryDemand = new DemandWindow(settings.operators().chargeS());
+        this.anyDemand = new DemandWindow(settings.operators().chargeS());
     }
 
     /** Builds its books from the replica, which must hold everything written before this leadership began. */
