--- a/src/main/java/io/pepperfield/fleet/Fleet.java
+++ b/src/main/java/io/pepperfield/fleet/Fleet.java
@@ -160,7 +160,10 @@
     /** A report that came as the answer to direct orders; it renews nothing and proves no absence. */
     public void heard(Report report, double now) {
         if (machines.containsKey(report.machine())) {
-            take(report, false, now);
+            Machine machine = take(report, false, now);
+            if (machine != null) {
+                machine.answeredAt = now;
+            }
         }
     }
 
--- a/src/main/java/io/pepperfield/fleet/HttpWorkers.java
+++ b/src/main/java/io/pepperfield/fleet/HttpWorkers.java
@@ -23,19 +23,27 @@
     }
 
     @Override public void orders(String address, long token, long tenure, List<Order> orders, Consumer<Result> done) {
+        send(address, 1, "POST", "/orders", Json.write(Order.message(token, tenure, orders)), deadlineMs,
+                outcome -> done.accept(result(outcome)));
+    }
+
+    @Override public void probe(String address, Consumer<Report> done) {
+        // On a second connection: the first may be waiting for orders that a hanging machine has not taken up.
+        send(address, 2, "GET", "/status", null, deadlineMs / 2, outcome -> done.accept(
+                outcome instanceof Outcome.Answered answer && answer.status() == 200 ? Report.read(answer.json()) : null));
+    }
+
+    private void send(String address, int connections, String method, String path, byte[] body, long withinMs, Consumer<Outcome> done) {
         int colon = address.lastIndexOf(':');
         int port;
         try {
             port = Integer.parseInt(address.substring(colon + 1));
         } catch (NumberFormatException e) {
-            loop.post(() -> done.accept(new Result.NotSent()));
+            loop.post(() -> done.accept(new Outcome.NotSent("no address")));
             return;
         }
-        client.send(address.substring(0, Math.max(colon, 0)), port, 1, "POST", "/orders",
-                Json.write(Order.message(token, tenure, orders)), deadlineMs, outcome -> {
-                    Result result = result(outcome);
-                    loop.post(() -> done.accept(result));
-                });
+        client.send(address.substring(0, Math.max(colon, 0)), port, connections, method, path, body, withinMs,
+                outcome -> loop.post(() -> done.accept(outcome)));
     }
 
     private static Result result(Outcome outcome) {
--- a/src/main/java/io/pepperfield/fleet/Machine.java
+++ b/src/main/java/io/pepperfield/fleet/Machine.java
@@ -27,6 +27,9 @@
     long seenToken;
     /** Loop time of the last report taken, NaN before the first under this leader. */
     double reportedAt = Double.NaN;
+    /** Loop time of its last answer to something sent to it. */
+    double answeredAt = Double.NEGATIVE_INFINITY;
+    double probedAt = Double.NEGATIVE_INFINITY;
     /** Loop time since which this leader waits for a report. */
     double awaitedSince;
     /** Loop time of its rental, as well as it is known. */
@@ -68,7 +71,7 @@
     }
 
     public double silentFor(double now) {
-        return now - (up() ? reportedAt : awaitedSince);
+        return now - Math.max(answeredAt, up() ? reportedAt : awaitedSince);
     }
 
     public boolean releasing() {
@@ -88,6 +91,13 @@
         return avoidUntil;
     }
 
+    /** True once in each such time: it is to be asked whether it is there. */
+    public boolean dueForProbe(double now, double everyS) {
+        boolean due = now - probedAt >= everyS && !address.isEmpty();
+        probedAt = due ? now : probedAt;
+        return due;
+    }
+
     /** Takes no tasks until then. */
     public void avoid(double until) {
         avoidUntil = Math.max(avoidUntil, until);
--- a/src/main/java/io/pepperfield/fleet/Workers.java
+++ b/src/main/java/io/pepperfield/fleet/Workers.java
@@ -16,5 +16,8 @@
         record NoAnswer() implements Result { }
     }
 
+    /** Asks for the worker's report without ordering anything; null where none comes. */
+    void probe(String address, Consumer<Report> done);
+
     void orders(String address, long token, long tenure, List<Order> orders, Consumer<Result> done);
 }
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -344,7 +344,8 @@
 
     /** Machines that say nothing, never came up, or are about to be taken. */
     private void watch(double now) {
-        double silentS = Math.max(3 * reportS, settings.deployment().workers().leaseS() / 2);
+        // A report is due within 1.25 periods; a probe is sent after 1.5 and has half a period for its answer.
+        double silentS = 2.25 * reportS;
         List<Machine> silent = new ArrayList<>();
         int up = 0;
         for (Machine machine : fleet.machines()) {
@@ -356,6 +357,13 @@
                 if (machine.silentFor(now) > silentS) {
                     silent.add(machine);
                 }
+                if (machine.silentFor(now) > 1.5 * reportS && machine.dueForProbe(now, reportS / 2)) {
+                    workers.probe(machine.address(), report -> {
+                        if (!over && report != null) {
+                            fleet.heard(report, loop.now());
+                        }
+                    });
+                }
                 if (!Double.isNaN(machine.takenAt())) {
                     drainTaken(machine, now);
                 }
--- a/src/test/java/io/pepperfield/standin/WorkerStandIn.java
+++ b/src/test/java/io/pepperfield/standin/WorkerStandIn.java
@@ -243,8 +243,12 @@
 
     /** Direct messages. A hanging machine takes them up when it goes on. */
     public void handle(String path, byte[] bytes, Consumer<Reply> answer) {
-        JsonNode message = Json.read(bytes);
         serial++;
+        if (path.equals("/status")) {
+            answer.accept(Reply.json(200, body()));
+            return;
+        }
+        JsonNode message = Json.read(bytes);
         if (!message.has("epoch") || !message.has("tenure")) {
             answer.accept(Reply.empty(400));
         } else if (message.path("epoch").longValue() < token || message.path("tenure").longValue() != tenure) {
