Stop lower work for services and guarantees, as the protocol allows

Cause: arrays that overflowed to ordinary machines left no room for new services; a new leader's empty demand window returned machines that were needed.

--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -15,10 +15,12 @@
 import io.pepperfield.jobs.Catalog;
 import io.pepperfield.jobs.Job;
 import io.pepperfield.jobs.JobMessages;
+import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.RunRecord;
 import io.pepperfield.jobs.Status;
 import io.pepperfield.leadership.Leadership;
 import io.pepperfield.placement.Placer;
+import io.pepperfield.placement.Preemption;
 import io.pepperfield.placement.Room;
 import io.pepperfield.placement.Share;
 import io.pepperfield.placement.Want;
@@ -189,8 +191,15 @@
     // ---- events in the fleet
 
     @Override public void started(Attempt attempt) {
-        LOG.debug("{} attempt {} runs on {} {} s after its intent", attempt.ref, attempt.number, attempt.machine.name,
-                Math.round(10 * (loop.now() - attempt.intendedAt)) / 10.0);
+        if (LOG.isDebugEnabled()) {
+            LOG.debug("{} ({}) attempt {} runs on {}: {} s after its intent, {} s after its submission", attempt.ref,
+                    attempt.job.spec.workload(), attempt.number, attempt.machine.name, tenths(loop.now() - attempt.intendedAt),
+                    tenths(loop.now() - attempt.job.submittedAt));
+        }
+    }
+
+    private static double tenths(double seconds) {
+        return Math.round(seconds * 10) / 10.0;
     }
 
     @Override public void completed(Attempt attempt, double ranS) {
@@ -449,7 +458,8 @@
                         machine.freeCpus(type), machine.freeGpus(type), machine.freeMemGb(type)));
             }
         }
-        List<Placer.Choice> choices = Placer.place(wants(now), rooms, shares);
+        List<Want> wants = wants(now);
+        List<Placer.Choice> choices = Placer.place(wants, rooms, shares);
         for (Placer.Choice choice : choices) {
             Job job = jobs.get(choice.job());
             Machine machine = fleet.get(choice.machine());
@@ -462,8 +472,34 @@
                 }
             });
         }
-        if (!choices.isEmpty()) {
-            LOG.debug("placed {} tasks", choices.size());
+        preempt(wants, rooms, shares, now);
+    }
+
+    private void preempt(List<Want> wants, List<Room> rooms, Map<String, Share> shares, double now) {
+        if (wants.stream().noneMatch(Want::stuck)) {
+            return;
+        }
+        Map<String, Attempt> byId = new HashMap<>();
+        List<Preemption.Place> places = new ArrayList<>();
+        for (Room room : rooms) {
+            List<Preemption.Victim> victims = new ArrayList<>();
+            for (Attempt attempt : fleet.get(room.machine()).attempts()) {
+                JobSpec spec = attempt.job.spec;
+                if (attempt.stopWanted() && attempt.live()) {
+                    room.freeing(spec.cpus(), spec.gpus(), spec.memGb());
+                } else if (attempt.live() && attempt.phase() != Attempt.Phase.INTENDED && attempt.phase() != Attempt.Phase.ORDERED) {
+                    byId.put(attempt.ref.toString(), attempt);
+                    victims.add(new Preemption.Victim(attempt.ref.toString(),
+                            new Preemption.JobRef(spec.team(), spec.rank(), spec.cpus(), spec.gpus(), spec.memGb()), lostS(attempt, now)));
+                }
+            }
+            places.add(new Preemption.Place(room, victims));
+        }
+        for (String id : Preemption.victims(wants, places, shares)) {
+            LOG.info("stopping {} to free room", id);
+            // At once: to save first would hold up what it is stopped for.
+            fleet.stop(byId.get(id), 0, now);
+            direct(byId.get(id));
         }
     }
 
@@ -564,12 +600,16 @@
         Map<Pool, Integer> targets = Steering.targets(offers, work, new Steering.Expected(
                 ordinaryDemand.quantile(settings.operators().headroom()), anyDemand.quantile(settings.operators().headroom())),
                 settings.operators().chargeS(), settings.operators().partlyShare());
+        // What is asked for at this moment is no surplus, whatever was asked for of late; and a leader that has not yet
+        // seen a whole unit knows neither run times nor demand.
+        Map<Pool, Integer> needed = Steering.floor(offers, new Steering.Expected(ordinary, any));
+        boolean seasoned = now - startedAt >= settings.operators().chargeS();
         for (Steering.Offer offer : offers) {
             int target = targets.getOrDefault(offer.pool(), 0);
             if (target > offer.present()) {
                 rent(offer.pool(), target - offer.present());
-            } else if (target < offer.present()) {
-                shrink(offer.pool(), offer.present() - target, now);
+            } else if (seasoned && Math.max(target, needed.get(offer.pool())) < offer.present()) {
+                shrink(offer.pool(), offer.present() - Math.max(target, needed.get(offer.pool())), now);
             }
         }
     }
@@ -634,15 +674,22 @@
     private static double restartCost(Machine machine, double now) {
         double cost = 0;
         for (Attempt attempt : machine.attempts()) {
-            if (attempt.live() && attempt.running()) {
-                double ran = now - attempt.runningSince();
-                double lost = attempt.job.spec.saves() ? Math.min(ran, attempt.job.spec.checkpointEveryS()) : ran;
-                cost = Math.max(cost, lost);
+            if (attempt.live()) {
+                cost = Math.max(cost, lostS(attempt, now));
             }
         }
         return cost;
     }
 
+    /** Seconds of work lost if it were stopped at once; a replica loses none, and is not stopped for that reason alone. */
+    private static double lostS(Attempt attempt, double now) {
+        if (!attempt.running()) {
+            return 0;
+        }
+        double ran = now - attempt.runningSince();
+        return attempt.job.spec.saves() ? ran % attempt.job.spec.checkpointEveryS() : ran;
+    }
+
     // ---- what operators see
 
     /** A line for the log: machines, attempts, queues and what has been waiting to be written. */
--- a/src/main/java/io/pepperfield/placement/Placer.java
+++ b/src/main/java/io/pepperfield/placement/Placer.java
@@ -87,7 +87,7 @@
     }
 
     /** Books that many tasks on a machine; a negative number takes them back. */
-    private static void take(Want want, Room room, Share share, int tasks) {
+    static void take(Want want, Room room, Share share, int tasks) {
         want.waiting -= tasks;
         want.perZone.merge(room.zone, tasks, Integer::sum);
         room.cpus -= tasks * want.job.cpus();
@@ -108,8 +108,11 @@
     }
 
     static boolean fits(Want want, Room room) {
-        return room.cpus + SLACK >= want.job.cpus() && room.memGb + SLACK >= want.job.memGb() && room.gpus + SLACK >= want.job.gpus()
-                && allowed(want, room) && !want.avoid.contains(room.machine);
+        return holds(want, room.cpus, room.gpus, room.memGb) && allowed(want, room) && !want.avoid.contains(room.machine);
+    }
+
+    static boolean holds(Want want, double cpus, double gpus, double memGb) {
+        return cpus + SLACK >= want.job.cpus() && memGb + SLACK >= want.job.memGb() && gpus + SLACK >= want.job.gpus();
     }
 
     /** Type, zone and kind, with regard to where the job's other tasks may be alive at this moment. */
--- a/src/main/java/io/pepperfield/placement/Room.java
+++ b/src/main/java/io/pepperfield/placement/Room.java
@@ -25,6 +25,13 @@
         this.memGb = memGb;
     }
 
+    /** Counts what is being stopped there as free. */
+    public void freeing(double moreCpus, double moreGpus, double moreMemGb) {
+        cpus += moreCpus;
+        gpus += moreGpus;
+        memGb += moreMemGb;
+    }
+
     public String machine() {
         return machine;
     }
--- a/src/main/java/io/pepperfield/steering/Steering.java
+++ b/src/main/java/io/pepperfield/steering/Steering.java
@@ -72,7 +72,7 @@
      * Machines for the expected CPUs. What there is comes first, spot before ordinary: a pool that may have machines again
      * after a refusal must not draw the demand away from machines that stand, or all of those would be returned at once.
      */
-    private static Map<Pool, Integer> floor(List<Offer> offers, Expected expected) {
+    public static Map<Pool, Integer> floor(List<Offer> offers, Expected expected) {
         Map<Pool, Double> cpus = new HashMap<>();
         double any = fill(offers, true, false, expected.anyCpus(), cpus);
         double ordinary = fill(offers, false, false, expected.ordinaryCpus(), cpus);
--- /dev/null
+++ b/src/test/java/io/pepperfield/placement/PreemptionTest.java
@@ -0,0 +1,60 @@
+package io.pepperfield.placement;
+
+import io.pepperfield.config.Settings;
+import io.pepperfield.jobs.JobSpec;
+import io.pepperfield.jobs.JobSpec.Rank;
+import org.junit.jupiter.api.Test;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** What may be stopped for what: the protocol's two cases and nothing else. */
+class PreemptionTest {
+
+    private final Map<String, Share> shares = new HashMap<>(Map.of("red", new Share(new Settings.Team("red", 8, 64, 0, 0), 0, 0),
+            "blue", new Share(new Settings.Team("blue", 8, 64, 0, 0), 12, 0)));
+
+    private static Want want(Rank rank, double cpus, boolean guaranteed) {
+        JobSpec job = new JobSpec("run-000001", "w", "red", JobSpec.Shape.ARRAY, rank, 1, cpus, 0, 1, "img", 1, null, null, false, false,
+                false, 1, 0, 0, null, 0, 10);
+        Want want = new Want(job, 1, guaranteed, 0, new HashMap<>(), new HashSet<>());
+        want.stuck = true;
+        return want;
+    }
+
+    private static Preemption.Victim victim(String id, String team, Rank rank, double cpus, double lostS) {
+        return new Preemption.Victim(id, new Preemption.JobRef(team, rank, cpus, 0, 1), lostS);
+    }
+
+    private List<String> stopped(Want want, double free, Preemption.Victim... victims) {
+        Room room = new Room("m1", "box", "east", false, Set.of(), free, 0, 64);
+        return Preemption.victims(new ArrayList<>(List.of(want)), List.of(new Preemption.Place(room, List.of(victims))), shares);
+    }
+
+    @Test void higherRankStopsTheLowestThatLosesLeast() {
+        assertEquals(List.of("c"), stopped(want(Rank.URGENT, 4, false), 0, victim("a", "red", Rank.STANDARD, 4, 1),
+                victim("b", "red", Rank.BEST_EFFORT, 4, 9), victim("c", "red", Rank.BEST_EFFORT, 4, 2)));
+    }
+
+    @Test void equalRankStopsNothingWithoutAGuarantee() {
+        assertEquals(List.of(), stopped(want(Rank.STANDARD, 4, false), 0, victim("a", "blue", Rank.STANDARD, 4, 1)));
+    }
+
+    @Test void aGuaranteeStopsWhatAnotherTeamHasBeyondItsOwn() {
+        // Blue uses 12 of its 8: one task of 4 is borrowed, the next is its own.
+        assertEquals(List.of("b"), stopped(want(Rank.STANDARD, 4, true), 0, victim("a", "blue", Rank.PRODUCTION, 4, 9),
+                victim("b", "blue", Rank.STANDARD, 4, 1)));
+        assertEquals(List.of(), stopped(want(Rank.STANDARD, 8, true), 0, victim("a", "blue", Rank.PRODUCTION, 8, 9)));
+        assertEquals(List.of(), stopped(want(Rank.STANDARD, 4, true), 0, victim("a", "red", Rank.STANDARD, 4, 9)));
+    }
+
+    @Test void whatIsBeingFreedIsNotFreedTwice() {
+        assertEquals(List.of(), stopped(want(Rank.PRODUCTION, 4, false), 4, victim("a", "blue", Rank.STANDARD, 4, 1)));
+    }
+}
