--- a/src/main/java/io/pepperfield/config/OperatorsReader.java
+++ b/src/main/java/io/pepperfield/config/OperatorsReader.java
@@ -27,7 +27,7 @@
 
     private enum Field {
         CHARGE_S("charge-s", 1, 86400), RESTART_SHARE("restart-share", 0, 1), PARTLY_SHARE("partly-share", 0, 1),
-        HEADROOM("headroom", 0, 10), SILENT_AT_ONCE("silent-at-once", 1, 1000);
+        HEADROOM("headroom", 0, 1), STEADY("steady", 0, 1), SILENT_AT_ONCE("silent-at-once", 1, 1000);
 
         final String element;
         final double least;
@@ -70,6 +70,7 @@
                 values.getOrDefault(Field.RESTART_SHARE, defaults.restartShare()),
                 values.getOrDefault(Field.PARTLY_SHARE, defaults.partlyShare()),
                 values.getOrDefault(Field.HEADROOM, defaults.headroom()),
+                values.getOrDefault(Field.STEADY, defaults.steady()),
                 values.getOrDefault(Field.SILENT_AT_ONCE, (double) defaults.silentAtOnce()).intValue());
     }
 
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -67,7 +67,8 @@
     private final Map<TaskRef, Attempt> attempts = new HashMap<>();
     private final Map<Machine, List<Attempt>> toSend = new LinkedHashMap<>();
     private final DemandWindow ordinaryDemand;
-    private final DemandWindow anyDemand;
+    private final DemandWindow eagerDemand;
+    private final DemandWindow patientDemand;
     private final double reportS;
     private final double startedAt;
     private double intervalS;
@@ -97,7 +98,8 @@
         this.startedAt = loop.now();
         this.mintedAt = startedAt;
         this.ordinaryDemand = new DemandWindow(settings.operators().chargeS());
-        this.anyDemand = new DemandWindow(settings.operators().chargeS());
+        this.eagerDemand = new DemandWindow(settings.operators().chargeS());
+        this.patientDemand = new DemandWindow(settings.operators().chargeS());
     }
 
     /** Builds its books from the replica, which must hold everything written before this leadership began. */
@@ -554,8 +556,7 @@
     private void steer(double now) {
         intervalS = Math.max(intervalS, types.all().stream().mapToDouble(MachineType::bootS).max().orElse(0));
         List<Steering.Work> work = new ArrayList<>();
-        double ordinary = 0;
-        double any = 0;
+        Demand demand = new Demand();
         Map<Job, DoubleArrayList> running = new HashMap<>();
         for (Attempt attempt : attempts.values()) {
             if (attempt.running()) {
@@ -576,8 +577,7 @@
             if (remaining > 0) {
                 work.add(new Steering.Work(job.spec, remaining, new Pool(attempt.machine.type(), attempt.machine.spot())));
             }
-            ordinary += job.spec.spot() ? 0 : job.spec.cpus();
-            any += job.spec.spot() ? job.spec.cpus() : 0;
+            demand.add(job.spec);
         }
         for (Job job : jobs.values()) {
             int waiting = job.waitingCount();
@@ -590,19 +590,20 @@
             for (int i = 0; i < waiting && left.getOrDefault(job.spec.team(), 0.0) >= job.spec.cpus(); i++) {
                 left.merge(job.spec.team(), -job.spec.cpus(), Double::sum);
                 work.add(new Steering.Work(job.spec, runTime, null));
-                ordinary += job.spec.spot() ? 0 : job.spec.cpus();
-                any += job.spec.spot() ? job.spec.cpus() : 0;
+                demand.add(job.spec);
             }
         }
-        ordinaryDemand.add(now, ordinary);
-        anyDemand.add(now, any);
+        ordinaryDemand.add(now, demand.ordinary);
+        eagerDemand.add(now, demand.eager);
+        patientDemand.add(now, demand.patient);
+        double headroom = settings.operators().headroom();
         List<Steering.Offer> offers = offers(now);
         Map<Pool, Integer> targets = Steering.targets(offers, work, new Steering.Expected(
-                ordinaryDemand.quantile(settings.operators().headroom()), anyDemand.quantile(settings.operators().headroom())),
+                ordinaryDemand.quantile(headroom), eagerDemand.quantile(headroom) + patientDemand.quantile(settings.operators().steady())),
                 settings.operators().chargeS(), settings.operators().partlyShare());
         // What is asked for at this moment is no surplus, whatever was asked for of late; and a leader that has not yet
         // seen a whole unit knows neither run times nor demand.
-        Map<Pool, Integer> needed = Steering.floor(offers, new Steering.Expected(ordinary, any));
+        Map<Pool, Integer> needed = Steering.floor(offers, new Steering.Expected(demand.ordinary, demand.eager + demand.patient));
         boolean seasoned = now - startedAt >= settings.operators().chargeS();
         for (Steering.Offer offer : offers) {
             int target = targets.getOrDefault(offer.pool(), 0);
@@ -614,6 +615,23 @@
         }
     }
 
+    /** CPUs asked for at this moment, by what they can wait for. */
+    private final class Demand {
+        double ordinary;
+        double eager;
+        double patient;
+
+        void add(JobSpec job) {
+            if (!job.spot()) {
+                ordinary += job.cpus();
+            } else if (Double.isInfinite(settings.waitAim(job.workload()))) {
+                patient += job.cpus();
+            } else {
+                eager += job.cpus();
+            }
+        }
+    }
+
     private List<Steering.Offer> offers(double now) {
         Map<Pool, Integer> present = new HashMap<>();
         for (Machine machine : fleet.machines()) {
--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -245,7 +245,7 @@
         Settings.Deployment deployment = new Settings.Deployment(3, List.of("east", "west"), 5, teams, List.of(),
                 new Settings.Workers(REPORT_S, LEASE_S, CANCEL_S), new Settings.State(150, 60, 8, 32), new Settings.Cloud(20, 2),
                 new Settings.Quota(1, 256, 1000));
-        Operators operators = new Operators(10, 0.2, 0.2, 0.85, 3);
+        Operators operators = new Operators(10, 0.2, 0.2, 0.85, 0.85, 3);
         return new Settings("node-" + index, "east", new Address("10.0.0." + (index + 1), 8080),
                 new Address("10.0.0." + (index + 1), 8081), members, new Address("10.2.0.2", 8443), new Address("10.2.0.1", 2379),
                 deployment, operators);
