--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -24,6 +24,7 @@
 import io.pepperfield.placement.Room;
 import io.pepperfield.placement.Share;
 import io.pepperfield.placement.Want;
+import io.pepperfield.predict.ClassTimes;
 import io.pepperfield.predict.Predictor;
 import io.pepperfield.steering.DemandWindow;
 import io.pepperfield.steering.Pool;
@@ -66,6 +67,7 @@
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<TaskRef, Attempt> attempts = new HashMap<>();
     private final Map<Machine, List<Attempt>> toSend = new LinkedHashMap<>();
+    private final ClassTimes classTimes = new ClassTimes();
     private final DemandWindow ordinaryDemand;
     private final DemandWindow eagerDemand;
     private final DemandWindow patientDemand;
@@ -217,6 +219,7 @@
         job.succeeded();
         if (ranS > 0) {
             job.times.finished(ranS, OptionalDouble.empty());
+            classTimes.finished(job.spec.workload(), ranS);
         }
         // Done must be durable before the machine may forget it, or a later leader would run the task again.
         mark(job, attempt.task, attempt::settle);
@@ -577,7 +580,7 @@
             if (remaining > 0) {
                 work.add(new Steering.Work(job.spec, remaining, new Pool(attempt.machine.type(), attempt.machine.spot())));
             }
-            demand.add(job.spec);
+            demand.add(job.spec, ranS);
         }
         for (Job job : jobs.values()) {
             int waiting = job.waitingCount();
@@ -590,7 +593,7 @@
             for (int i = 0; i < waiting && left.getOrDefault(job.spec.team(), 0.0) >= job.spec.cpus(); i++) {
                 left.merge(job.spec.team(), -job.spec.cpus(), Double::sum);
                 work.add(new Steering.Work(job.spec, runTime, null));
-                demand.add(job.spec);
+                demand.add(job.spec, 0);
             }
         }
         ordinaryDemand.add(now, demand.ordinary);
@@ -603,7 +606,7 @@
                 settings.operators().chargeS(), settings.operators().partlyShare());
         // What is asked for at this moment is no surplus, whatever was asked for of late; and a leader that has not yet
         // seen a whole unit knows neither run times nor demand.
-        Map<Pool, Integer> needed = Steering.floor(offers, new Steering.Expected(demand.ordinary, demand.eager + demand.patient));
+        Map<Pool, Integer> needed = Steering.floor(offers, new Steering.Expected(demand.ordinary, demand.all));
         boolean seasoned = now - startedAt >= settings.operators().chargeS();
         for (Steering.Offer offer : offers) {
             int target = targets.getOrDefault(offer.pool(), 0);
@@ -620,12 +623,18 @@
         double ordinary;
         double eager;
         double patient;
+        double all;
 
-        void add(JobSpec job) {
+        /** Work that can wait counts by the part of a charging unit that it would fill, as WIRE counts machines. */
+        void add(JobSpec job, double ranS) {
             if (!job.spot()) {
                 ordinary += job.cpus();
-            } else if (Double.isInfinite(settings.waitAim(job.workload()))) {
-                patient += job.cpus();
+                return;
+            }
+            all += job.cpus();
+            if (Double.isInfinite(settings.waitAim(job.workload()))) {
+                double left = Predictor.remaining(classTimes.expected(job.workload(), job.expectedS()), ranS);
+                patient += job.cpus() * Math.min(1, left / settings.operators().chargeS());
             } else {
                 eager += job.cpus();
             }
--- /dev/null
+++ b/src/main/java/io/pepperfield/predict/ClassTimes.java
@@ -0,0 +1,28 @@
+package io.pepperfield.predict;
+
+import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Late run times of each class of jobs: what is expected of work whose own peers have shown nothing yet. */
+public final class ClassTimes {
+
+    private static final int KEPT = 64;
+
+    private final Map<String, DoubleArrayList> times = new HashMap<>();
+
+    public void finished(String workload, double seconds) {
+        DoubleArrayList list = times.computeIfAbsent(workload, w -> new DoubleArrayList());
+        if (list.size() == KEPT) {
+            list.removeDouble(0);
+        }
+        list.add(seconds);
+    }
+
+    /** The median of the class, or the owner's estimate while none of it has finished. */
+    public double expected(String workload, double estimateS) {
+        DoubleArrayList list = times.get(workload);
+        return list == null ? estimateS : Medians.of(list);
+    }
+}
