--- a/src/main/java/io/pepperfield/config/Settings.java
+++ b/src/main/java/io/pepperfield/config/Settings.java
@@ -37,6 +37,13 @@
         return members.stream().filter(m -> m.node().equals(name)).findFirst();
     }
 
+    /** The next time after its submission by which a job of the class should be complete, or infinity. */
+    public double finishAim(String workload, double afterS) {
+        return deployment.objectives().stream()
+                .filter(o -> o.kind().equals("finished") && o.workload().equals(workload) && o.withinS() > afterS)
+                .mapToDouble(Objective::withinS).min().orElse(Double.POSITIVE_INFINITY);
+    }
+
     /** The shortest wait that any objective asks for a class, or a whole lease where none is stated. */
     public double waitAim(String workload) {
         return deployment.objectives().stream()
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -53,6 +53,9 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
 
+    /** Part of the time for which an aim allows that is planned with; the rest is for booting and bad luck. */
+    private static final double AIM_RESERVE = 0.7;
+
     private final Loop loop;
     private final Settings settings;
     private final Leadership leadership;
@@ -580,7 +583,7 @@
             if (remaining > 0) {
                 work.add(new Steering.Work(job.spec, remaining, new Pool(attempt.machine.type(), attempt.machine.spot())));
             }
-            demand.add(job.spec, ranS);
+            demand.add(job, ranS, now);
         }
         for (Job job : jobs.values()) {
             int waiting = job.waitingCount();
@@ -593,7 +596,7 @@
             for (int i = 0; i < waiting && left.getOrDefault(job.spec.team(), 0.0) >= job.spec.cpus(); i++) {
                 left.merge(job.spec.team(), -job.spec.cpus(), Double::sum);
                 work.add(new Steering.Work(job.spec, runTime, null));
-                demand.add(job.spec, 0);
+                demand.add(job, 0, now);
             }
         }
         ordinaryDemand.add(now, demand.ordinary);
@@ -625,8 +628,12 @@
         double patient;
         double all;
 
-        /** Work that can wait counts by the part of a charging unit that it would fill, as WIRE counts machines. */
-        void add(JobSpec job, double ranS) {
+        /**
+         * Work that can wait counts by the part that it would fill of the time left for it: until its class should be
+         * complete, with a reserve, and no longer than a charging unit, by which WIRE counts machines.
+         */
+        void add(Job of, double ranS, double now) {
+            JobSpec job = of.spec;
             if (!job.spot()) {
                 ordinary += job.cpus();
                 return;
@@ -634,7 +641,9 @@
             all += job.cpus();
             if (Double.isInfinite(settings.waitAim(job.workload()))) {
                 double left = Predictor.remaining(classTimes.expected(job.workload(), job.expectedS()), ranS);
-                patient += job.cpus() * Math.min(1, left / settings.operators().chargeS());
+                double age = now - of.submittedAt;
+                double time = Math.min(settings.operators().chargeS(), AIM_RESERVE * settings.finishAim(job.workload(), age + left) - age);
+                patient += job.cpus() * Math.min(1, left / Math.max(left, time));
             } else {
                 eager += job.cpus();
             }
