--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -467,12 +467,28 @@
             }
         }
         List<Want> wants = wants(now);
-        List<Placer.Choice> choices = Placer.place(wants, rooms, shares);
+        start(Placer.place(wants, rooms, shares), now);
+        if (wants.stream().noneMatch(Want::stuck)) {
+            return;
+        }
+        // To stop lower work on a machine that has the image beats a start on one that must fetch it first.
+        Map<String, Attempt> victims = new HashMap<>();
+        List<Preemption.Place> places = places(rooms, victims, now);
+        stop(Preemption.victims(wants.stream().filter(Want::warmOnly).toList(), places, shares), victims, now);
+        wants.forEach(want -> want.warmOnly(false));
+        Map<String, Want> byJob = new HashMap<>();
+        wants.forEach(want -> byJob.put(want.job().id(), want));
+        List<Placer.Choice> colder = Placer.place(wants, rooms, shares);
+        colder.forEach(choice -> Preemption.book(places, choice, byJob.get(choice.job())));
+        start(colder, now);
+        stop(Preemption.victims(wants, places, shares), victims, now);
+    }
+
+    private void start(List<Placer.Choice> choices, double now) {
         for (Placer.Choice choice : choices) {
             Job job = jobs.get(choice.job());
-            Machine machine = fleet.get(choice.machine());
             int task = job.nextWaiting();
-            Attempt attempt = fleet.intend(job, task, job.begin(task), machine, now);
+            Attempt attempt = fleet.intend(job, task, job.begin(task), fleet.get(choice.machine()), now);
             attempts.put(attempt.ref, attempt);
             mark(job, task, () -> {
                 if (!over && fleet.ordered(attempt)) {
@@ -480,16 +496,22 @@
                 }
             });
         }
-        preempt(wants, rooms, shares, now);
     }
 
-    private void preempt(List<Want> wants, List<Room> rooms, Map<String, Share> shares, double now) {
-        if (wants.stream().noneMatch(Want::stuck)) {
-            return;
+    private void stop(List<String> chosen, Map<String, Attempt> victims, double now) {
+        for (String id : chosen) {
+            LOG.debug("stopping {} to free room", id);
+            // At once: to save first would hold up what it is stopped for.
+            fleet.stop(victims.get(id), 0, now);
+            direct(victims.get(id));
         }
-        Map<String, Attempt> byId = new HashMap<>();
+    }
+
+    /** The machines as they will be once all that is being stopped is gone, with what else could be stopped. */
+    private List<Preemption.Place> places(List<Room> rooms, Map<String, Attempt> byId, double now) {
         List<Preemption.Place> places = new ArrayList<>();
-        for (Room room : rooms) {
+        for (Room free : rooms) {
+            Room room = free.copy();
             List<Preemption.Victim> victims = new ArrayList<>();
             for (Attempt attempt : fleet.get(room.machine()).attempts()) {
                 JobSpec spec = attempt.job.spec;
@@ -503,12 +525,13 @@
             }
             places.add(new Preemption.Place(room, victims));
         }
-        for (String id : Preemption.victims(wants, places, shares)) {
-            LOG.info("stopping {} to free room", id);
-            // At once: to save first would hold up what it is stopped for.
-            fleet.stop(byId.get(id), 0, now);
-            direct(byId.get(id));
-        }
+        return places;
+    }
+
+    /** Whether some machine could have it running within the class's aim, but only without fetching the image. */
+    private boolean mustBeWarm(JobSpec job) {
+        double slowest = types.all().stream().mapToDouble(MachineType::fetchGbPerS).filter(rate -> rate > 0).min().orElse(Double.POSITIVE_INFINITY);
+        return job.imageGb() / slowest > settings.waitAim(job.workload()) / 2;
     }
 
     private Map<String, Share> shares() {
@@ -551,8 +574,10 @@
                     avoid.add(machine.name);
                 }
             }
-            wants.add(new Want(job.spec, waiting, cpus <= team.cpus(), job.submittedAt,
-                    zones.getOrDefault(job.spec.id(), new HashMap<>()), avoid));
+            Want want = new Want(job.spec, waiting, cpus <= team.cpus(), job.submittedAt,
+                    zones.getOrDefault(job.spec.id(), new HashMap<>()), avoid);
+            want.warmOnly(mustBeWarm(job.spec) && now - job.submittedAt < settings.waitAim(job.spec.workload()));
+            wants.add(want);
         }
         return wants;
     }
--- a/src/main/java/io/pepperfield/placement/Placer.java
+++ b/src/main/java/io/pepperfield/placement/Placer.java
@@ -117,7 +117,7 @@
 
     /** Type, zone and kind, with regard to where the job's other tasks may be alive at this moment. */
     static boolean allowed(Want want, Room room) {
-        if (!want.job.allows(room.type, room.zone, room.spot)) {
+        if (!want.job.allows(room.type, room.zone, room.spot) || want.warmOnly && !room.images.contains(want.job.image())) {
             return false;
         }
         int here = want.perZone.getOrDefault(room.zone, 0);
--- a/src/main/java/io/pepperfield/placement/Preemption.java
+++ b/src/main/java/io/pepperfield/placement/Preemption.java
@@ -34,6 +34,17 @@
         }
     }
 
+    /** Books what the placer has chosen meanwhile. */
+    public static void book(List<Place> places, Placer.Choice choice, Want want) {
+        for (Place place : places) {
+            if (place.room.machine.equals(choice.machine())) {
+                place.room.cpus -= want.job.cpus();
+                place.room.gpus -= want.job.gpus();
+                place.room.memGb -= want.job.memGb();
+            }
+        }
+    }
+
     private record Plan(Place place, List<Victim> stopped, double lost) { }
 
     private Preemption() { }
--- a/src/main/java/io/pepperfield/placement/Room.java
+++ b/src/main/java/io/pepperfield/placement/Room.java
@@ -25,6 +25,10 @@
         this.memGb = memGb;
     }
 
+    public Room copy() {
+        return new Room(machine, type, zone, spot, images, cpus, gpus, memGb);
+    }
+
     /** Counts what is being stopped there as free. */
     public void freeing(double moreCpus, double moreGpus, double moreMemGb) {
         cpus += moreCpus;
--- a/src/main/java/io/pepperfield/placement/Want.java
+++ b/src/main/java/io/pepperfield/placement/Want.java
@@ -18,6 +18,8 @@
     final Set<String> avoid;
     /** Tasks of this job that may be alive. */
     final int live;
+    /** Only machines that have its image will do for now: to fetch it would take longer than its class may wait. */
+    boolean warmOnly;
     boolean stuck;
 
     public Want(JobSpec job, int waiting, boolean guaranteed, double submittedAt, Map<String, Integer> perZone, Set<String> avoid) {
@@ -34,6 +36,18 @@
         return job;
     }
 
+    public boolean warmOnly() {
+        return warmOnly;
+    }
+
+    /** Sets whether only machines with its image will do; what was stuck by that is looked at again. */
+    public void warmOnly(boolean only) {
+        if (warmOnly && !only) {
+            stuck = false;
+        }
+        warmOnly = only;
+    }
+
     /** Tasks still without a place. */
     public int waiting() {
         return waiting;
