--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.cloud.Cloud;
+import io.pepperfield.cloud.TypesRecord;
 import io.pepperfield.config.Settings;
 import io.pepperfield.fleet.Report;
 import io.pepperfield.fleet.Workers;
@@ -52,6 +53,7 @@
     private final double tickS;
     private Leader leader;
     private boolean askingTypes;
+    private boolean askedTypes;
     private double typesAt = Double.NEGATIVE_INFINITY;
     private double summaryAt;
 
@@ -106,6 +108,9 @@
             leadership.leaderKey(data, stamp);
             return;
         }
+        if (key.equals(Keys.TYPES) && data != null && !types.known()) {
+            types.heard(TypesRecord.read(data));
+        }
         catalog.changed(key, data);
         if (leader != null && (key.startsWith(Keys.JOB) || key.startsWith(Keys.END))) {
             leader.catalogChanged(key.substring(key.lastIndexOf('/') + 1));
@@ -124,7 +129,7 @@
         peers.tick(loop.now(), sync.contactAt(), leadership.token());
         double now = loop.now();
         // Prices move: the leader asks now and then; the others need no more than to know the types once.
-        if (!askingTypes && now - typesAt >= (types.known() ? settings.operators().chargeS() : 2)
+        if (!askingTypes && now - typesAt >= (askedTypes ? settings.operators().chargeS() : 2)
                 && (!types.known() || leadership.leading())) {
             askingTypes = true;
             typesAt = now;
@@ -132,6 +137,10 @@
                 askingTypes = false;
                 if (heard != null) {
                     types.heard(heard);
+                    askedTypes = true;
+                    if (leader != null) {
+                        leader.typesHeard();
+                    }
                 }
             });
         }
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -3,6 +3,7 @@
 import io.pepperfield.cloud.Cloud;
 import io.pepperfield.cloud.MachineType;
 import io.pepperfield.cloud.Renting;
+import io.pepperfield.cloud.TypesRecord;
 import io.pepperfield.config.Settings;
 import io.pepperfield.fleet.Attempt;
 import io.pepperfield.fleet.Fleet;
@@ -116,6 +117,9 @@
             }
         }
         replica.each(Keys.HIRE, (key, data) -> renting.restore(key.substring(Keys.HIRE.length()), data));
+        if (types.known()) {
+            typesHeard();
+        }
         LOG.info("taking over {} jobs, {} attempts, {} machines", jobs.size(), attempts.size(), fleet.machines().size());
     }
 
@@ -184,6 +188,22 @@
         }
     }
 
+    /** Keeps the types where a controller that cannot ask the cloud finds them. */
+    void typesHeard() {
+        Replica.Entry known = replica.get(Keys.TYPES);
+        if (known == null || !sameButForPrices(TypesRecord.read(known.data()))) {
+            writer.mark(Keys.TYPES, () -> TypesRecord.write(types.all()), null, null);
+        }
+    }
+
+    private boolean sameButForPrices(List<MachineType> durable) {
+        return durable.size() == types.all().size() && durable.stream().allMatch(t -> {
+            MachineType now = types.get(t.name());
+            return now != null && new MachineType(now.name(), now.cpus(), now.gpus(), now.memGb(), now.cacheGb(), now.fetchGbPerS(),
+                    t.price(), t.spotPrice(), now.bootS(), now.zones()).equals(t);
+        });
+    }
+
     void renewedToken(long token) {
         fleet.token(token);
         mintedAt = loop.now();
--- a/src/main/java/io/pepperfield/placement/Preemption.java
+++ b/src/main/java/io/pepperfield/placement/Preemption.java
@@ -116,7 +116,8 @@
             return true;
         }
         Share other = shares.get(victim.job.team);
-        return want.guaranteed && other != null && !victim.job.team.equals(want.job.team())
+        // Of any rank by the protocol; but what ranks higher than the guarantee's own work is left alone here.
+        return want.guaranteed && other != null && want.job.rank() == victim.job.rank && !victim.job.team.equals(want.job.team())
                 && other.cpus - victim.job.cpus >= other.team.cpus();
     }
 }
--- a/src/main/java/io/pepperfield/store/Keys.java
+++ b/src/main/java/io/pepperfield/store/Keys.java
@@ -5,6 +5,7 @@
 
     public static final String ROOT = "pepperfield/";
     public static final String LEADER = ROOT + "leader";
+    public static final String TYPES = ROOT + "types";
     public static final String JOB = ROOT + "job/";
     public static final String RUN = ROOT + "run/";
     public static final String END = ROOT + "end/";
