--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -381,8 +381,7 @@
 
     /** Machines that say nothing, never came up, or are about to be taken. */
     private void watch(double now) {
-        // A report is due within 1.25 periods; a probe is sent after 1.5 and has half a period for its answer.
-        double silentS = 2.25 * reportS;
+        double silentS = silentS();
         List<Machine> silent = new ArrayList<>();
         int up = 0;
         for (Machine machine : fleet.machines()) {
@@ -426,12 +425,61 @@
             if (renting.releasing() >= settings.operators().silentAtOnce()) {
                 break;
             }
-            if (!cut || machine.silentFor(now) > 1.5 * settings.deployment().workers().leaseS()) {
+            if (isLost(machine, cut, now)) {
                 renting.release(machine, "silent for " + Math.round(machine.silentFor(now)) + " s");
             }
         }
     }
 
+    /** A report is due within 1.25 periods; a probe is sent after 1.5 and has half a period for its answer. */
+    private double silentS() {
+        return 2.25 * reportS;
+    }
+
+    /**
+     * Whether to give a silent machine up. It may only hang, and its tasks with it until their lease ends: to return it
+     * earlier pays where replicas can go on elsewhere at once, and costs both work and replicas where they cannot.
+     */
+    private boolean isLost(Machine machine, boolean cut, double now) {
+        double leaseS = settings.deployment().workers().leaseS();
+        double silent = machine.silentFor(now);
+        if (cut) {
+            return silent > 1.5 * leaseS;
+        }
+        if (silent > leaseS || machine.idle()) {
+            return true;
+        }
+        return holdsReplica(machine) ? renting.releasing() == 0 && roomForReplicasOf(machine, now) : silent > leaseS / 2;
+    }
+
+    private boolean roomForReplicasOf(Machine lost, double now) {
+        Map<String, Share> shares = shares();
+        Map<Job, Integer> replicas = new LinkedHashMap<>();
+        for (Attempt attempt : lost.attempts()) {
+            if (attempt.live() && attempt.job.spec.service() && attempt.job.end() == null) {
+                replicas.merge(attempt.job, 1, Integer::sum);
+                Share share = shares.get(attempt.job.spec.team());
+                share.free(attempt.job.spec.cpus(), attempt.job.spec.gpus());
+            }
+        }
+        List<Want> wants = new ArrayList<>();
+        replicas.forEach((job, count) -> {
+            Map<String, Integer> zones = new HashMap<>();
+            for (Attempt attempt : attempts.values()) {
+                if (attempt.job == job && attempt.machine != lost) {
+                    zones.merge(attempt.machine.zone(), 1, Integer::sum);
+                }
+            }
+            wants.add(new Want(job.spec, count, true, job.submittedAt, zones, new HashSet<>()));
+        });
+        List<Room> rooms = rooms(now);
+        List<Preemption.Place> places = places(rooms, new HashMap<>(), now);
+        Placer.place(wants, rooms, shares).forEach(choice -> wants.stream().filter(w -> w.job().id().equals(choice.job())).findFirst()
+                .ifPresent(want -> Preemption.book(places, choice, want)));
+        Preemption.victims(wants, places, shares);
+        return wants.stream().allMatch(want -> want.waiting() == 0);
+    }
+
     private double bootLimit(Machine machine) {
         MachineType type = types.get(machine.type());
         return type == null ? settings.operators().chargeS() : 3 * type.bootS();
@@ -477,15 +525,7 @@
         }
         double now = loop.now();
         Map<String, Share> shares = shares();
-        List<Room> rooms = new ArrayList<>();
-        for (Machine machine : fleet.machines()) {
-            MachineType type = types.get(machine.type());
-            if (type != null && machine.up() && !machine.releasing() && !machine.draining() && machine.avoidUntil() <= now
-                    && machine.silentFor(now) < 2 * reportS) {
-                rooms.add(new Room(machine.name, machine.type(), machine.zone(), machine.spot(), machine.images(),
-                        machine.freeCpus(type), machine.freeGpus(type), machine.freeMemGb(type)));
-            }
-        }
+        List<Room> rooms = rooms(now);
         List<Want> wants = wants(now);
         start(Placer.place(wants, rooms, shares), now);
         if (wants.stream().noneMatch(Want::stuck)) {
@@ -504,6 +544,20 @@
         stop(Preemption.victims(wants, places, shares), victims, now);
     }
 
+    /** The machines that may take tasks now. */
+    private List<Room> rooms(double now) {
+        List<Room> rooms = new ArrayList<>();
+        for (Machine machine : fleet.machines()) {
+            MachineType type = types.get(machine.type());
+            if (type != null && machine.up() && !machine.releasing() && !machine.draining() && machine.avoidUntil() <= now
+                    && machine.silentFor(now) < 1.5 * reportS) {
+                rooms.add(new Room(machine.name, machine.type(), machine.zone(), machine.spot(), machine.images(),
+                        machine.freeCpus(type), machine.freeGpus(type), machine.freeMemGb(type)));
+            }
+        }
+        return rooms;
+    }
+
     private void start(List<Placer.Choice> choices, double now) {
         for (Placer.Choice choice : choices) {
             Job job = jobs.get(choice.job());
@@ -698,7 +752,8 @@
     private List<Steering.Offer> offers(double now) {
         Map<Pool, Integer> present = new HashMap<>();
         for (Machine machine : fleet.machines()) {
-            boolean coming = machine.up() || now - machine.rentedAt() <= bootLimit(machine);
+            // A silent machine is not counted on: what takes its place boots meanwhile.
+            boolean coming = machine.up() ? machine.silentFor(now) <= silentS() : now - machine.rentedAt() <= bootLimit(machine);
             if (!machine.releasing() && !machine.draining() && coming) {
                 present.merge(new Pool(machine.type(), machine.spot()), 1, Integer::sum);
             }
--- a/src/main/java/io/pepperfield/placement/Share.java
+++ b/src/main/java/io/pepperfield/placement/Share.java
@@ -22,6 +22,12 @@
         return cpus + moreCpus <= team.cpusMax() + SLACK && (moreGpus == 0 || gpus + moreGpus <= team.gpusMax() + SLACK);
     }
 
+    /** Takes off what is about to be gone. */
+    public void free(double lessCpus, double lessGpus) {
+        cpus -= lessCpus;
+        gpus -= lessGpus;
+    }
+
     /** How much of its guarantee the team uses; a team with none comes last. */
     double used() {
         return team.cpus() > 0 ? cpus / team.cpus() : Double.MAX_VALUE;
