--- a/src/main/java/io/pepperfield/cloud/Cloud.java
+++ b/src/main/java/io/pepperfield/cloud/Cloud.java
@@ -14,7 +14,7 @@
         record NoCapacity() implements Rented { }
 
         /** Not carried out, or nobody knows: the same request may be sent again. */
-        record Failed() implements Rented { }
+        record Failed(String why) implements Rented { }
     }
 
     /** Null where there was no proper answer. */
--- a/src/main/java/io/pepperfield/cloud/HttpCloud.java
+++ b/src/main/java/io/pepperfield/cloud/HttpCloud.java
@@ -62,7 +62,7 @@
                 .put("reclaimable", spot).put("howMany", count));
         send(urgent, "POST", "/rentals", body, outcome -> {
             if (!(outcome instanceof Outcome.Answered answer)) {
-                done.accept(new Rented.Failed());
+                done.accept(new Rented.Failed("no answer"));
                 return;
             }
             JsonNode json = answer.json();
@@ -73,7 +73,7 @@
             } else if (answer.status() == 503 && json.path("error").asText().equals("no capacity")) {
                 done.accept(new Rented.NoCapacity());
             } else {
-                done.accept(new Rented.Failed());
+                done.accept(new Rented.Failed("status " + answer.status()));
             }
         });
     }
--- a/src/main/java/io/pepperfield/cloud/Renting.java
+++ b/src/main/java/io/pepperfield/cloud/Renting.java
@@ -135,7 +135,8 @@
             if (over) {
                 return;
             }
-            if (result instanceof Cloud.Rented.Failed) {
+            if (result instanceof Cloud.Rented.Failed failed) {
+                LOG.debug("{} is asked for again: {}", hire.name, failed.why());
                 loop.after(retryS, () -> request(hire));
                 return;
             }
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -75,6 +75,7 @@
     private final DemandWindow ordinaryDemand;
     private final DemandWindow eagerDemand;
     private final DemandWindow patientDemand;
+    private final Map<Pool, DemandWindow> wanted = new HashMap<>();
     private final double reportS;
     private final double startedAt;
     private double intervalS;
@@ -710,12 +711,18 @@
         // seen a whole unit knows neither run times nor demand.
         Map<Pool, Integer> needed = Steering.floor(offers, new Steering.Expected(demand.ordinary, demand.all));
         boolean seasoned = now - startedAt >= settings.operators().chargeS();
+        LOG.debug("steering: demand {} {} {}, targets {}, offers {}", demand.ordinary, demand.eager, demand.patient, targets, offers);
         for (Steering.Offer offer : offers) {
             int target = targets.getOrDefault(offer.pool(), 0);
             if (target > offer.present()) {
                 rent(offer.pool(), target - offer.present());
-            } else if (seasoned && Math.max(target, needed.get(offer.pool())) < offer.present()) {
-                shrink(offer.pool(), offer.present() - Math.max(target, needed.get(offer.pool())), now);
+            }
+            // To rent again costs a boot; a surplus must have stood that long before returning it can pay.
+            DemandWindow kept = wanted.computeIfAbsent(offer.pool(), p -> new DemandWindow(offer.bootS()));
+            kept.add(now, Math.max(target, needed.get(offer.pool())));
+            int most = (int) kept.quantile(1);
+            if (seasoned && most < offer.present()) {
+                shrink(offer.pool(), offer.present() - most, now);
             }
         }
     }
