--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -55,7 +55,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
 
     /** Part of the time for which an aim allows that is planned with; the rest is for booting and bad luck. */
-    private static final double AIM_RESERVE = 0.7;
+    private static final double AIM_RESERVE = 0.5;
 
     private final Loop loop;
     private final Settings settings;
