--- a/src/main/java/io/pepperfield/cli/Cancel.java
+++ b/src/main/java/io/pepperfield/cli/Cancel.java
@@ -16,6 +16,6 @@
     private String job;
 
     @Override public Integer call() {
-        return remote.call("POST", "/api/jobs/" + job + "/cancel", new byte[0]);
+        return remote.callJob("POST", job, "/cancel", new byte[0]);
     }
 }
--- a/src/main/java/io/pepperfield/cli/Remote.java
+++ b/src/main/java/io/pepperfield/cli/Remote.java
@@ -8,11 +8,16 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.pepperfield.http.HttpClient;
 import io.pepperfield.http.Outcome;
+import io.pepperfield.jobs.JobMessages;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
 
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /** The public interface from outside: the first controller that answers is asked. */
 final class Remote {
@@ -23,21 +28,31 @@
             description = "Controllers to ask, in turn (default: ${DEFAULT-VALUE}).")
     private List<String> servers;
 
+    @Spec(Spec.Target.MIXEE)
+    private CommandSpec command;
+
+    /** Asks about one job; what is no job's id is a mistake on the command line. */
+    int callJob(String method, String job, String action, byte[] body) {
+        if (!JobMessages.validId(job)) {
+            throw new ParameterException(command.commandLine(), job + ": want an id such as run-000412");
+        }
+        return call(method, "/api/jobs/" + job + action, body);
+    }
+
     /** Prints the answer; 0 for a 2xx, 1 otherwise. */
     int call(String method, String path, byte[] body) {
+        for (String server : servers) {
+            if (server.lastIndexOf(':') < 1 || port(server) < 0) {
+                throw new ParameterException(command.commandLine(), server + ": want HOST:PORT");
+            }
+        }
         EventLoopGroup network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             HttpClient client = new HttpClient(network, 16 * 1024 * 1024);
             String trouble = "";
             for (String server : servers) {
-                int colon = server.lastIndexOf(':');
-                int port = port(server.substring(colon + 1));
-                if (colon < 1 || port < 0) {
-                    trouble = server + ": want HOST:PORT";
-                    continue;
-                }
                 CompletableFuture<Outcome> outcome = new CompletableFuture<>();
-                client.send(server.substring(0, colon), port, 1, method, path, body, DEADLINE_MS, outcome::complete);
+                client.send(server.substring(0, server.lastIndexOf(':')), port(server), 1, method, path, body, DEADLINE_MS, outcome::complete);
                 if (outcome.join() instanceof Outcome.Answered answer) {
                     return print(answer);
                 }
@@ -46,13 +61,13 @@
             System.err.println("pepperfield: " + trouble);
             return 1;
         } finally {
-            network.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS);
+            network.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
         }
     }
 
-    private static int port(String text) {
+    private static int port(String server) {
         try {
-            int port = Integer.parseInt(text);
+            int port = Integer.parseInt(server.substring(server.lastIndexOf(':') + 1));
             return port <= 65535 ? port : -1;
         } catch (NumberFormatException e) {
             return -1;
--- a/src/main/java/io/pepperfield/cli/Show.java
+++ b/src/main/java/io/pepperfield/cli/Show.java
@@ -16,6 +16,6 @@
     private String job;
 
     @Override public Integer call() {
-        return remote.call("GET", "/api/jobs/" + job, null);
+        return remote.callJob("GET", job, "", null);
     }
 }
--- /dev/null
+++ b/src/test/java/io/pepperfield/cli/CommandLineTest.java
@@ -0,0 +1,41 @@
+package io.pepperfield.cli;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Exit codes: 2 for a wrong command line, 1 for what could not be done. */
+class CommandLineTest {
+
+    private static int run(String... arguments) {
+        return new CommandLine(new Main()).setErr(new PrintWriter(new StringWriter())).execute(arguments);
+    }
+
+    @Test void mistakesOnTheCommandLine() {
+        assertEquals(2, run());
+        assertEquals(2, run("frob"));
+        assertEquals(2, run("serve"));
+        assertEquals(2, run("status"));
+        assertEquals(2, run("status", "run 1"));
+        assertEquals(2, run("cancel", "../up", "--server", "127.0.0.1:9"));
+        assertEquals(2, run("nodes", "--server", "nonsense"));
+        assertEquals(2, run("nodes", "--server", "127.0.0.1:70000"));
+    }
+
+    @Test void whatCouldNotBeDone(@TempDir Path dir) throws IOException {
+        Path bad = Files.writeString(dir.resolve("bad.toml"), "node = 3\n");
+        assertEquals(1, run("check", "--config", bad.toString()));
+        assertEquals(1, run("serve", "--config", dir.resolve("none.toml").toString()));
+        assertEquals(1, run("submit", dir.resolve("none.json").toString()));
+        // Port 1 of this machine: nothing listens there.
+        assertEquals(1, run("nodes", "--server", "127.0.0.1:1"));
+    }
+}
