--- a/src/main/java/io/pepperfield/config/Settings.java
+++ b/src/main/java/io/pepperfield/config/Settings.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 /** Everything the platform tells a controller; figures elsewhere in the code are ratios to these. */
 public record Settings(String node, String zone, Address bind, Address peerListen, List<Member> members,
@@ -33,10 +32,6 @@
 
     public record Quota(double coreShare, double memMb, int sockets) { }
 
-    public Optional<Member> member(String name) {
-        return members.stream().filter(m -> m.node().equals(name)).findFirst();
-    }
-
     /** The next time after its submission by which a job of the class should be complete, or infinity. */
     public double finishAim(String workload, double afterS) {
         return deployment.objectives().stream()
--- a/src/main/java/io/pepperfield/fleet/Attempt.java
+++ b/src/main/java/io/pepperfield/fleet/Attempt.java
@@ -30,7 +30,6 @@
     double runningSince = Double.NaN;
     boolean stopWanted;
     double drainS;
-    double stopWantedAt;
     /** What ended it is durable or of no consequence: nothing is lost by clearing it. */
     boolean settled;
 
--- a/src/main/java/io/pepperfield/fleet/Fleet.java
+++ b/src/main/java/io/pepperfield/fleet/Fleet.java
@@ -126,11 +126,8 @@
     }
 
     /** Wants the attempt stopped; an intent that has not left yet ends once its write does. */
-    public void stop(Attempt attempt, double drainS, double now) {
+    public void stop(Attempt attempt, double drainS) {
         if (attempt.live() && (!attempt.stopWanted || drainS < attempt.drainS)) {
-            if (!attempt.stopWanted) {
-                attempt.stopWantedAt = now;
-            }
             attempt.stopWanted = true;
             attempt.drainS = drainS;
             if (attempt.phase == Attempt.Phase.ORDERED) {
@@ -337,19 +334,6 @@
         }
     }
 
-    /** The attempts that may be alive, over all machines. */
-    public List<Attempt> live() {
-        List<Attempt> all = new ArrayList<>();
-        for (Machine machine : machines.values()) {
-            for (Attempt attempt : machine.attempts.values()) {
-                if (attempt.live()) {
-                    all.add(attempt);
-                }
-            }
-        }
-        return all;
-    }
-
     /** How many machines have this many seconds of silence or more, among those that were up. */
     public Map<String, Integer> census(double now, double silentS) {
         Map<String, Integer> census = new HashMap<>();
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -140,7 +140,7 @@
                     Attempt attempt = fleet.restore(job, line.task(), line.attempt(), line.machine(), line.tenure(), now);
                     attempts.put(attempt.ref, attempt);
                     if (job.end() != null) {
-                        fleet.stop(attempt, 0, now);
+                        fleet.stop(attempt, 0);
                     }
                 }
             }
@@ -175,7 +175,7 @@
         job.end(end);
         for (Attempt attempt : List.copyOf(attempts.values())) {
             if (attempt.job == job) {
-                fleet.stop(attempt, 0, loop.now());
+                fleet.stop(attempt, 0);
                 direct(attempt);
             }
         }
@@ -402,7 +402,7 @@
                     });
                 }
                 if (!Double.isNaN(machine.takenAt())) {
-                    drainTaken(machine, now);
+                    drainTaken(machine);
                 }
                 if (machine.faulty()) {
                     machine.drain();
@@ -487,10 +487,10 @@
     }
 
     /** A machine that will be taken: what can save does so in time; what may still complete goes on. */
-    private void drainTaken(Machine machine, double now) {
+    private void drainTaken(Machine machine) {
         for (Attempt attempt : List.copyOf(machine.attempts())) {
             if (attempt.live() && !attempt.stopWanted() && attempt.job.spec.saves() && attempt.running()) {
-                fleet.stop(attempt, attempt.job.spec.checkpointS(), now);
+                fleet.stop(attempt, attempt.job.spec.checkpointS());
                 direct(attempt);
             }
         }
@@ -535,14 +535,14 @@
         // To stop lower work on a machine that has the image beats a start on one that must fetch it first.
         Map<String, Attempt> victims = new HashMap<>();
         List<Preemption.Place> places = places(rooms, victims, now);
-        stop(Preemption.victims(wants.stream().filter(Want::warmOnly).toList(), places, shares), victims, now);
+        stop(Preemption.victims(wants.stream().filter(Want::warmOnly).toList(), places, shares), victims);
         wants.forEach(want -> want.warmOnly(false));
         Map<String, Want> byJob = new HashMap<>();
         wants.forEach(want -> byJob.put(want.job().id(), want));
         List<Placer.Choice> colder = Placer.place(wants, rooms, shares);
         colder.forEach(choice -> Preemption.book(places, choice, byJob.get(choice.job())));
         start(colder, now);
-        stop(Preemption.victims(wants, places, shares), victims, now);
+        stop(Preemption.victims(wants, places, shares), victims);
     }
 
     /** The machines that may take tasks now. */
@@ -573,11 +573,11 @@
         }
     }
 
-    private void stop(List<String> chosen, Map<String, Attempt> victims, double now) {
+    private void stop(List<String> chosen, Map<String, Attempt> victims) {
         for (String id : chosen) {
             LOG.debug("stopping {} to free room", id);
             // At once: to save first would hold up what it is stopped for.
-            fleet.stop(victims.get(id), 0, now);
+            fleet.stop(victims.get(id), 0);
             direct(victims.get(id));
         }
     }
@@ -686,6 +686,7 @@
             demand.add(job, ranS, now);
         }
         for (Job job : jobs.values()) {
+            job.times.learn();
             int waiting = job.waitingCount();
             if (job.end() != null || waiting == 0 || job.notBefore() > now) {
                 continue;
--- a/src/test/java/io/pepperfield/fleet/AttemptTraceTest.java
+++ b/src/test/java/io/pepperfield/fleet/AttemptTraceTest.java
@@ -40,7 +40,7 @@
             }
             case "durable" -> said.add(fleet.ordered(attempts.get(words[1])) ? "may be ordered" : "not ordered");
             case "direct" -> fleet.sendingDirect(List.of(attempts.get(words[1])));
-            case "stop" -> fleet.stop(attempts.get(words[1]), 0, now);
+            case "stop" -> fleet.stop(attempts.get(words[1]), 0);
             case "settled" -> attempts.get(words[1]).settle();
             case "restore" -> attempts.put(words[1], fleet.restore(job, task(words[1]), Integer.parseInt(words[2]), words[3],
                     Long.parseLong(words[4]), now));
