One booking of rooms and shares, one prediction of run times, and two comments made true

The placer, preemption and the leader each kept their own sums over CPUs, accelerators and memory, and a copy of the job's figures; behaviour is unchanged.

--- a/src/main/java/io/pepperfield/config/Settings.java
+++ b/src/main/java/io/pepperfield/config/Settings.java
@@ -39,7 +39,7 @@
                 .mapToDouble(Objective::withinS).min().orElse(Double.POSITIVE_INFINITY);
     }
 
-    /** The shortest wait that any objective asks for a class, or a whole lease where none is stated. */
+    /** The shortest wait that any objective asks for a class, or infinity where none is stated. */
     public double waitAim(String workload) {
         return deployment.objectives().stream()
                 .filter(o -> o.kind().equals("wait") && o.workload().equals(workload))
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -459,8 +459,7 @@
         for (Attempt attempt : lost.attempts()) {
             if (attempt.live() && attempt.job.spec.service() && attempt.job.end() == null) {
                 replicas.merge(attempt.job, 1, Integer::sum);
-                Share share = shares.get(attempt.job.spec.team());
-                share.free(attempt.job.spec.cpus(), attempt.job.spec.gpus());
+                shares.get(attempt.job.spec.team()).free(attempt.job.spec, 1);
             }
         }
         List<Want> wants = new ArrayList<>();
@@ -591,11 +590,10 @@
             for (Attempt attempt : fleet.get(room.machine()).attempts()) {
                 JobSpec spec = attempt.job.spec;
                 if (attempt.stopWanted() && attempt.live()) {
-                    room.freeing(spec.cpus(), spec.gpus(), spec.memGb());
+                    room.free(spec, 1);
                 } else if (attempt.live() && attempt.phase() != Attempt.Phase.INTENDED && attempt.phase() != Attempt.Phase.ORDERED) {
                     byId.put(attempt.ref.toString(), attempt);
-                    victims.add(new Preemption.Victim(attempt.ref.toString(),
-                            new Preemption.JobRef(spec.team(), spec.rank(), spec.cpus(), spec.gpus(), spec.memGb()), lostS(attempt, now)));
+                    victims.add(new Preemption.Victim(attempt.ref.toString(), spec, lostS(attempt, now)));
                 }
             }
             places.add(new Preemption.Place(room, victims));
@@ -678,8 +676,7 @@
                 continue;
             }
             double ranS = attempt.running() ? now - attempt.runningSince() : 0;
-            double remaining = job.spec.service() ? Double.POSITIVE_INFINITY : Predictor.remaining(Predictor.runTime(job.times,
-                    running.getOrDefault(job, new DoubleArrayList()), true, OptionalDouble.empty()), ranS) - intervalS;
+            double remaining = Predictor.remaining(runTime(job, running), ranS) - intervalS;
             if (remaining > 0) {
                 work.add(new Steering.Work(job.spec, remaining, new Pool(attempt.machine.type(), attempt.machine.spot())));
             }
@@ -691,8 +688,7 @@
             if (job.end() != null || waiting == 0 || job.notBefore() > now) {
                 continue;
             }
-            double runTime = job.spec.service() ? Double.POSITIVE_INFINITY : Predictor.runTime(job.times,
-                    running.getOrDefault(job, new DoubleArrayList()), true, OptionalDouble.empty());
+            double runTime = runTime(job, running);
             // Tasks beyond the team's limit cannot run next; machines for them would stand idle.
             for (int i = 0; i < waiting && left.getOrDefault(job.spec.team(), 0.0) >= job.spec.cpus(); i++) {
                 left.merge(job.spec.team(), -job.spec.cpus(), Double::sum);
@@ -728,6 +724,12 @@
         }
     }
 
+    /** WIRE's prediction for a task of the job; a replica has no end in sight. */
+    private static double runTime(Job job, Map<Job, DoubleArrayList> running) {
+        return job.spec.service() ? Double.POSITIVE_INFINITY : Predictor.runTime(job.times,
+                running.getOrDefault(job, new DoubleArrayList()), true, OptionalDouble.empty());
+    }
+
     /** CPUs asked for at this moment, by what they can wait for. */
     private final class Demand {
         double ordinary;
@@ -825,7 +827,7 @@
         return cost;
     }
 
-    /** Seconds of work lost if it were stopped at once; a replica loses none, and is not stopped for that reason alone. */
+    /** Seconds run since its last checkpoint or its start, which stopping it at once would throw away. */
     private static double lostS(Attempt attempt, double now) {
         if (!attempt.running()) {
             return 0;
--- a/src/main/java/io/pepperfield/placement/Placer.java
+++ b/src/main/java/io/pepperfield/placement/Placer.java
@@ -90,11 +90,8 @@
     static void take(Want want, Room room, Share share, int tasks) {
         want.waiting -= tasks;
         want.perZone.merge(room.zone, tasks, Integer::sum);
-        room.cpus -= tasks * want.job.cpus();
-        room.gpus -= tasks * want.job.gpus();
-        room.memGb -= tasks * want.job.memGb();
-        share.cpus += tasks * want.job.cpus();
-        share.gpus += tasks * want.job.gpus();
+        room.free(want.job, -tasks);
+        share.free(want.job, -tasks);
     }
 
     private static Room choose(Want want, List<Room> rooms) {
--- a/src/main/java/io/pepperfield/placement/Preemption.java
+++ b/src/main/java/io/pepperfield/placement/Preemption.java
@@ -1,6 +1,6 @@
 package io.pepperfield.placement;
 
-import io.pepperfield.jobs.JobSpec.Rank;
+import io.pepperfield.jobs.JobSpec;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -18,10 +18,7 @@
      *
      * @param lostS seconds of its work that would be lost
      */
-    public record Victim(String id, JobRef job, double lostS) { }
-
-    /** What of the victim's job matters here. */
-    public record JobRef(String team, Rank rank, double cpus, double gpus, double memGb) { }
+    public record Victim(String id, JobSpec job, double lostS) { }
 
     /** A machine with what can be stopped on it; the room holds what is free or about to be. */
     public static final class Place {
@@ -38,9 +35,7 @@
     public static void book(List<Place> places, Placer.Choice choice, Want want) {
         for (Place place : places) {
             if (place.room.machine.equals(choice.machine())) {
-                place.room.cpus -= want.job.cpus();
-                place.room.gpus -= want.job.gpus();
-                place.room.memGb -= want.job.memGb();
+                place.room.free(want.job, -1);
             }
         }
     }
@@ -72,11 +67,8 @@
                 }
                 for (Victim victim : best.stopped) {
                     best.place.victims.remove(victim);
-                    best.place.room.cpus += victim.job.cpus;
-                    best.place.room.gpus += victim.job.gpus;
-                    best.place.room.memGb += victim.job.memGb;
-                    shares.get(victim.job.team).cpus -= victim.job.cpus;
-                    shares.get(victim.job.team).gpus -= victim.job.gpus;
+                    best.place.room.free(victim.job, 1);
+                    shares.get(victim.job.team()).free(victim.job, 1);
                     stopped.add(victim.id);
                 }
                 Placer.take(want, best.place.room, share, 1);
@@ -97,27 +89,27 @@
         double lost = 0;
         List<Victim> stopped = new ArrayList<>();
         List<Victim> byLoss = place.victims.stream().filter(v -> mayStop(want, v, shares))
-                .sorted(Comparator.comparing((Victim v) -> v.job.rank).reversed().thenComparingDouble(v -> v.lostS * v.job.cpus)).toList();
+                .sorted(Comparator.comparing((Victim v) -> v.job.rank()).reversed().thenComparingDouble(v -> v.lostS * v.job.cpus())).toList();
         for (Victim victim : byLoss) {
             if (Placer.holds(want, cpus, gpus, memGb)) {
                 break;
             }
-            cpus += victim.job.cpus;
-            gpus += victim.job.gpus;
-            memGb += victim.job.memGb;
-            lost += (victim.lostS + 1) * victim.job.cpus;
+            cpus += victim.job.cpus();
+            gpus += victim.job.gpus();
+            memGb += victim.job.memGb();
+            lost += (victim.lostS + 1) * victim.job.cpus();
             stopped.add(victim);
         }
         return Placer.holds(want, cpus, gpus, memGb) ? new Plan(place, stopped, lost) : null;
     }
 
     private static boolean mayStop(Want want, Victim victim, Map<String, Share> shares) {
-        if (want.job.rank().compareTo(victim.job.rank) < 0) {
+        if (want.job.rank().compareTo(victim.job.rank()) < 0) {
             return true;
         }
-        Share other = shares.get(victim.job.team);
+        Share other = shares.get(victim.job.team());
         // Of any rank by the protocol; but what ranks higher than the guarantee's own work is left alone here.
-        return want.guaranteed && other != null && want.job.rank() == victim.job.rank && !victim.job.team.equals(want.job.team())
-                && other.cpus - victim.job.cpus >= other.team.cpus();
+        return want.guaranteed && other != null && want.job.rank() == victim.job.rank() && !victim.job.team().equals(want.job.team())
+                && other.cpus - victim.job.cpus() >= other.team.cpus();
     }
 }
--- a/src/main/java/io/pepperfield/placement/Room.java
+++ b/src/main/java/io/pepperfield/placement/Room.java
@@ -1,5 +1,7 @@
 package io.pepperfield.placement;
 
+import io.pepperfield.jobs.JobSpec;
+
 import java.util.Set;
 
 /** A machine that may take tasks, with the room left on it; the placer uses it up. */
@@ -29,11 +31,11 @@
         return new Room(machine, type, zone, spot, images, cpus, gpus, memGb);
     }
 
-    /** Counts what is being stopped there as free. */
-    public void freeing(double moreCpus, double moreGpus, double moreMemGb) {
-        cpus += moreCpus;
-        gpus += moreGpus;
-        memGb += moreMemGb;
+    /** Counts what that many tasks of the job take as free; a negative number takes it. */
+    public void free(JobSpec job, int tasks) {
+        cpus += tasks * job.cpus();
+        gpus += tasks * job.gpus();
+        memGb += tasks * job.memGb();
     }
 
     public String machine() {
--- a/src/main/java/io/pepperfield/placement/Share.java
+++ b/src/main/java/io/pepperfield/placement/Share.java
@@ -1,6 +1,7 @@
 package io.pepperfield.placement;
 
 import io.pepperfield.config.Settings;
+import io.pepperfield.jobs.JobSpec;
 
 /** A team's limit and guarantee, and what its tasks that may be alive take of them. */
 public final class Share {
@@ -22,10 +23,10 @@
         return cpus + moreCpus <= team.cpusMax() + SLACK && (moreGpus == 0 || gpus + moreGpus <= team.gpusMax() + SLACK);
     }
 
-    /** Takes off what is about to be gone. */
-    public void free(double lessCpus, double lessGpus) {
-        cpus -= lessCpus;
-        gpus -= lessGpus;
+    /** Takes off what that many tasks of the job use; a negative number adds it. */
+    public void free(JobSpec job, int tasks) {
+        cpus -= tasks * job.cpus();
+        gpus -= tasks * job.gpus();
     }
 
     /** How much of its guarantee the team uses; a team with none comes last. */
--- a/src/main/java/io/pepperfield/steering/Steering.java
+++ b/src/main/java/io/pepperfield/steering/Steering.java
@@ -46,8 +46,9 @@
             loads.put(offer.pool(), new ArrayList<>());
         }
         for (Work task : work) {
-            if (task.on() != null && find(offers, task.on()) != null) {
-                load(find(offers, task.on()), task, loads, shares);
+            Offer offer = task.on() == null ? null : find(offers, task.on());
+            if (offer != null) {
+                load(offer, task, loads, shares);
             }
         }
         for (Work task : work) {
--- a/src/test/java/io/pepperfield/placement/PreemptionTest.java
+++ b/src/test/java/io/pepperfield/placement/PreemptionTest.java
@@ -20,16 +20,19 @@
     private final Map<String, Share> shares = new HashMap<>(Map.of("red", new Share(new Settings.Team("red", 8, 64, 0, 0), 0, 0),
             "blue", new Share(new Settings.Team("blue", 8, 64, 0, 0), 12, 0)));
 
-    private static Want want(Rank rank, double cpus, boolean guaranteed) {
-        JobSpec job = new JobSpec("run-000001", "w", "red", JobSpec.Shape.ARRAY, rank, 1, cpus, 0, 1, "img", 1, null, null, false, false,
+    private static JobSpec job(String team, Rank rank, double cpus) {
+        return new JobSpec("run-000001", "w", team, JobSpec.Shape.ARRAY, rank, 1, cpus, 0, 1, "img", 1, null, null, false, false,
                 false, 1, 0, 0, null, 0, 10);
-        Want want = new Want(job, 1, guaranteed, 0, new HashMap<>(), new HashSet<>());
+    }
+
+    private static Want want(Rank rank, double cpus, boolean guaranteed) {
+        Want want = new Want(job("red", rank, cpus), 1, guaranteed, 0, new HashMap<>(), new HashSet<>());
         want.stuck = true;
         return want;
     }
 
     private static Preemption.Victim victim(String id, String team, Rank rank, double cpus, double lostS) {
-        return new Preemption.Victim(id, new Preemption.JobRef(team, rank, cpus, 0, 1), lostS);
+        return new Preemption.Victim(id, job(team, rank, cpus), lostS);
     }
 
     private List<String> stopped(Want want, double free, Preemption.Victim... victims) {
