--- a/src/main/java/io/pepperfield/config/Settings.java
+++ b/src/main/java/io/pepperfield/config/Settings.java
@@ -31,18 +31,4 @@
     public record Cloud(double rps, double listLagS) { }
 
     public record Quota(double coreShare, double memMb, int sockets) { }
-
-    /** The next time after its submission by which a job of the class should be complete, or infinity. */
-    public double finishAim(String workload, double afterS) {
-        return deployment.objectives().stream()
-                .filter(o -> o.kind().equals("finished") && o.workload().equals(workload) && o.withinS() > afterS)
-                .mapToDouble(Objective::withinS).min().orElse(Double.POSITIVE_INFINITY);
-    }
-
-    /** The shortest wait that any objective asks for a class, or infinity where none is stated. */
-    public double waitAim(String workload) {
-        return deployment.objectives().stream()
-                .filter(o -> o.kind().equals("wait") && o.workload().equals(workload))
-                .mapToDouble(Objective::withinS).min().orElse(Double.POSITIVE_INFINITY);
-    }
 }
--- a/src/main/java/io/pepperfield/fleet/Fleet.java
+++ b/src/main/java/io/pepperfield/fleet/Fleet.java
@@ -76,10 +76,10 @@
     /** A machine that should exist, by a rental, the cloud's list or a durable record. */
     public Machine expect(String name, String type, String zone, boolean spot, double rentedAt, double now) {
         Machine machine = machines.computeIfAbsent(name, n -> new Machine(n, now));
-        if (!type.isEmpty() && machine.type.isEmpty()) {
-            machine.type = type;
+        machine.expected = true;
+        if (!type.isEmpty() && machine.type().isEmpty()) {
+            machine.kind(type, spot);
             machine.zone = zone;
-            machine.spot = spot;
             machine.rentedAt = Math.min(rentedAt, now);
         }
         return machine;
@@ -91,6 +91,7 @@
         Attempt attempt = new Attempt(job, task, number, machine, tenure, Attempt.Phase.ORDERED, electedToken - 1, now);
         attempt.restored = true;
         machine.attempts.put(attempt.ref, attempt);
+        machine.count(attempt, 1);
         return attempt;
     }
 
@@ -101,6 +102,7 @@
             // A worker refuses a task that it still holds, and to forget the old attempt would lose its late orders.
             throw new IllegalStateException(attempt.ref + " is intended on " + machine.name + ", which still holds it");
         }
+        machine.count(attempt, 1);
         machine.images.remove(job.spec.image());
         machine.images.add(job.spec.image());
         return attempt;
@@ -144,6 +146,8 @@
             // A late copy: its sender has given it up, and it says nothing about whether the machine is still there.
             return null;
         }
+        boolean anew = known != null && known.up() && report.tenure() > known.tenure;
+        long seenBefore = known == null ? 0 : known.seenToken;
         Machine machine = take(report, true, now);
         if (machine == null) {
             return null;
@@ -151,7 +155,56 @@
         machine.beatTenure = report.tenure();
         machine.beatSerial = report.serial();
         machine.reportedAt = now;
-        return ordersFor(machine, report);
+        machine.lastBeat = report;
+        listen(machine, report, anew, seenBefore, now);
+        List<Order> orders = ordersFor(machine, report);
+        machine.answeredToken = token;
+        return orders;
+    }
+
+    /**
+     * Whether answers reach the machine: its report shows what the answer to the one before offered, or a token that it
+     * had not seen then. That reports arrive says nothing of it, and a session that ended although its reports were
+     * answered says the contrary.
+     */
+    private static void listen(Machine machine, Report report, boolean anew, long seenBefore, double now) {
+        boolean heeded = report.token() > seenBefore;
+        boolean missed = anew || report.token() < machine.answeredToken;
+        for (Attempt attempt : machine.offered) {
+            heeded |= attempt.phase != Attempt.Phase.ORDERED;
+            missed |= attempt.phase == Attempt.Phase.ORDERED && !attempt.stopWanted;
+        }
+        machine.offered.clear();
+        if (heeded && !anew) {
+            machine.deafSince = Double.NaN;
+        } else if (missed && !machine.deaf()) {
+            machine.deafSince = now;
+        }
+    }
+
+    /**
+     * What a part owner remembers of a machine whose next report is still to come. It is as old as it is: it proves no
+     * absence, and nothing is answered to it.
+     */
+    public void remembered(Report report, double at) {
+        Machine known = machines.get(report.machine());
+        if (known != null && known.up()) {
+            return;
+        }
+        Machine machine = take(report, false, at);
+        if (machine != null && !machine.up()) {
+            machine.reportedAt = at;
+            listener.appeared(machine);
+        }
+    }
+
+    /** A report that differs from the one named only in its serial and token, or null where that is not the last one here. */
+    public Report repeated(String name, long tenure, long base, long serial, long token) {
+        Machine machine = machines.get(name);
+        Report last = machine == null ? null : machine.lastBeat;
+        return last == null || last.tenure() != tenure || last.serial() != base ? null
+                : new Report(last.machine(), last.address(), last.type(), last.zone(), last.spot(), tenure, serial, token,
+                last.noticeS(), last.lines());
     }
 
     /** A report that came as the answer to direct orders; it renews nothing and proves no absence. */
@@ -160,6 +213,7 @@
             Machine machine = take(report, false, now);
             if (machine != null) {
                 machine.answeredAt = now;
+                machine.deafSince = Double.NaN;
             }
         }
     }
@@ -169,9 +223,8 @@
             return null;
         }
         Machine machine = machines.computeIfAbsent(report.machine(), n -> new Machine(n, now));
-        machine.type = report.type();
+        machine.kind(report.type(), report.spot());
         machine.zone = report.zone();
-        machine.spot = report.spot();
         machine.address = report.address();
         if (report.tenure() < machine.tenure || report.tenure() == machine.tenure && report.serial() <= machine.serial) {
             return machine;
@@ -182,7 +235,11 @@
             appeared = true;
         }
         machine.serial = report.serial();
+        // A worker keeps the highest token it has seen. One that has forgotten it is another process on a machine that came
+        // back at once: it would carry out old orders, so that nothing missing from its reports is proven gone for good.
+        machine.reborn |= report.token() < machine.seenToken;
         machine.seenToken = Math.max(machine.seenToken, report.token());
+        machine.heardLeader |= report.token() >= electedToken;
         machine.takenAt = report.noticeS() == null ? Double.NaN : now + report.noticeS();
         Set<TaskRef> shown = new HashSet<>();
         for (Report.Line line : report.lines()) {
@@ -192,7 +249,7 @@
                 show(attempt, line, now);
             }
         }
-        if (beat) {
+        if (beat && !machine.reborn) {
             absent(machine, shown);
         }
         if (appeared && beat) {
@@ -231,6 +288,7 @@
             case ENDED -> {
                 if (line.cause() == Cause.DONE) {
                     attempt.phase = Attempt.Phase.ENDED;
+                    attempt.machine.count(attempt, -1);
                     attempt.machine.failedJobs.clear();
                     listener.completed(attempt, Double.isNaN(attempt.runningSince) ? 0 : now - attempt.runningSince);
                 } else {
@@ -265,6 +323,7 @@
 
     private void end(Attempt attempt, Cause cause) {
         attempt.phase = Attempt.Phase.ENDED;
+        attempt.machine.count(attempt, -1);
         if (cause == Cause.ERROR) {
             attempt.machine.failedJobs.add(attempt.job.spec.id());
         }
@@ -297,6 +356,7 @@
                 newerTokenWanted |= attempt.phase == Attempt.Phase.ORDERED && machine.seenToken <= attempt.directToken;
             } else if (attempt.phase == Attempt.Phase.ORDERED && !attempt.restored && !machine.releasing) {
                 orders.add(new Order.Run(attempt.ref, attempt.number));
+                machine.offered.add(attempt);
             }
         }
         for (Report.Line line : report.lines()) {
--- a/src/main/java/io/pepperfield/fleet/HttpWorkers.java
+++ b/src/main/java/io/pepperfield/fleet/HttpWorkers.java
@@ -1,5 +1,7 @@
 package io.pepperfield.fleet;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Outcome;
 import io.pepperfield.http.Sender;
@@ -27,6 +29,18 @@
                 outcome -> done.accept(result(outcome)));
     }
 
+    @Override public void forward(String address, long token, long tenure, JsonNode orders, Consumer<byte[]> heard) {
+        ObjectNode body = Json.object().put("epoch", token).put("tenure", tenure);
+        body.set("orders", orders);
+        send(address, 1, "POST", "/orders", Json.write(body), deadlineMs, outcome -> {
+            // What is no report must not get into a message with others'.
+            if (outcome instanceof Outcome.Answered answer && (answer.status() == 200 || answer.status() == 409)
+                    && Report.read(answer.json()) != null) {
+                heard.accept(answer.body());
+            }
+        });
+    }
+
     @Override public void probe(String address, Consumer<Report> done) {
         // On a second connection: the first may be waiting for orders that a hanging machine has not taken up.
         send(address, 2, "GET", "/status", null, deadlineMs / 2, outcome -> done.accept(
--- /dev/null
+++ b/src/main/java/io/pepperfield/fleet/Ledger.java
@@ -0,0 +1,105 @@
+package io.pepperfield.fleet;
+
+import io.pepperfield.jobs.Job;
+import it.unimi.dsi.fastutil.ints.Int2ObjectMap;
+import it.unimi.dsi.fastutil.ints.Int2ObjectMaps;
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * All attempts that may be alive, by job, with what each team's take of its limit. Kept as attempts come and go, so that a
+ * step of the leader costs what it changes and not what there is.
+ */
+public final class Ledger {
+
+    private static final class Use {
+        int attempts;
+        double cpus;
+        double gpus;
+    }
+
+    private final Map<Job, Int2ObjectMap<Attempt>> byJob = new LinkedHashMap<>();
+    private final Map<String, Use> byTeam = new HashMap<>();
+    private int size;
+
+    public void add(Attempt attempt) {
+        Attempt old = byJob.computeIfAbsent(attempt.job, j -> new Int2ObjectOpenHashMap<>()).put(attempt.task, attempt);
+        if (old != null) {
+            // One task alive twice is what must never be; the books are not to be trusted any further.
+            throw new IllegalStateException(attempt.ref + " is already in the books");
+        }
+        size++;
+        count(attempt, 1);
+    }
+
+    /** Proven gone or completed; an attempt that is not in the books changes nothing. */
+    public void remove(Attempt attempt) {
+        Int2ObjectMap<Attempt> tasks = byJob.get(attempt.job);
+        if (tasks == null || tasks.get(attempt.task) != attempt) {
+            return;
+        }
+        tasks.remove(attempt.task);
+        if (tasks.isEmpty()) {
+            byJob.remove(attempt.job);
+        }
+        size--;
+        count(attempt, -1);
+    }
+
+    private void count(Attempt attempt, int sign) {
+        Use use = byTeam.computeIfAbsent(attempt.job.spec.team(), t -> new Use());
+        use.attempts += sign;
+        // An empty team starts again from nought, so that rounding never adds up.
+        use.cpus = use.attempts == 0 ? 0 : use.cpus + sign * attempt.job.spec.cpus();
+        use.gpus = use.attempts == 0 ? 0 : use.gpus + sign * attempt.job.spec.gpus();
+    }
+
+    public int size() {
+        return size;
+    }
+
+    public Attempt get(Job job, int task) {
+        return byJob.getOrDefault(job, Int2ObjectMaps.emptyMap()).get(task);
+    }
+
+    /** The job's attempts, as a copy: ending one changes the books. */
+    public List<Attempt> of(Job job) {
+        Int2ObjectMap<Attempt> tasks = byJob.get(job);
+        return tasks == null ? List.of() : List.copyOf(tasks.values());
+    }
+
+    public boolean has(Job job) {
+        return byJob.containsKey(job);
+    }
+
+    public Collection<Job> jobs() {
+        return byJob.keySet();
+    }
+
+    public Collection<Attempt> live(Job job) {
+        Int2ObjectMap<Attempt> tasks = byJob.get(job);
+        return tasks == null ? List.of() : tasks.values();
+    }
+
+    /** How many of the job's tasks may be alive in each zone. */
+    public Map<String, Integer> zones(Job job) {
+        Map<String, Integer> zones = new HashMap<>();
+        live(job).forEach(attempt -> zones.merge(attempt.machine.zone(), 1, Integer::sum));
+        return zones;
+    }
+
+    public double cpus(String team) {
+        Use use = byTeam.get(team);
+        return use == null ? 0 : use.cpus;
+    }
+
+    public double gpus(String team) {
+        Use use = byTeam.get(team);
+        return use == null ? 0 : use.gpus;
+    }
+}
--- a/src/main/java/io/pepperfield/fleet/Machine.java
+++ b/src/main/java/io/pepperfield/fleet/Machine.java
@@ -1,12 +1,15 @@
 package io.pepperfield.fleet;
 
 import io.pepperfield.cloud.MachineType;
-import io.pepperfield.jobs.Job;
+import io.pepperfield.jobs.JobSpec;
+import io.pepperfield.steering.Pool;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -17,9 +20,11 @@
 
     public final String name;
     String address = "";
-    String type = "";
     String zone = "";
-    boolean spot;
+    private String through = "";
+    /** Has shown the token of this leadership. */
+    boolean heardLeader;
+    private Pool pool = new Pool("", false);
     long tenure;
     long serial = -1;
     long beatTenure;
@@ -35,6 +40,17 @@
     /** Loop time of its rental, as well as it is known. */
     double rentedAt;
     double takenAt = Double.NaN;
+    /** Expected by a rental, the cloud's list or a durable intent: not known from a report alone. */
+    boolean expected;
+    /** Loop time since which nothing shows that answers and orders reach it, NaN while they do. */
+    double deafSince = Double.NaN;
+    /** Its worker has forgotten what it had seen: only its return settles what was alive on it. */
+    boolean reborn;
+    /** The token that the last answer to it carried, and the run orders in that answer: its next report should show them. */
+    long answeredToken;
+    final List<Attempt> offered = new ArrayList<>();
+    /** The last report taken as a message of its own; what a short one repeats. */
+    Report lastBeat;
     boolean releasing;
     boolean draining;
     double avoidUntil;
@@ -42,6 +58,11 @@
     final Set<String> failedJobs = new HashSet<>();
     final Map<TaskRef, Attempt> attempts = new LinkedHashMap<>();
     final Set<String> images = new LinkedHashSet<>();
+    private int live;
+    private int replicas;
+    private double cpus;
+    private double gpus;
+    private double memGb;
 
     Machine(String name, double now) {
         this.name = name;
@@ -50,7 +71,26 @@
     }
 
     public String type() {
-        return type;
+        return pool.type();
+    }
+
+    /** The controller that its last report came through; empty where it was this one. */
+    public String through() {
+        return through;
+    }
+
+    public void reportsThrough(String node) {
+        through = node;
+    }
+
+    public Pool pool() {
+        return pool;
+    }
+
+    void kind(String type, boolean spot) {
+        if (!pool.type().equals(type) || pool.spot() != spot) {
+            pool = new Pool(type, spot);
+        }
     }
 
     public String zone() {
@@ -58,7 +98,7 @@
     }
 
     public boolean spot() {
-        return spot;
+        return pool.spot();
     }
 
     /** Has reported to this leader, so that its books are known. */
@@ -74,6 +114,24 @@
         return now - Math.max(answeredAt, up() ? reportedAt : awaitedSince);
     }
 
+    /** How long nothing has been heard from it, or nothing has shown that it hears. */
+    public double lostFor(double now) {
+        return deaf() ? Math.max(silentFor(now), now - deafSince) : silentFor(now);
+    }
+
+    /** Its reports arrive, but what they show says that neither answers nor orders reach it. */
+    public boolean deaf() {
+        return !Double.isNaN(deafSince);
+    }
+
+    /**
+     * Whether to give it work. A report alone does not tell that a machine is there, since copies come late: one that
+     * nothing else speaks of must first have shown the token of this leadership.
+     */
+    public boolean takesWork(double now) {
+        return up() && (expected || heardLeader) && !deaf() && !reborn && !releasing && !draining() && avoidUntil <= now;
+    }
+
     public boolean releasing() {
         return releasing;
     }
@@ -108,6 +166,10 @@
         return failedJobs.size() >= MOST_ERRORS;
     }
 
+    public boolean reborn() {
+        return reborn;
+    }
+
     public String address() {
         return address;
     }
@@ -124,13 +186,27 @@
         return attempts.values();
     }
 
-    /** Whether it still keeps an ended attempt of one of that job's tasks which is not done. */
-    public boolean keeps(Job job) {
-        return attempts.values().stream().anyMatch(a -> a.job == job && !a.live() && !job.isDone(a.task));
+    public boolean idle() {
+        return live == 0;
     }
 
-    public boolean idle() {
-        return attempts.values().stream().noneMatch(Attempt::live);
+    public int liveCount() {
+        return live;
+    }
+
+    public boolean holdsReplica() {
+        return replicas > 0;
+    }
+
+    /** Counts an attempt that may be alive here, or with -1 one that is not any more. */
+    void count(Attempt attempt, int sign) {
+        JobSpec spec = attempt.job.spec;
+        live += sign;
+        replicas += spec.service() ? sign : 0;
+        // An empty machine starts again from nought, so that rounding never adds up.
+        cpus = live == 0 ? 0 : cpus + sign * spec.cpus();
+        gpus = live == 0 ? 0 : gpus + sign * spec.gpus();
+        memGb = live == 0 ? 0 : memGb + sign * spec.memGb();
     }
 
     public boolean has(String image) {
@@ -143,19 +219,19 @@
     }
 
     public String describe() {
-        return name + " (" + type + (spot ? ", spot" : "") + ", " + zone + ")";
+        return name + " (" + type() + (spot() ? ", spot" : "") + ", " + zone + ")";
     }
 
     /** Room left beside all attempts that may be alive. */
     public double freeCpus(MachineType of) {
-        return of.cpus() - attempts.values().stream().filter(Attempt::live).mapToDouble(a -> a.job.spec.cpus()).sum();
+        return of.cpus() - cpus;
     }
 
     public double freeGpus(MachineType of) {
-        return of.gpus() - attempts.values().stream().filter(Attempt::live).mapToDouble(a -> a.job.spec.gpus()).sum();
+        return of.gpus() - gpus;
     }
 
     public double freeMemGb(MachineType of) {
-        return of.memGb() - attempts.values().stream().filter(Attempt::live).mapToDouble(a -> a.job.spec.memGb()).sum();
+        return of.memGb() - memGb;
     }
 }
--- a/src/main/java/io/pepperfield/fleet/Workers.java
+++ b/src/main/java/io/pepperfield/fleet/Workers.java
@@ -1,5 +1,7 @@
 package io.pepperfield.fleet;
 
+import com.fasterxml.jackson.databind.JsonNode;
+
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -19,5 +21,8 @@
     /** Asks for the worker's report without ordering anything; null where none comes. */
     void probe(String address, Consumer<Report> done);
 
+    /** Hands on orders as they are; {@code heard} gets the worker's report, if one comes. */
+    void forward(String address, long token, long tenure, JsonNode orders, Consumer<byte[]> heard);
+
     void orders(String address, long token, long tenure, List<Order> orders, Consumer<Result> done);
 }
--- a/src/main/java/io/pepperfield/http/HttpClient.java
+++ b/src/main/java/io/pepperfield/http/HttpClient.java
@@ -26,7 +26,9 @@
 
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -39,11 +41,30 @@
 
     private final EventLoop loop;
     private final int mostAnswerBytes;
+    private final int mostLines;
     private final Map<String, Pool> pools = new HashMap<>();
+    /** All connections that carry nothing at the moment, the longest idle first. */
+    private final Set<Line> idleLines = new LinkedHashSet<>();
+    private int open;
 
     public HttpClient(EventLoopGroup loops, int mostAnswerBytes) {
+        this(loops, mostAnswerBytes, Integer.MAX_VALUE);
+    }
+
+    /** @param mostLines connections to all addresses together; beyond them the longest idle one gives way, or the request */
+    public HttpClient(EventLoopGroup loops, int mostAnswerBytes, int mostLines) {
         this.loop = loops.next();
         this.mostAnswerBytes = mostAnswerBytes;
+        this.mostLines = mostLines;
+    }
+
+    /** Makes sure that one more connection stays within the limit. */
+    private boolean socketLeft() {
+        if (open >= mostLines && !idleLines.isEmpty()) {
+            Line eldest = idleLines.iterator().next();
+            eldest.pool.retire(eldest);
+        }
+        return open < mostLines;
     }
 
     @Override public void send(String host, int port, int connections, String method, String path, byte[] body, long deadlineMs,
@@ -94,10 +115,13 @@
 
     /** One connection and the exchange it carries. */
     private static final class Line {
+        final Pool pool;
         final Channel channel;
         Exchange exchange;
+        boolean retired;
 
-        Line(Channel channel) {
+        Line(Pool pool, Channel channel) {
+            this.pool = pool;
             this.channel = channel;
         }
     }
@@ -120,24 +144,44 @@
         void submit(Exchange exchange, int most) {
             Line line = idle.pollLast();
             if (line != null) {
+                idleLines.remove(line);
                 carry(line, exchange);
                 return;
             }
             waiting.add(exchange);
             if (lines < most && connecting < waiting.size()) {
-                connect();
+                if (socketLeft()) {
+                    connect();
+                } else if (lines == 0) {
+                    // The sockets that are left belong to users, peers, cloud and state service.
+                    waiting.remove(exchange);
+                    exchange.fail("no socket left");
+                    discardIfUnused();
+                }
             }
         }
 
+        /** Closes a connection that carries nothing; its room is free from now on. */
+        void retire(Line line) {
+            line.retired = true;
+            idle.remove(line);
+            idleLines.remove(line);
+            lines--;
+            open--;
+            line.channel.close();
+            discardIfUnused();
+        }
+
         void connect() {
             lines++;
+            open++;
             connecting++;
             Line[] made = new Line[1];
             Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 2000)
                     .handler(new ChannelInitializer<SocketChannel>() {
                         @Override protected void initChannel(SocketChannel channel) {
-                            made[0] = new Line(channel);
+                            made[0] = new Line(Pool.this, channel);
                             channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(mostAnswerBytes),
                                     new Answers(Pool.this, made[0]));
                         }
@@ -148,6 +192,7 @@
                     next(made[0]);
                 } else {
                     lines--;
+                    open--;
                     // The others in the queue waited for this very connection; to let them hang would cost a deadline each.
                     ArrayDeque<Exchange> failed = new ArrayDeque<>(waiting);
                     waiting.clear();
@@ -164,6 +209,7 @@
             } while (exchange != null && exchange.over);
             if (exchange == null) {
                 idle.add(line);
+                idleLines.add(line);
             } else {
                 carry(line, exchange);
             }
@@ -184,8 +230,13 @@
         }
 
         void lost(Line line) {
+            if (line.retired) {
+                return;
+            }
             lines--;
+            open--;
             idle.remove(line);
+            idleLines.remove(line);
             if (line.exchange != null) {
                 line.exchange.fail("connection lost");
                 line.exchange = null;
--- a/src/main/java/io/pepperfield/http/HttpServer.java
+++ b/src/main/java/io/pepperfield/http/HttpServer.java
@@ -47,12 +47,19 @@
     private final EventLoopGroup loops;
     private final Handler handler;
     private final int mostConnections;
+    private final int mostBytes;
     private final Set<Connection> open = new HashSet<>();
     private Channel listening;
 
     public HttpServer(EventLoopGroup loops, int mostConnections, Handler handler) {
+        this(loops, mostConnections, MOST_BYTES, handler);
+    }
+
+    /** @param mostBytes the longest body that is taken */
+    public HttpServer(EventLoopGroup loops, int mostConnections, int mostBytes, Handler handler) {
         this.loops = loops;
         this.mostConnections = mostConnections;
+        this.mostBytes = mostBytes;
         this.handler = handler;
     }
 
@@ -69,7 +76,7 @@
                         }
                         Connection connection = new Connection(channel);
                         channel.pipeline().addLast(connection, new HttpServerCodec(4096, 8192, 8192),
-                                new BoundedAggregator(), new Requests(connection));
+                                new BoundedAggregator(mostBytes), new Requests(connection));
                     }
                 });
         listening = bootstrap.bind(new InetSocketAddress(host, port)).sync().channel();
@@ -126,12 +133,12 @@
 
     /** Answers 400 where the library would answer 413: the protocol knows one kind of malformed request. */
     private static final class BoundedAggregator extends HttpObjectAggregator {
-        BoundedAggregator() {
-            super(MOST_BYTES);
+        BoundedAggregator(int mostBytes) {
+            super(mostBytes);
         }
 
         @Override protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-            write(ctx, Reply.error(400, "the body is longer than 64 KiB"), false);
+            write(ctx, Reply.error(400, "the body is longer than " + maxContentLength() / 1024 + " KiB"), false);
         }
     }
 
@@ -154,7 +161,7 @@
             Consumer<Reply> answer = reply -> ctx.channel().eventLoop().execute(() -> {
                 connection.answering = false;
                 connection.since = System.nanoTime();
-                write(ctx, reply, keep);
+                write(ctx, reply, keep && !reply.close());
             });
             if (request.decoderResult().isFailure()) {
                 write(ctx, Reply.error(400, "malformed request"), false);
--- a/src/main/java/io/pepperfield/http/Reply.java
+++ b/src/main/java/io/pepperfield/http/Reply.java
@@ -2,11 +2,20 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 
-/** One answer; {@code retryAfterS} above 0 tells the client when to come back. */
-public record Reply(int status, byte[] body, int retryAfterS) {
+/** One answer; {@code retryAfterS} above 0 tells the client when to come back, {@code close} ends the connection with it. */
+public record Reply(int status, byte[] body, int retryAfterS, boolean close) {
 
     private static final byte[] NOTHING = new byte[0];
 
+    public Reply(int status, byte[] body, int retryAfterS) {
+        this(status, body, retryAfterS, false);
+    }
+
+    /** The same answer, after which the client has to look for another node. */
+    public Reply closing() {
+        return new Reply(status, body, retryAfterS, true);
+    }
+
     public static Reply json(int status, JsonNode body) {
         return new Reply(status, Json.write(body), 0);
     }
--- a/src/main/java/io/pepperfield/jobs/Catalog.java
+++ b/src/main/java/io/pepperfield/jobs/Catalog.java
@@ -21,6 +21,10 @@
         private final JobSpec spec;
         private Status end;
         private final Int2ObjectMap<JsonNode> chunks = new Int2ObjectOpenHashMap<>();
+        /** Users ask more often than chunks change: counted again only after news. */
+        private boolean counted;
+        private int done;
+        private int running;
 
         private Record(JobSpec spec) {
             this.spec = spec;
@@ -39,15 +43,22 @@
             return chunks.values();
         }
 
-        public JsonNode answer() {
-            int done = 0;
-            int running = 0;
+        private void count() {
+            counted = true;
+            done = 0;
+            running = 0;
             for (JsonNode chunk : chunks.values()) {
                 for (RunRecord line : RunRecord.read(chunk)) {
                     done += line.state() == RunRecord.State.DONE ? 1 : 0;
                     running += line.state() == RunRecord.State.LIVE ? 1 : 0;
                 }
             }
+        }
+
+        public JsonNode answer() {
+            if (!counted) {
+                count();
+            }
             if (end != null) {
                 return JobMessages.state(spec.id(), end, end == Status.DONE ? spec.tasks() : done, 0);
             }
@@ -95,6 +106,7 @@
             int slash = key.lastIndexOf('/');
             Record record = records.get(key.substring(Keys.RUN.length(), slash));
             if (record != null && record.end != Status.DONE) {
+                record.counted = false;
                 record.chunks.put(Integer.parseInt(key.substring(slash + 1)), data);
             }
         }
--- a/src/main/java/io/pepperfield/leadership/Leadership.java
+++ b/src/main/java/io/pepperfield/leadership/Leadership.java
@@ -39,6 +39,7 @@
 
     private String leader = "";
     private long leaderGrant;
+    private long leaderToken;
     private boolean known;
     private long token;
     private long grant;
@@ -74,6 +75,11 @@
         return token;
     }
 
+    /** The highest token that the state service has shown, whoever's it was. */
+    public long leaderToken() {
+        return Math.max(token, leaderToken);
+    }
+
     /** The leading node as far as known, or empty. */
     public String leader() {
         return leader;
@@ -87,6 +93,7 @@
     public void leaderKey(JsonNode data, long stamp) {
         known = true;
         leader = data == null ? "" : data.path("node").asText();
+        leaderToken = Math.max(leaderToken, data == null ? 0 : stamp);
         leaderGrant = data == null ? 0 : data.path("grant").longValue();
         boolean mine = data != null && leader.equals(node) && leaderGrant == grant && grant != 0;
         if (mine && token == 0) {
--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -5,6 +5,7 @@
 import io.pepperfield.cloud.Cloud;
 import io.pepperfield.cloud.TypesRecord;
 import io.pepperfield.config.Settings;
+import io.pepperfield.fleet.Order;
 import io.pepperfield.fleet.Report;
 import io.pepperfield.fleet.Workers;
 import io.pepperfield.http.Call;
@@ -12,9 +13,15 @@
 import io.pepperfield.http.Reply;
 import io.pepperfield.jobs.Catalog;
 import io.pepperfield.jobs.JobMessages;
+import io.pepperfield.jobs.Status;
 import io.pepperfield.jobs.UserRequests;
 import io.pepperfield.leadership.Leadership;
+import io.pepperfield.peer.Members;
+import io.pepperfield.peer.PartOrders;
+import io.pepperfield.peer.Parts;
 import io.pepperfield.peer.Peers;
+import io.pepperfield.peer.Relay;
+import io.pepperfield.peer.RelayMessages;
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.Replica;
 import io.pepperfield.store.StateService;
@@ -23,6 +30,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /** One controller: every node answers users; the leading one also answers workers and decides. All of it runs on the owner. */
@@ -41,6 +53,11 @@
     private final Workers workers;
     private final Rates rates;
     private final Peers peers;
+    private final Relay relay;
+    private final PartOrders partOrders;
+    private final Members members;
+    /** Machines of other parts that report here, and since when. */
+    private final Map<String, Double> strays = new HashMap<>();
     private final Types types;
     private final Catalog catalog = new Catalog();
     private final Replica replica;
@@ -57,15 +74,29 @@
     private double typesAt = Double.NEGATIVE_INFINITY;
     private double summaryAt;
 
-    public Controller(Loop loop, Settings settings, StateService state, Cloud cloud, Workers workers, Peers peers, Rates rates) {
+    public Controller(Loop loop, Settings settings, StateService state, Cloud cloud, Workers workers, Peers peers, Relay relay,
+                      Rates rates) {
         this.loop = loop;
         this.settings = settings;
         this.cloud = cloud;
         this.workers = workers;
         this.rates = rates;
         this.peers = peers;
+        this.relay = relay;
+        this.partOrders = new PartOrders(workers, peers, settings);
         this.types = new Types(settings);
         this.reportS = settings.deployment().workers().reportS();
+        // Three words are missed before a part is taken from its owner.
+        this.members = new Members(settings.node(), 0.75 * reportS);
+        peers.handler(new Peers.Handler() {
+            @Override public void relayed(RelayMessages.Batch batch, Consumer<Reply> answer) {
+                relayedTo(batch, answer);
+            }
+
+            @Override public void direct(long token, RelayMessages.Direct message) {
+                workers.forward(message.address(), token, message.tenure(), message.orders(), relay::heard);
+            }
+        });
         Settings.State limits = settings.deployment().state();
         int size = settings.deployment().size();
         // A user waits for a confirmation and a worker for a new job: a twentieth of the rate for each kind of question.
@@ -84,7 +115,7 @@
             @Override public StateService.Guard guard() {
                 return leadership.guard();
             }
-        }, limits.txnOps(), reportS / 10);
+        }, limits.txnOps(), reportS / 10, reportS);
         this.users = new UserRequests(loop, catalog, sync, state, types, limits.txnOps(), limits.valueKb());
     }
 
@@ -106,17 +137,36 @@
     private void changed(String key, JsonNode data, long stamp) {
         if (key.equals(Keys.LEADER)) {
             leadership.leaderKey(data, stamp);
+            if (!leadership.leader().isEmpty()) {
+                relay.leader(leadership.leader());
+            }
             return;
         }
         if (key.equals(Keys.TYPES) && data != null && !types.known()) {
             types.heard(TypesRecord.read(data));
         }
         catalog.changed(key, data);
+        lighten(key);
         if (leader != null && (key.startsWith(Keys.JOB) || key.startsWith(Keys.END))) {
             leader.catalogChanged(key.substring(key.lastIndexOf('/') + 1));
         }
     }
 
+    /** What a job that is done ran on is of no use any more; of its keys only the stamps are kept in memory. */
+    private void lighten(String key) {
+        boolean run = key.startsWith(Keys.RUN);
+        if (!run && !key.startsWith(Keys.END)) {
+            return;
+        }
+        String id = run ? key.substring(Keys.RUN.length(), key.lastIndexOf('/')) : key.substring(Keys.END.length());
+        Catalog.Record record = catalog.get(id);
+        if (record != null && record.end() == Status.DONE) {
+            for (int chunk = 0; chunk < record.spec().chunks(); chunk++) {
+                replica.lighten(Keys.run(id, chunk));
+            }
+        }
+    }
+
     private void tick() {
         loop.after(tickS, this::tick);
         if (sync.loaded()) {
@@ -127,6 +177,7 @@
             leader.tick();
         }
         peers.tick(loop.now(), sync.contactAt(), leadership.token());
+        relay.flush();
         double now = loop.now();
         // Prices move: the leader asks now and then; the others need no more than to know the types once.
         if (!askingTypes && now - typesAt >= (askedTypes ? settings.operators().chargeS() : 2)
@@ -151,8 +202,9 @@
                 LOG.info("answered {}", line);
             }
             if (leader != null) {
-                LOG.info("{}", leader.summary());
+                LOG.info("{}, parts of {}", leader.summary(), members.live(now));
             }
+            strays.values().removeIf(since -> now - since > settings.operators().chargeS());
         }
     }
 
@@ -161,6 +213,7 @@
         if (leader != null) {
             leader.flush();
         }
+        relay.flush();
         users.flush();
     }
 
@@ -186,8 +239,9 @@
                 loop.after(tickS, () -> begin(elected));
                 return;
             }
-            leader = new Leader(loop, settings, leadership, replica, catalog, writer, workers, cloud, types);
+            leader = new Leader(loop, settings, leadership, replica, catalog, writer, partOrders, cloud, types);
             leader.takeOver();
+            relay.kept(loop.now()).forEach(leader::remembered);
         });
     }
 
@@ -248,51 +302,129 @@
     private Consumer<Reply> timed(String kind, double began, Consumer<Reply> answer) {
         return reply -> {
             latencies.record(kind, loop.now() - began);
-            answer.accept(reply);
+            // Open connections are never moved: a user on one to a node that can answer nobody would ask there for ever.
+            answer.accept(reply.status() == 503 && !healthy() ? reply.closing() : reply);
         };
     }
 
     /** A node alone without the state service leaves the load balancer; one among many in an outage stays. */
     private boolean healthy() {
-        return sync.loaded() && (loop.now() - sync.contactAt() < 2 * reportS || !peers.anyInContact(loop.now()));
+        return sync.loaded() && peers.contact(loop.now()) != Peers.Contact.LOST_ALONE;
     }
 
+    // ---- workers
+
     private void beat(Call call, Consumer<Reply> answer) {
         Report report = Report.read(Json.read(call.body()));
         if (report == null) {
             answer.accept(Reply.error(400, "not a report"));
             return;
         }
-        if (!leadership.leading()) {
-            String other = leadership.leader();
-            if (!other.isEmpty() && !other.equals(settings.node())) {
-                answer.accept(Reply.json(421, Json.object().put("manager", other)));
-            } else {
-                answer.accept(Reply.error(503, "no leader is known"));
+        double now = loop.now();
+        if (leadership.leading()) {
+            if (report.token() > leadership.token()) {
+                leadership.sawToken(report.token());
+                answer.accept(Reply.error(503, "a newer token is about"));
+            } else if (!mayRenewLeases(now)) {
+                answer.accept(Reply.error(503, "not in touch with the state service"));
+            } else if (leader == null) {
+                keepAlive(report, answer);
+            } else if (!sentHome(report, members.live(now), answer)) {
+                relay.remember(report, call.body());
+                List<Order> orders = leader.report(report, "");
+                answer.accept(orders == null ? Reply.error(503, "an old report")
+                        : Reply.json(200, Order.reply(leadership.token(), orders)));
             }
-            return;
+        } else if (relay.linked(now)) {
+            if (!sentHome(report, relay.live(), answer)) {
+                relay.submit(report, call.body(), verdict -> relayed(report, verdict, answer));
+            }
+        } else if (mayRenewLeases(now) && (now - relay.linkedAt() < reportS || leadership.leader().isEmpty()
+                || peers.contact(now) == Peers.Contact.LOST_BY_ALL)) {
+            keepAlive(report, answer);
+        } else if (peers.contact(now) == Peers.Contact.FINE && !leadership.leader().isEmpty()
+                && !leadership.leader().equals(settings.node())) {
+            answer.accept(Reply.json(421, Json.object().put("manager", leadership.leader())));
+        } else {
+            // Cut off from the leader and the state service: others take the worker within its lease.
+            answer.accept(Reply.error(503, "not in touch with the leader"));
         }
-        if (report.token() > leadership.token()) {
-            leadership.sawToken(report.token());
-            answer.accept(Reply.error(503, "a newer token is about"));
-            return;
+    }
+
+    /**
+     * Sends a machine of another part to its owner; only after a report period, since its owner may have just ended, and
+     * to be sent to and fro costs more of its lease than a detour through this node.
+     */
+    private boolean sentHome(Report report, Set<String> live, Consumer<Reply> answer) {
+        String owner = Parts.owner(report.machine(), live);
+        if (owner.equals(settings.node()) || owner.isEmpty()) {
+            strays.remove(report.machine());
+            return false;
         }
-        if (leader == null || !mayRenewLeases()) {
-            answer.accept(Reply.error(503, "not in touch with the state service"));
-            return;
+        double since = strays.computeIfAbsent(report.machine(), m -> loop.now());
+        if (loop.now() - since < reportS) {
+            return false;
+        }
+        strays.remove(report.machine());
+        answer.accept(Reply.json(421, Json.object().put("manager", owner)));
+        return true;
+    }
+
+    private void relayed(Report report, RelayMessages.Verdict verdict, Consumer<Reply> answer) {
+        if (verdict instanceof RelayMessages.Verdict.Orders orders && relay.token() >= report.token()) {
+            ObjectNode body = Json.object().put("epoch", relay.token());
+            body.set("orders", orders.orders());
+            answer.accept(Reply.json(200, body));
+        } else if (verdict == null && mayRenewLeases(loop.now())) {
+            keepAlive(report, answer);
+        } else {
+            answer.accept(Reply.error(503, verdict == null ? "no leader answers" : "an old report"));
+        }
+    }
+
+    /** Renews a lease without orders, while nobody leads or the leader cannot be asked. */
+    private void keepAlive(Report report, Consumer<Reply> answer) {
+        long token = Math.max(leadership.leaderToken(), relay.token());
+        if (token == 0 || report.token() > token) {
+            // A worker drops an answer with a lower token, and would stay here while its lease runs out.
+            answer.accept(Reply.error(503, "no valid token is known here"));
+        } else {
+            answer.accept(Reply.json(200, Order.reply(token, List.of())));
         }
-        byte[] body = leader.report(report);
-        answer.accept(body == null ? Reply.error(503, "an old report") : new Reply(200, body, 0));
     }
 
     /**
      * A node without the state service may not know of a cancellation. All that it renews now has ended by itself
-     * cancel_s after the last moment for which it knows all cancellations, with the drift of two clocks and a margin.
+     * cancel_s after the last moment for which it knows all cancellations, with the drift of two clocks and a margin. And
+     * one that alone has lost the state service lets go at once, so that others take its workers within their leases.
      */
-    private boolean mayRenewLeases() {
+    private boolean mayRenewLeases(double now) {
         Settings.Workers w = settings.deployment().workers();
         double margin = w.cancelS() / 500 + reportS / 2;
-        return loop.now() <= sync.contactAt() + w.cancelS() - w.leaseS() - margin;
+        double knownUpTo = Math.max(sync.contactAt(), relay.contactAt());
+        boolean alone = !leadership.confirmed() && !relay.linked(now) && peers.contact(now) == Peers.Contact.LOST_ALONE;
+        return !alone && now <= knownUpTo + w.cancelS() - w.leaseS() - margin;
+    }
+
+    /** What a part owner passes on. */
+    private void relayedTo(RelayMessages.Batch batch, Consumer<Reply> answer) {
+        double now = loop.now();
+        if (batch.token() > leadership.token() && leadership.leading()) {
+            leadership.sawToken(batch.token());
+        }
+        if (!leadership.leading() || leader == null || !mayRenewLeases(now)) {
+            answer.accept(Reply.error(503, "not leading"));
+            return;
+        }
+        if (!members.heard(batch.node(), batch.life(), batch.sequence(), now)) {
+            answer.accept(Reply.error(409, "a message of an earlier process"));
+            return;
+        }
+        batch.kept().forEach(leader::remembered);
+        batch.heard().forEach(leader::heard);
+        List<RelayMessages.Verdict> verdicts = new ArrayList<>();
+        batch.beats().forEach(beat -> verdicts.add(leader.relayed(beat, batch.node())));
+        answer.accept(new Reply(200, RelayMessages.answer(leadership.token(), now - sync.contactAt(), members.live(now), verdicts), 0));
     }
 
     /** What operators see of this node. */
--- /dev/null
+++ b/src/main/java/io/pepperfield/node/Dispatcher.java
@@ -0,0 +1,216 @@
+package io.pepperfield.node;
+
+import io.pepperfield.cloud.MachineType;
+import io.pepperfield.config.Settings;
+import io.pepperfield.fleet.Attempt;
+import io.pepperfield.fleet.Machine;
+import io.pepperfield.jobs.Job;
+import io.pepperfield.jobs.JobSpec;
+import io.pepperfield.placement.Placer;
+import io.pepperfield.placement.Preemption;
+import io.pepperfield.placement.Room;
+import io.pepperfield.placement.Share;
+import io.pepperfield.placement.Want;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Which waiting task starts where, and what is stopped for it. */
+final class Dispatcher {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Dispatcher.class);
+    private static final Comparator<Job> BY_AGE = Comparator.comparingDouble((Job j) -> j.submittedAt).thenComparing(j -> j.spec.id());
+    /** The users' term: the largest jobs, too, begin within four minutes. From a quarter of it on a job comes first. */
+    private static final double PATIENCE_S = 240.0 / 4;
+    /** Part of this process's time that placing may take; what comes meanwhile waits for the next pass. */
+    private static final double MOST_OF_TIME = 0.2;
+
+    /** What the leader does about the choices. */
+    interface Starter {
+        void start(Job job, int task, Machine machine);
+
+        void stop(Attempt attempt, double drainS);
+    }
+
+    private final Books books;
+    private final Starter starter;
+    private boolean dirty = true;
+    private double placedAt = Double.NEGATIVE_INFINITY;
+    private double nextAt = Double.NEGATIVE_INFINITY;
+
+    Dispatcher(Books books, Starter starter) {
+        this.books = books;
+        this.starter = starter;
+    }
+
+    /** Something has changed that may let a task start. */
+    void wake() {
+        dirty = true;
+    }
+
+    void tick(double now) {
+        dirty |= now - placedAt >= books.reportS();
+    }
+
+    /** At the end of each batch of commands. */
+    void flush() {
+        double now = books.loop().now();
+        if (!dirty || now < nextAt || !books.types().known()) {
+            return;
+        }
+        dirty = false;
+        placedAt = now;
+        place(now);
+        // A pass over a large fleet must leave room for reports and answers, whatever there is to place.
+        nextAt = now + Math.max(books.reportS() / 50, (books.loop().now() - now) / MOST_OF_TIME);
+    }
+
+    private void place(double now) {
+        List<Want> wants = wants(now);
+        if (wants.isEmpty()) {
+            return;
+        }
+        Map<String, Share> shares = books.shares();
+        List<Room> rooms = books.rooms(now, false);
+        start(Placer.place(wants, rooms, shares));
+        if (wants.stream().noneMatch(Want::stuck)) {
+            return;
+        }
+        // To stop lower work on a machine that has the image beats a start on one that must fetch it first.
+        Map<String, Attempt> victims = new HashMap<>();
+        List<Preemption.Place> places = places(books.rooms(now, true), victims, now);
+        stop(Preemption.victims(wants.stream().filter(Want::warmOnly).toList(), places, shares), victims);
+        wants.forEach(want -> want.warmOnly(false));
+        Map<String, Want> byJob = new HashMap<>();
+        wants.forEach(want -> byJob.put(want.job().id(), want));
+        Map<String, Preemption.Place> byMachine = new HashMap<>();
+        places.forEach(place -> byMachine.put(place.machine(), place));
+        List<Placer.Choice> colder = Placer.place(wants, rooms, shares);
+        colder.forEach(choice -> byMachine.get(choice.machine()).book(byJob.get(choice.job())));
+        start(colder);
+        stop(Preemption.victims(wants, places, shares), victims);
+    }
+
+    private void start(List<Placer.Choice> choices) {
+        for (Placer.Choice choice : choices) {
+            Job job = books.jobs().get(choice.job());
+            starter.start(job, job.nextWaiting(), books.fleet().get(choice.machine()));
+        }
+    }
+
+    private void stop(List<String> chosen, Map<String, Attempt> victims) {
+        for (String id : chosen) {
+            LOG.debug("stopping {} to free room", id);
+            // At once: to save first would hold up what it is stopped for.
+            starter.stop(victims.get(id), 0);
+        }
+    }
+
+    /** The machines as they will be once all that is being stopped is gone, with what else could be stopped. */
+    private List<Preemption.Place> places(List<Room> rooms, Map<String, Attempt> byId, double now) {
+        List<Preemption.Place> places = new ArrayList<>();
+        for (Room room : rooms) {
+            List<Preemption.Victim> victims = new ArrayList<>();
+            for (Attempt attempt : books.fleet().get(room.machine()).attempts()) {
+                JobSpec spec = attempt.job.spec;
+                if (attempt.stopWanted() && attempt.live()) {
+                    room.free(spec, 1);
+                } else if (attempt.live() && attempt.phase() != Attempt.Phase.INTENDED && attempt.phase() != Attempt.Phase.ORDERED) {
+                    String id = attempt.ref.toString();
+                    byId.put(id, attempt);
+                    victims.add(new Preemption.Victim(id, spec, Books.lostS(attempt, now)));
+                }
+            }
+            places.add(new Preemption.Place(room, victims));
+        }
+        return places;
+    }
+
+    /** Whether some machine could have it running within the class's aim, but only without fetching the image. */
+    private boolean mustBeWarm(JobSpec job) {
+        double slowest = books.types().all().stream().mapToDouble(MachineType::fetchGbPerS).filter(rate -> rate > 0).min()
+                .orElse(Double.POSITIVE_INFINITY);
+        return job.imageGb() / slowest > books.aims().wait(job.workload()) / 2;
+    }
+
+    /** Machines that still keep an ended attempt of a task which waits again: a worker refuses a task that it holds. */
+    private Map<Job, Set<String>> kept() {
+        Map<Job, Set<String>> kept = new HashMap<>();
+        for (Machine machine : books.fleet().machines()) {
+            if (machine.liveCount() < machine.attempts().size()) {
+                for (Attempt attempt : machine.attempts()) {
+                    if (!attempt.live() && !attempt.job.isDone(attempt.task)) {
+                        kept.computeIfAbsent(attempt.job, j -> new HashSet<>()).add(machine.name);
+                    }
+                }
+            }
+        }
+        return kept;
+    }
+
+    List<Want> wants(double now) {
+        List<Want> wants = new ArrayList<>();
+        Map<String, Double> before = new HashMap<>();
+        List<Job> order = new ArrayList<>(books.jobs().values());
+        order.sort(BY_AGE);
+        Map<Job, Set<String>> kept = null;
+        for (Job job : order) {
+            if (job.end() != null) {
+                continue;
+            }
+            Settings.Team team = books.settings().deployment().teams().get(job.spec.team());
+            double cpus = before.merge(job.spec.team(), job.spec.tasks() * job.spec.cpus(), Double::sum);
+            int waiting = job.waitingCount();
+            if (waiting == 0 || team == null || job.notBefore() > now) {
+                continue;
+            }
+            kept = kept == null ? kept() : kept;
+            Want want = new Want(job.spec, waiting, cpus <= team.cpus(), job.submittedAt, books.ledger().zones(job),
+                    kept.getOrDefault(job, Set.of()));
+            want.warmOnly(mustBeWarm(job.spec) && now - job.submittedAt < books.aims().wait(job.spec.workload()));
+            want.overdue(job.doneCount() == 0 && !books.ledger().has(job) && now - job.submittedAt > PATIENCE_S);
+            wants.add(want);
+        }
+        return wants;
+    }
+
+    /** Whether all replicas of a machine would find places elsewhere now, with what may be stopped for them. */
+    boolean roomForReplicasOf(Machine lost, double now) {
+        Map<String, Share> shares = books.shares();
+        Map<Job, Integer> replicas = new LinkedHashMap<>();
+        for (Attempt attempt : lost.attempts()) {
+            if (attempt.live() && attempt.job.spec.service() && attempt.job.end() == null) {
+                replicas.merge(attempt.job, 1, Integer::sum);
+                shares.get(attempt.job.spec.team()).free(attempt.job.spec, 1);
+            }
+        }
+        List<Want> wants = new ArrayList<>();
+        Map<String, Want> byJob = new HashMap<>();
+        replicas.forEach((job, count) -> {
+            Map<String, Integer> zones = books.ledger().zones(job);
+            zones.merge(lost.zone(), -count, Integer::sum);
+            Want want = new Want(job.spec, count, true, job.submittedAt, zones, Set.of());
+            wants.add(want);
+            byJob.put(job.spec.id(), want);
+        });
+        List<Room> rooms = books.rooms(now, false);
+        List<Placer.Choice> choices = Placer.place(wants, rooms, shares);
+        if (wants.stream().allMatch(want -> want.waiting() == 0)) {
+            return true;
+        }
+        List<Preemption.Place> places = places(books.rooms(now, true), new HashMap<>(), now);
+        Map<String, Preemption.Place> byMachine = new HashMap<>();
+        places.forEach(place -> byMachine.put(place.machine(), place));
+        choices.forEach(choice -> byMachine.get(choice.machine()).book(byJob.get(choice.job())));
+        Preemption.victims(wants, places, shares);
+        return wants.stream().allMatch(want -> want.waiting() == 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/node/Sizer.java
@@ -0,0 +1,239 @@
+package io.pepperfield.node;
+
+import io.pepperfield.cloud.MachineType;
+import io.pepperfield.fleet.Attempt;
+import io.pepperfield.fleet.Machine;
+import io.pepperfield.jobs.Job;
+import io.pepperfield.jobs.JobSpec;
+import io.pepperfield.predict.ClassTimes;
+import io.pepperfield.predict.Predictor;
+import io.pepperfield.steering.DemandWindow;
+import io.pepperfield.steering.Pool;
+import io.pepperfield.steering.Steering;
+import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+
+/** WIRE's loop: projects the load, rents what is short and returns what is surplus. */
+final class Sizer {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Sizer.class);
+
+    /** Part of the time for which an aim allows that is planned with; the rest is for booting and bad luck. */
+    private static final double AIM_RESERVE = 0.5;
+
+    private final Books books;
+    private final ClassTimes classTimes = new ClassTimes();
+    private final DemandWindow ordinaryDemand;
+    private final DemandWindow eagerDemand;
+    private final DemandWindow patientDemand;
+    private final Map<Pool, DemandWindow> wanted = new HashMap<>();
+    private final double startedAt;
+    private final double unitS;
+    private double intervalS;
+    private double steeredAt = Double.NEGATIVE_INFINITY;
+
+    Sizer(Books books) {
+        this.books = books;
+        this.startedAt = books.loop().now();
+        this.unitS = books.settings().operators().chargeS();
+        this.ordinaryDemand = new DemandWindow(unitS);
+        this.eagerDemand = new DemandWindow(unitS);
+        this.patientDemand = new DemandWindow(unitS);
+    }
+
+    void finished(Job job, double ranS) {
+        job.times.finished(ranS, OptionalDouble.empty());
+        classTimes.finished(job.spec.workload(), ranS);
+    }
+
+    void tick(double now) {
+        if (now - steeredAt >= books.reportS() / 2 && books.types().known()) {
+            steeredAt = now;
+            steer(now);
+        }
+    }
+
+    private void steer(double now) {
+        intervalS = Math.max(intervalS, books.types().all().stream().mapToDouble(MachineType::bootS).max().orElse(0));
+        List<Steering.Work> work = new ArrayList<>();
+        Demand demand = new Demand();
+        Map<String, Double> left = new HashMap<>();
+        books.settings().deployment().teams().forEach((name, team) -> left.put(name, team.cpusMax() - books.ledger().cpus(name)));
+        Map<Job, Double> runTimes = new HashMap<>();
+        for (Job job : books.ledger().jobs()) {
+            if (job.end() != null) {
+                continue;
+            }
+            double runTime = runTime(job, now);
+            runTimes.put(job, runTime);
+            for (Attempt attempt : books.ledger().live(job)) {
+                double ranS = attempt.running() ? now - attempt.runningSince() : 0;
+                double remaining = Predictor.remaining(runTime, ranS) - intervalS;
+                if (remaining > 0) {
+                    work.add(new Steering.Work(job.spec, remaining, attempt.machine.pool()));
+                }
+                demand.add(job, ranS, now);
+            }
+        }
+        for (Job job : books.jobs().values()) {
+            job.times.learn();
+            int waiting = job.waitingCount();
+            if (job.end() != null || waiting == 0 || job.notBefore() > now) {
+                continue;
+            }
+            double runTime = runTimes.computeIfAbsent(job, j -> runTime(j, now));
+            // Tasks beyond the team's limit cannot run next; machines for them would stand idle.
+            for (int i = 0; i < waiting && left.getOrDefault(job.spec.team(), 0.0) >= job.spec.cpus(); i++) {
+                left.merge(job.spec.team(), -job.spec.cpus(), Double::sum);
+                work.add(new Steering.Work(job.spec, runTime, null));
+                demand.add(job, 0, now);
+            }
+        }
+        ordinaryDemand.add(now, demand.ordinary);
+        eagerDemand.add(now, demand.eager);
+        patientDemand.add(now, demand.patient);
+        double headroom = books.settings().operators().headroom();
+        List<Steering.Offer> offers = offers(now);
+        Map<Pool, Integer> targets = Steering.targets(offers, work, new Steering.Expected(
+                ordinaryDemand.quantile(headroom), eagerDemand.quantile(headroom) + patientDemand.quantile(books.settings().operators().steady())),
+                unitS, books.settings().operators().partlyShare());
+        // What is asked for at this moment is no surplus, whatever was asked for of late; and a leader that has not yet
+        // seen a whole unit knows neither run times nor demand.
+        Map<Pool, Integer> needed = Steering.floor(offers, new Steering.Expected(demand.ordinary, demand.all));
+        boolean seasoned = now - startedAt >= unitS;
+        LOG.debug("steering: demand {} {} {}, targets {}, offers {}", demand.ordinary, demand.eager, demand.patient, targets, offers);
+        for (Steering.Offer offer : offers) {
+            int target = targets.getOrDefault(offer.pool(), 0);
+            if (target > offer.present()) {
+                rent(offer.pool(), target - offer.present());
+            }
+            // To rent again costs a boot; a surplus must have stood that long before returning it can pay.
+            DemandWindow kept = wanted.computeIfAbsent(offer.pool(), p -> new DemandWindow(offer.bootS()));
+            kept.add(now, Math.max(target, needed.get(offer.pool())));
+            int most = (int) kept.quantile(1);
+            if (seasoned && most < offer.present()) {
+                shrink(offer.pool(), offer.present() - most, now);
+            }
+        }
+    }
+
+    /** WIRE's prediction for a task of the job; a replica has no end in sight. */
+    private double runTime(Job job, double now) {
+        if (job.spec.service()) {
+            return Double.POSITIVE_INFINITY;
+        }
+        DoubleArrayList running = new DoubleArrayList();
+        if (job.times.count() == 0) {
+            for (Attempt attempt : books.ledger().live(job)) {
+                if (attempt.running()) {
+                    running.add(now - attempt.runningSince());
+                }
+            }
+        }
+        return Predictor.runTime(job.times, running, true, OptionalDouble.empty());
+    }
+
+    /** CPUs asked for at this moment, by what they can wait for. */
+    private final class Demand {
+        double ordinary;
+        double eager;
+        double patient;
+        double all;
+
+        /**
+         * Work that can wait counts by the part that it would fill of the time left for it: until its class should be
+         * complete, with a reserve, and no longer than a charging unit, by which WIRE counts machines.
+         */
+        void add(Job of, double ranS, double now) {
+            JobSpec job = of.spec;
+            if (!job.spot()) {
+                ordinary += job.cpus();
+                return;
+            }
+            all += job.cpus();
+            if (Double.isInfinite(books.aims().wait(job.workload()))) {
+                double left = Predictor.remaining(classTimes.expected(job.workload(), job.expectedS()), ranS);
+                double age = now - of.submittedAt;
+                double time = Math.min(unitS, AIM_RESERVE * books.aims().finish(job.workload(), age + left) - age);
+                patient += job.cpus() * Math.min(1, left / Math.max(left, time));
+            } else {
+                eager += job.cpus();
+            }
+        }
+    }
+
+    private List<Steering.Offer> offers(double now) {
+        Map<Pool, Integer> present = new HashMap<>();
+        for (Machine machine : books.fleet().machines()) {
+            // A silent machine is not counted on: what takes its place boots meanwhile.
+            boolean coming = machine.up() ? machine.lostFor(now) <= books.silentS() : now - machine.rentedAt() <= books.bootLimit(machine);
+            if (!machine.releasing() && !machine.draining() && coming) {
+                present.merge(machine.pool(), 1, Integer::sum);
+            }
+        }
+        List<Steering.Offer> offers = new ArrayList<>();
+        for (MachineType type : books.types().all()) {
+            for (boolean spot : new boolean[] {false, true}) {
+                Pool pool = new Pool(type.name(), spot);
+                boolean open = type.zones().stream().anyMatch(zone -> books.renting().open(pool, zone));
+                offers.add(new Steering.Offer(pool, type.cpus(), type.gpus(), type.memGb(), type.price(spot), type.bootS(),
+                        present.getOrDefault(pool, 0) + books.renting().underWay(pool), open));
+            }
+        }
+        return offers;
+    }
+
+    /** Batched calls for each zone, so that the zones that still give machines come to about the same number. */
+    private void rent(Pool pool, int count) {
+        Map<String, Integer> perZone = new HashMap<>();
+        for (Machine machine : books.fleet().machines()) {
+            if (machine.pool().equals(pool)) {
+                perZone.merge(machine.zone(), 1, Integer::sum);
+            }
+        }
+        List<String> zones = books.types().get(pool.type()).zones().stream().filter(z -> books.renting().open(pool, z)).sorted().toList();
+        if (zones.isEmpty()) {
+            return;
+        }
+        Map<String, Integer> shares = new LinkedHashMap<>();
+        for (int i = 0; i < count; i++) {
+            String zone = zones.stream().min(Comparator.comparingInt(z -> perZone.getOrDefault(z, 0))).orElseThrow();
+            perZone.merge(zone, 1, Integer::sum);
+            shares.merge(zone, 1, Integer::sum);
+        }
+        shares.forEach((zone, n) -> books.renting().rent(pool, zone, n));
+    }
+
+    /** WIRE's algorithm 2: of a surplus those go whose charge ends within the interval and that are cheap to restart. */
+    private void shrink(Pool pool, int surplus, double now) {
+        record Candidate(Machine machine, double cost) { }
+        double most = books.settings().operators().restartShare() * unitS;
+        books.fleet().machines().stream()
+                .filter(m -> m.up() && !m.releasing() && !m.draining() && m.pool().equals(pool) && !m.holdsReplica())
+                .filter(m -> unitS - (now - m.rentedAt()) <= Math.min(intervalS, books.reportS()))
+                .map(m -> new Candidate(m, restartCost(m, now)))
+                .filter(c -> c.cost <= most)
+                .sorted(Comparator.comparingDouble(Candidate::cost).thenComparing(c -> c.machine.name))
+                .limit(surplus).toList()
+                .forEach(c -> books.renting().release(c.machine, "surplus"));
+    }
+
+    private static double restartCost(Machine machine, double now) {
+        double cost = 0;
+        for (Attempt attempt : machine.attempts()) {
+            if (attempt.live()) {
+                cost = Math.max(cost, Books.lostS(attempt, now));
+            }
+        }
+        return cost;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/node/Watch.java
@@ -0,0 +1,125 @@
+package io.pepperfield.node;
+
+import io.pepperfield.fleet.Attempt;
+import io.pepperfield.fleet.Machine;
+import io.pepperfield.fleet.Workers;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** Machines that say nothing, do not hear, never came up, are faulty or about to be taken. */
+final class Watch {
+
+    private final Books books;
+    private final Dispatcher dispatcher;
+    private final Workers workers;
+    private final Dispatcher.Starter starter;
+    private boolean over;
+    private double askedForRoomAt = Double.NEGATIVE_INFINITY;
+
+    Watch(Books books, Dispatcher dispatcher, Workers workers, Dispatcher.Starter starter) {
+        this.books = books;
+        this.dispatcher = dispatcher;
+        this.workers = workers;
+        this.starter = starter;
+    }
+
+    void stop() {
+        over = true;
+    }
+
+    /** False where none of several machines can be heard: this node is more likely cut off than they all dead. */
+    boolean tick(double now) {
+        double silentS = books.silentS();
+        List<Machine> lost = new ArrayList<>();
+        int up = 0;
+        for (Machine machine : books.fleet().machines()) {
+            if (machine.releasing()) {
+                continue;
+            }
+            if (machine.up()) {
+                up++;
+                if (machine.lostFor(now) > silentS) {
+                    lost.add(machine);
+                }
+                if (machine.lostFor(now) > 1.5 * books.reportS() && machine.dueForProbe(now, books.reportS() / 2)) {
+                    workers.probe(machine.address(), report -> {
+                        if (!over && report != null) {
+                            books.fleet().heard(report, books.loop().now());
+                        }
+                    });
+                }
+                if (!Double.isNaN(machine.takenAt())) {
+                    drainTaken(machine);
+                }
+                if (machine.faulty()) {
+                    machine.drain();
+                }
+                if (machine.reborn()) {
+                    books.renting().release(machine, "its worker has begun anew");
+                } else if (machine.draining() && machine.idle()) {
+                    books.renting().release(machine, machine.faulty() ? "faulty" : "about to be taken");
+                }
+            } else if (now - machine.rentedAt() > books.bootLimit(machine) && machine.lostFor(now) > silentS) {
+                books.renting().release(machine, "not up " + Math.round(now - machine.rentedAt()) + " s after its rental");
+            }
+        }
+        if (up > 1 && lost.size() == up) {
+            return false;
+        }
+        giveUp(lost, up, now);
+        return true;
+    }
+
+    private void giveUp(List<Machine> lost, int up, double now) {
+        // Many at once are more likely a cut than so many deaths: their leases run out first.
+        boolean cut = lost.size() > Math.max(books.settings().operators().silentAtOnce(), up / 3);
+        // A tenth of a large fleet may die at once with a rack; three at a time would take it minutes to be replaced.
+        int most = Math.max(books.settings().operators().silentAtOnce(), up / 10);
+        lost.sort(Comparator.comparingDouble((Machine m) -> m.lostFor(now)).reversed());
+        for (Machine machine : lost) {
+            if (books.renting().releasing() >= most) {
+                break;
+            }
+            if (isLost(machine, cut, now)) {
+                books.renting().release(machine, (machine.deaf() ? "does not hear, for " : "silent for ")
+                        + Math.round(machine.lostFor(now)) + " s");
+            }
+        }
+    }
+
+    /**
+     * Whether to give a silent machine up. It may only hang, and its tasks with it until their lease ends: to return it
+     * earlier pays where replicas can go on elsewhere at once, and costs both work and replicas where they cannot.
+     */
+    private boolean isLost(Machine machine, boolean cut, double now) {
+        double leaseS = books.leaseS();
+        double silent = machine.lostFor(now);
+        if (cut) {
+            return silent > 1.5 * leaseS;
+        }
+        if (silent > leaseS || machine.idle()) {
+            return true;
+        }
+        if (!machine.holdsReplica()) {
+            return silent > leaseS / 2;
+        }
+        // The question costs a look at the whole fleet, so it is put for one machine at a time, a few times a period; and
+        // what is being returned already must have moved before the room left is known.
+        if (books.renting().releasing() > 0 || now - askedForRoomAt < books.reportS() / 8) {
+            return false;
+        }
+        askedForRoomAt = now;
+        return dispatcher.roomForReplicasOf(machine, now);
+    }
+
+    /** A machine that will be taken: what can save does so in time; what may still complete goes on. */
+    private void drainTaken(Machine machine) {
+        for (Attempt attempt : List.copyOf(machine.attempts())) {
+            if (attempt.live() && !attempt.stopWanted() && attempt.job.spec.saves() && attempt.running()) {
+                starter.stop(attempt, attempt.job.spec.checkpointS());
+            }
+        }
+    }
+}
--- a/src/main/java/io/pepperfield/peer/Peers.java
+++ b/src/main/java/io/pepperfield/peer/Peers.java
@@ -10,20 +10,36 @@
 import io.pepperfield.node.Loop;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
 /**
- * What controllers tell each other: whether they are in touch with the state service. A node that alone is not must leave
- * the load balancer; in an outage that all of them see, it must not.
+ * What controllers tell each other: whether they are in touch with the state service, the reports of their parts, and
+ * orders for them. A node that alone has lost the state service must leave the load balancer and let go of its workers; in
+ * an outage that all of them see, it must not.
  */
 public final class Peers {
 
+    /** What this node does with the others' messages. */
+    public interface Handler {
+        /** A part owner's reports, for the leader. */
+        void relayed(RelayMessages.Batch batch, Consumer<Reply> answer);
+
+        /** Orders for a worker of this node's part. */
+        void direct(long token, RelayMessages.Direct message);
+    }
+
+    /** How this node stands with the state service, compared with the others. */
+    public enum Contact { FINE, LOST_BY_ALL, LOST_ALONE }
+
     private final Loop loop;
     private final Settings settings;
     private final Sender client;
     private final double reportS;
     private final Map<String, Double> contactAt = new HashMap<>();
+    private Handler handler;
+    private double reachedAt = Double.NEGATIVE_INFINITY;
     private double askedAt = Double.NEGATIVE_INFINITY;
     private double ownContactAt = Double.NEGATIVE_INFINITY;
     private long token;
@@ -35,16 +51,21 @@
         this.reportS = settings.deployment().workers().reportS();
     }
 
-    /** To be called often; asks the others only while this node itself has lost the state service. */
+    public void handler(Handler of) {
+        handler = of;
+    }
+
+    /** To be called often; asks the others only while this node itself seems to have lost the state service. */
     public void tick(double now, double ownContact, long ownToken) {
         ownContactAt = ownContact;
         token = ownToken;
-        if (now - ownContact < reportS || now - askedAt < reportS / 2) {
+        // A follow is held for half a period: contact older than that by as much again is not the ordinary case.
+        if (now - ownContact < 0.8 * reportS || now - askedAt < reportS / 4) {
             return;
         }
         askedAt = now;
         for (Settings.Member member : settings.members()) {
-            client.send(member.address().host(), member.address().port(), 1, "GET", "/peer/contact", null,
+            client.send(member.address().host(), member.address().port(), 2, "GET", "/peer/contact", null,
                     Math.round(reportS * 500), outcome -> loop.post(() -> heard(member.node(), now, outcome)));
         }
     }
@@ -53,23 +74,54 @@
         if (outcome instanceof Outcome.Answered answer && answer.status() == 200) {
             JsonNode ago = answer.json().path("contactAgoMs");
             if (ago.isNumber()) {
+                reachedAt = Math.max(reachedAt, asked);
                 contactAt.merge(node, asked - ago.doubleValue() / 1000, Math::max);
             }
         }
     }
 
-    /** Whether another node has reached the state service of late, as far as it could be asked. */
-    public boolean anyInContact(double now) {
-        return contactAt.values().stream().anyMatch(at -> now - at < 2 * reportS);
+    /**
+     * Whether the state service is lost, and to whom. A node that reaches nobody at all must take itself for the one that
+     * is cut off: the others may be deciding without it.
+     */
+    public Contact contact(double now) {
+        if (now - ownContactAt < 1.5 * reportS) {
+            return Contact.FINE;
+        }
+        if (settings.members().isEmpty()) {
+            return Contact.LOST_BY_ALL;
+        }
+        boolean alone = now - reachedAt > 2 * reportS || contactAt.values().stream().anyMatch(at -> at > ownContactAt + reportS);
+        return alone ? Contact.LOST_ALONE : Contact.LOST_BY_ALL;
+    }
+
+    /** Hands orders for workers to the owner of their part. */
+    void direct(Settings.Member owner, long orderToken, List<RelayMessages.Direct> messages) {
+        client.send(owner.address().host(), owner.address().port(), 2, "POST", "/peer/orders",
+                RelayMessages.direct(orderToken, messages), Math.round(reportS * 500), outcome -> { });
     }
 
-    /** Takes another node's question. */
+    /** Takes another node's message. */
     public void handle(Call call, Consumer<Reply> answer) {
-        if (call.path().equals("/peer/contact") && call.method().equals("GET")) {
-            double ago = Math.min(1e9, loop.now() - ownContactAt);
-            answer.accept(Reply.json(200, Json.object().put("contactAgoMs", Math.round(ago * 1000)).put("epoch", token)));
-        } else {
-            answer.accept(Reply.error(404, "no such path"));
+        switch (call.method() + " " + call.path()) {
+            case "GET /peer/contact" -> {
+                double ago = Math.min(1e9, loop.now() - ownContactAt);
+                answer.accept(Reply.json(200, Json.object().put("contactAgoMs", Math.round(ago * 1000)).put("epoch", token)));
+            }
+            case "POST /peer/relay" -> {
+                RelayMessages.Batch batch = RelayMessages.batch(Json.read(call.body()));
+                if (batch == null) {
+                    answer.accept(Reply.error(400, "not a message of this version"));
+                } else {
+                    handler.relayed(batch, answer);
+                }
+            }
+            case "POST /peer/orders" -> {
+                JsonNode body = Json.read(call.body());
+                RelayMessages.readDirect(body).forEach(message -> handler.direct(body.path("epoch").longValue(), message));
+                answer.accept(Reply.empty(200));
+            }
+            default -> answer.accept(Reply.error(404, "no such path"));
         }
     }
 }
--- a/src/main/java/io/pepperfield/placement/Placer.java
+++ b/src/main/java/io/pepperfield/placement/Placer.java
@@ -15,8 +15,8 @@
     public record Choice(String job, String machine) { }
 
     private static final double SLACK = 1e-6;
-    private static final Comparator<Want> IN_TEAM = Comparator.comparing((Want w) -> !w.guaranteed)
-            .thenComparing(w -> w.job.rank()).thenComparing(w -> !w.job.service()).thenComparing(w -> w.submittedAt)
+    private static final Comparator<Want> IN_TEAM = Comparator.comparing((Want w) -> !w.overdue)
+            .thenComparing(w -> !w.guaranteed).thenComparing(w -> w.job.rank()).thenComparing(w -> !w.job.service()).thenComparing(w -> w.submittedAt)
             .thenComparing(w -> w.job.id());
 
     private Placer() { }
@@ -43,16 +43,31 @@
                 return choices;
             }
             Share share = shares.get(next.job.team());
+            if (!next.job.gang()) {
+                Room room = choose(next, rooms);
+                if (room == null) {
+                    // Nothing fits this one now; what comes behind may be smaller or allowed elsewhere.
+                    next.stuck = true;
+                    if (next.overdue) {
+                        keepRoom(next, rooms);
+                    }
+                } else {
+                    fill(next, room, share, choices);
+                }
+                continue;
+            }
             List<Room> taken = new ArrayList<>();
-            int turn = next.job.gang() ? next.waiting : 1;
-            for (Room room = null; taken.size() < turn && (room = choose(next, rooms)) != null; ) {
+            for (Room room = null; next.waiting > 0 && (room = choose(next, rooms)) != null; ) {
                 take(next, room, share, 1);
                 taken.add(room);
             }
-            if (taken.size() < turn) {
-                // Nothing fits this one now, or not all of a gang; what comes behind may be smaller or allowed elsewhere.
+            if (next.waiting > 0) {
+                // A gang that has waited too long keeps what room it found: smaller work would take each piece of it for ever.
                 for (Room room : taken) {
                     take(next, room, share, -1);
+                    if (next.overdue) {
+                        room.free(next.job, -1);
+                    }
                 }
                 next.stuck = true;
                 continue;
@@ -63,19 +78,50 @@
         }
     }
 
+    /** The machine that comes nearest to having room takes nothing else: smaller tasks would take each piece for ever. */
+    private static void keepRoom(Want want, List<Room> rooms) {
+        Room nearest = null;
+        for (Room room : rooms) {
+            if (allowed(want, room) && (nearest == null || room.cpus > nearest.cpus
+                    || room.cpus == nearest.cpus && room.machine.compareTo(nearest.machine) < 0)) {
+                nearest = room;
+            }
+        }
+        if (nearest != null) {
+            nearest.cpus = 0;
+        }
+    }
+
+    /** A turn fills a machine, so that a large array does not cost a look at the whole fleet for each task. */
+    private static void fill(Want want, Room room, Share share, List<Choice> choices) {
+        do {
+            take(want, room, share, 1);
+            choices.add(new Choice(want.job.id(), room.machine));
+        } while (want.waiting > 0 && !want.job.spread() && fits(want, room) && share.allows(want.job.cpus(), want.job.gpus()));
+    }
+
     private static Want head(List<Want> queue, Share share) {
         for (Want want : queue) {
             int turn = want.job.gang() ? want.waiting : 1;
             // A gang begins again only when all of its earlier attempts are gone.
-            if (want.waiting > 0 && !want.stuck && share.allows(turn * want.job.cpus(), turn * want.job.gpus())
-                    && !(want.job.gang() && want.live > 0)) {
+            if (want.waiting == 0 || want.stuck || want.job.gang() && want.live > 0) {
+                continue;
+            }
+            if (share.allows(turn * want.job.cpus(), turn * want.job.gpus())) {
                 return want;
             }
+            if (want.overdue) {
+                // The rest of the team stands back until its limit leaves enough for this one.
+                return null;
+            }
         }
         return null;
     }
 
     private static boolean before(Want a, Want b, Map<String, Share> shares) {
+        if (a.overdue != b.overdue) {
+            return a.overdue;
+        }
         if (a.guaranteed != b.guaranteed) {
             return a.guaranteed;
         }
--- a/src/main/java/io/pepperfield/placement/Preemption.java
+++ b/src/main/java/io/pepperfield/placement/Preemption.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 
 /**
  * Which tasks to stop for waiting ones that found no room, exactly as far as the protocol allows: for a job of higher
@@ -20,23 +21,28 @@
      */
     public record Victim(String id, JobSpec job, double lostS) { }
 
+    /** The lowest rank first, then what loses least. */
+    private static final Comparator<Victim> BY_LOSS = Comparator.comparing((Victim v) -> v.job.rank()).reversed()
+            .thenComparingDouble(v -> v.lostS * v.job.cpus());
+
     /** A machine with what can be stopped on it; the room holds what is free or about to be. */
     public static final class Place {
-        final Room room;
-        final List<Victim> victims;
+        private final Room room;
+        private final List<Victim> victims;
 
         public Place(Room room, List<Victim> victims) {
             this.room = room;
             this.victims = new ArrayList<>(victims);
+            this.victims.sort(BY_LOSS);
         }
-    }
 
-    /** Books what the placer has chosen meanwhile. */
-    public static void book(List<Place> places, Placer.Choice choice, Want want) {
-        for (Place place : places) {
-            if (place.room.machine.equals(choice.machine())) {
-                place.room.free(want.job, -1);
-            }
+        public String machine() {
+            return room.machine;
+        }
+
+        /** Books what the placer has chosen meanwhile. */
+        public void book(Want want) {
+            room.free(want.job, -1);
         }
     }
 
@@ -54,16 +60,20 @@
                 .thenComparing(w -> w.job.rank()).thenComparing(w -> w.submittedAt)).toList();
         for (Want want : order) {
             Share share = shares.get(want.job.team());
-            for (int i = want.waiting; i > 0 && share.allows(want.job.cpus(), want.job.gpus()); i--) {
-                Plan best = null;
-                for (Place place : places) {
-                    Plan plan = plan(want, place, shares);
-                    if (plan != null && (best == null || plan.lost < best.lost)) {
-                        best = plan;
-                    }
+            // Every place is weighed once for the job and again only when it comes up, not once more for each task.
+            PriorityQueue<Plan> plans = new PriorityQueue<>(Comparator.comparingDouble(Plan::lost));
+            if (share.allows(want.job.cpus(), want.job.gpus())) {
+                places.forEach(place -> offer(plans, plan(want, place, shares)));
+            }
+            while (want.waiting > 0 && share.allows(want.job.cpus(), want.job.gpus()) && !plans.isEmpty()) {
+                Plan first = plans.poll();
+                Plan best = plan(want, first.place, shares);
+                if (best != null && best.lost > first.lost) {
+                    plans.add(best);
+                    continue;
                 }
                 if (best == null) {
-                    break;
+                    continue;
                 }
                 for (Victim victim : best.stopped) {
                     best.place.victims.remove(victim);
@@ -72,35 +82,46 @@
                     stopped.add(victim.id);
                 }
                 Placer.take(want, best.place.room, share, 1);
+                offer(plans, plan(want, best.place, shares));
             }
         }
         return stopped;
     }
 
+    private static void offer(PriorityQueue<Plan> plans, Plan plan) {
+        if (plan != null) {
+            plans.add(plan);
+        }
+    }
+
     /** The cheapest way to make room for one task of the job on that machine, or null; empty where there is room. */
     private static Plan plan(Want want, Place place, Map<String, Share> shares) {
         Room room = place.room;
         if (!Placer.allowed(want, room) || want.avoid.contains(room.machine)) {
             return null;
         }
+        if (Placer.holds(want, room.cpus, room.gpus, room.memGb)) {
+            return new Plan(place, List.of(), 0);
+        }
         double cpus = room.cpus;
         double gpus = room.gpus;
         double memGb = room.memGb;
         double lost = 0;
         List<Victim> stopped = new ArrayList<>();
-        List<Victim> byLoss = place.victims.stream().filter(v -> mayStop(want, v, shares))
-                .sorted(Comparator.comparing((Victim v) -> v.job.rank()).reversed().thenComparingDouble(v -> v.lostS * v.job.cpus())).toList();
-        for (Victim victim : byLoss) {
-            if (Placer.holds(want, cpus, gpus, memGb)) {
-                break;
+        for (Victim victim : place.victims) {
+            if (!mayStop(want, victim, shares)) {
+                continue;
             }
             cpus += victim.job.cpus();
             gpus += victim.job.gpus();
             memGb += victim.job.memGb();
             lost += (victim.lostS + 1) * victim.job.cpus();
             stopped.add(victim);
+            if (Placer.holds(want, cpus, gpus, memGb)) {
+                return new Plan(place, stopped, lost);
+            }
         }
-        return Placer.holds(want, cpus, gpus, memGb) ? new Plan(place, stopped, lost) : null;
+        return null;
     }
 
     private static boolean mayStop(Want want, Victim victim, Map<String, Share> shares) {
--- a/src/main/java/io/pepperfield/placement/Room.java
+++ b/src/main/java/io/pepperfield/placement/Room.java
@@ -27,10 +27,6 @@
         this.memGb = memGb;
     }
 
-    public Room copy() {
-        return new Room(machine, type, zone, spot, images, cpus, gpus, memGb);
-    }
-
     /** Counts what that many tasks of the job take as free; a negative number takes it. */
     public void free(JobSpec job, int tasks) {
         cpus += tasks * job.cpus();
--- a/src/main/java/io/pepperfield/placement/Want.java
+++ b/src/main/java/io/pepperfield/placement/Want.java
@@ -20,6 +20,8 @@
     final int live;
     /** Only machines that have its image will do for now: to fetch it would take longer than its class may wait. */
     boolean warmOnly;
+    /** Nothing of it has begun for so long that it comes first: what is smaller or ranks higher cannot hold it back for ever. */
+    boolean overdue;
     boolean stuck;
 
     public Want(JobSpec job, int waiting, boolean guaranteed, double submittedAt, Map<String, Integer> perZone, Set<String> avoid) {
@@ -32,6 +34,10 @@
         this.live = perZone.values().stream().mapToInt(Integer::intValue).sum();
     }
 
+    public void overdue(boolean late) {
+        overdue = late;
+    }
+
     public JobSpec job() {
         return job;
     }
--- a/src/main/java/io/pepperfield/predict/ClassTimes.java
+++ b/src/main/java/io/pepperfield/predict/ClassTimes.java
@@ -11,6 +11,8 @@
     private static final int KEPT = 64;
 
     private final Map<String, DoubleArrayList> times = new HashMap<>();
+    /** Asked for each attempt in each step: the middle is looked for again only after news. */
+    private final Map<String, Double> medians = new HashMap<>();
 
     public void finished(String workload, double seconds) {
         DoubleArrayList list = times.computeIfAbsent(workload, w -> new DoubleArrayList());
@@ -18,11 +20,12 @@
             list.removeDouble(0);
         }
         list.add(seconds);
+        medians.remove(workload);
     }
 
     /** The median of the class, or the owner's estimate while none of it has finished. */
     public double expected(String workload, double estimateS) {
         DoubleArrayList list = times.get(workload);
-        return list == null ? estimateS : Medians.of(list);
+        return list == null ? estimateS : medians.computeIfAbsent(workload, w -> Medians.of(list));
     }
 }
--- a/src/main/java/io/pepperfield/predict/PeerTimes.java
+++ b/src/main/java/io/pepperfield/predict/PeerTimes.java
@@ -12,9 +12,12 @@
     private final DoubleArrayList finished = new DoubleArrayList();
     private final Double2ObjectMap<DoubleArrayList> bySize = new Double2ObjectOpenHashMap<>();
     private final OnlineGradient gradient = new OnlineGradient();
+    /** Asked for each task in each step: looked for again only after news; NaN while it is not known. */
+    private double median = Double.NaN;
 
     public void finished(double seconds, OptionalDouble size) {
         finished.add(seconds);
+        median = Double.NaN;
         if (size.isPresent()) {
             bySize.computeIfAbsent(size.getAsDouble(), s -> new DoubleArrayList()).add(seconds);
         }
@@ -25,7 +28,10 @@
     }
 
     public double median() {
-        return Medians.of(finished);
+        if (Double.isNaN(median)) {
+            median = Medians.of(finished);
+        }
+        return median;
     }
 
     OptionalDouble medianOfSize(double size) {
--- a/src/main/java/io/pepperfield/store/Budget.java
+++ b/src/main/java/io/pepperfield/store/Budget.java
@@ -64,23 +64,34 @@
     private void pump() {
         pumping = false;
         refill();
+        boolean writesShort = false;
+        boolean blocked = false;
         for (ArrayDeque<Waiting> queue : queues.values()) {
             while (!queue.isEmpty()) {
                 Waiting first = queue.peek();
                 if (first.until < filledAt) {
                     queue.poll();
                     first.refuse.run();
-                } else if (requests >= 1 && writes >= Math.min(first.writes, writeRate)) {
-                    queue.poll();
-                    requests -= 1;
-                    writes -= first.writes;
-                    first.go.run();
-                } else {
-                    pumping = true;
-                    loop.after(Math.max(1 / requestRate, 0.01), this::pump);
-                    return;
+                    continue;
+                }
+                // Changes wait for the more urgent ones before them, but a question needs none of the changes' rate: it
+                // must not be kept waiting, or a leader that writes all the time would answer nobody.
+                boolean allowed = first.writes == 0 || !writesShort && writes >= Math.min(first.writes, writeRate);
+                if (requests < 1 || !allowed) {
+                    writesShort |= first.writes > 0;
+                    blocked = true;
+                    break;
                 }
+                queue.poll();
+                requests -= 1;
+                writes -= first.writes;
+                first.go.run();
             }
         }
+        // What was let go may have asked for more and set the timer already.
+        if (blocked && !pumping) {
+            pumping = true;
+            loop.after(Math.max(1 / requestRate, 0.01), this::pump);
+        }
     }
 }
--- a/src/main/java/io/pepperfield/store/Replica.java
+++ b/src/main/java/io/pepperfield/store/Replica.java
@@ -1,6 +1,7 @@
 package io.pepperfield.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 
 import java.util.HashMap;
 import java.util.List;
@@ -42,6 +43,14 @@
         return entry == null ? 0 : entry.stamp;
     }
 
+    /** Keeps only the key's stamp, where what it holds is of no use to anybody any more. */
+    public void lighten(String key) {
+        Entry entry = entries.get(key);
+        if (entry != null) {
+            entries.put(key, new Entry(MissingNode.getInstance(), entry.stamp));
+        }
+    }
+
     public void each(String prefix, BiConsumer<String, JsonNode> visit) {
         entries.forEach((key, entry) -> {
             if (key.startsWith(prefix)) {
--- a/src/main/java/io/pepperfield/store/Writer.java
+++ b/src/main/java/io/pepperfield/store/Writer.java
@@ -27,14 +27,28 @@
         Guard guard();
     }
 
+    /** What goes first when changes are short, in this order. */
+    public enum Haste {
+        /** Something waits to be started or rented. */
+        INTENT,
+        /** A final state, which users wait for. */
+        END,
+        /** A completed or lost task: if it is lost, a worker that still holds it tells it again, or it runs once more. */
+        PATIENT
+    }
+
     private static final class Pending {
         final Supplier<JsonNode> content;
         final List<Runnable> effects = new ArrayList<>();
         final Runnable taken;
+        final double since;
+        Haste haste;
 
-        Pending(Supplier<JsonNode> content, Runnable taken) {
+        Pending(Haste haste, Supplier<JsonNode> content, Runnable taken, double since) {
+            this.haste = haste;
             this.content = content;
             this.taken = taken;
+            this.since = since;
         }
     }
 
@@ -48,13 +62,19 @@
     private final Lead lead;
     private final int mostChanges;
     private final double retryS;
+    private final double patienceS;
     private final Map<String, Long> stamps = new LinkedHashMap<>();
     private Map<String, Pending> pending = new LinkedHashMap<>();
     private boolean writing;
     private boolean paused;
     private int generation;
 
-    public Writer(Loop loop, StateService state, Replica replica, Sync sync, Lead lead, int mostChanges, double retryS) {
+    /**
+     * @param retryS    the pause after a refusal
+     * @param patienceS how long changes that nobody waits for are gathered, so that a chunk's many cost one
+     */
+    public Writer(Loop loop, StateService state, Replica replica, Sync sync, Lead lead, int mostChanges, double retryS,
+                  double patienceS) {
         this.loop = loop;
         this.state = state;
         this.replica = replica;
@@ -62,6 +82,7 @@
         this.lead = lead;
         this.mostChanges = mostChanges;
         this.retryS = retryS;
+        this.patienceS = patienceS;
     }
 
     /** Forgets what was waiting: it was the wish of a leadership that has ended. */
@@ -82,32 +103,46 @@
      * {@code taken} that is not null makes the key write-once: it runs instead if the key is found written. Keys are never
      * deleted here: a late first write would find its key missing, as it expects, and bring it back.
      */
-    public void mark(String key, Supplier<JsonNode> content, Runnable effect, Runnable taken) {
-        Pending entry = pending.computeIfAbsent(key, k -> new Pending(content, taken));
+    public void mark(String key, Haste haste, Supplier<JsonNode> content, Runnable effect, Runnable taken) {
+        Pending entry = pending.computeIfAbsent(key, k -> new Pending(haste, content, taken, loop.now()));
+        if (haste.compareTo(entry.haste) < 0) {
+            entry.haste = haste;
+        }
         if (effect != null) {
             entry.effects.add(effect);
         }
     }
 
+    /** What was to be written under the key is of no consequence any more; whoever waited for it goes on. */
+    public void drop(String key) {
+        Pending entry = pending.remove(key);
+        if (entry != null) {
+            entry.effects.forEach(Runnable::run);
+        }
+    }
+
     /** To be called at the end of each batch of commands. */
     public void flush() {
         if (writing || paused || pending.isEmpty() || !lead.confirmed()) {
             return;
         }
+        List<Map.Entry<String, Pending>> chosen = chosen();
+        if (chosen.isEmpty()) {
+            return;
+        }
         Map<String, Pending> batch = new LinkedHashMap<>();
         List<Change> changes = new ArrayList<>();
         List<Guard> guards = new ArrayList<>();
         guards.add(lead.guard());
         int bytes = 0;
-        for (var it = pending.entrySet().iterator(); it.hasNext() && batch.size() < mostChanges; ) {
-            Map.Entry<String, Pending> next = it.next();
+        for (Map.Entry<String, Pending> next : chosen) {
             JsonNode content = next.getValue().content.get();
             int size = Json.write(content).length + 2 * next.getKey().length();
             if (!batch.isEmpty() && bytes + size > MOST_BYTES) {
                 break;
             }
             bytes += size;
-            it.remove();
+            pending.remove(next.getKey());
             batch.put(next.getKey(), next.getValue());
             changes.add(Change.set(next.getKey(), content));
             // A final state is written once: its guard stays 0 whatever a retry has learned meanwhile.
@@ -123,6 +158,28 @@
         });
     }
 
+    /**
+     * The most urgent changes, the oldest of them first; patient ones only once they have gathered. With each such time a
+     * change moves up, so that what keeps coming cannot hold it back for ever.
+     */
+    private List<Map.Entry<String, Pending>> chosen() {
+        double now = loop.now();
+        List<Map.Entry<String, Pending>> chosen = new ArrayList<>();
+        for (int rank = 0; rank < Haste.values().length; rank++) {
+            for (Map.Entry<String, Pending> entry : pending.entrySet()) {
+                if (chosen.size() == mostChanges) {
+                    return chosen;
+                }
+                Pending change = entry.getValue();
+                int waited = (int) ((now - change.since) / patienceS);
+                if (Math.max(0, change.haste.ordinal() - waited) == rank && (change.haste != Haste.PATIENT || waited > 0)) {
+                    chosen.add(entry);
+                }
+            }
+        }
+        return chosen;
+    }
+
     private long stamp(String key) {
         return Math.max(stamps.getOrDefault(key, 0L), replica.stamp(key));
     }
@@ -186,6 +243,7 @@
             Pending first = pending.putIfAbsent(key, entry);
             if (first != null) {
                 first.effects.addAll(entry.effects);
+                first.haste = first.haste.compareTo(entry.haste) < 0 ? first.haste : entry.haste;
             }
         });
     }
--- a/src/test/java/io/pepperfield/node/SimulationTest.java
+++ b/src/test/java/io/pepperfield/node/SimulationTest.java
@@ -1,6 +1,7 @@
 package io.pepperfield.node;
 
 import io.pepperfield.standin.Region;
+import io.pepperfield.standin.WorkerStandIn;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -8,6 +9,8 @@
 import java.util.List;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
@@ -42,6 +45,43 @@
         assertEquals(List.of(), region.unfinished());
     }
 
+    @Test void aMachineThatDoesNotHearGetsNoWorkAndIsReturned() {
+        Region region = new Region(3);
+        for (int i = 1; i <= 20; i++) {
+            int number = i;
+            region.world.at(10 + 3 * i, () -> region.submit(number));
+        }
+        region.world.run(45);
+        WorkerStandIn deaf = region.machines().stream().filter(WorkerStandIn::busy).findFirst().orElseThrow();
+        deaf.deafen(400);
+        region.world.run(45 + 3 * Region.LEASE_S);
+        assertFalse(region.machines().contains(deaf), "still rented");
+        region.world.run(300);
+        assertEquals(List.of(), region.broken);
+        assertEquals(List.of(), region.unfinished());
+    }
+
+    @Test void aLeaderCutFromAllButItsWorkersLetsThemGoWithinTheirLeases() {
+        Region region = new Region(4);
+        for (int i = 1; i <= 12; i++) {
+            int number = i;
+            region.world.at(10 + 2 * i, () -> region.submit(number));
+        }
+        region.world.run(40);
+        assertTrue(region.runningTasks() > 8, "tasks " + region.runningTasks());
+        int lostBefore = region.lostTasks();
+        String leader = region.leader();
+        region.isolate(Integer.parseInt(leader.substring(5)), 70);
+        region.world.run(68);
+        assertNotEquals(leader, region.leader());
+        // No lease ran out, and no machine was given up for a silence that was the old leader's doing.
+        assertEquals(lostBefore, region.lostTasks());
+        region.world.run(250);
+        assertEquals(List.of(), region.broken);
+        assertEquals(List.of(), region.unfinished());
+        assertEquals(List.of(), region.unanswered());
+    }
+
     @ParameterizedTest @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22})
     void noRuleBreaksWhateverFails(long seed) {
         run(seed);
@@ -57,6 +97,7 @@
         Region region = new Region(seed);
         region.world.lost = 0.01;
         region.world.late = 0.005;
+        region.world.copies = 0.01;
         for (int i = 1; i <= 40; i++) {
             int number = i;
             region.world.at(5 + 4 * i, () -> region.submit(number));
@@ -69,5 +110,6 @@
         assertEquals(List.of(), region.broken, "seed " + seed);
         assertTrue(region.accepted() >= 35, "seed " + seed + " accepted " + region.accepted());
         assertEquals(List.of(), region.unfinished(), "seed " + seed);
+        assertEquals(List.of(), region.unanswered(), "seed " + seed);
     }
 }
--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -14,6 +14,7 @@
 import io.pepperfield.node.Controller;
 import io.pepperfield.node.Loop;
 import io.pepperfield.peer.Peers;
+import io.pepperfield.peer.Relay;
 import io.pepperfield.store.HttpStateService;
 
 import java.util.ArrayList;
@@ -69,6 +70,7 @@
         final int index;
         boolean alive;
         Controller controller;
+        Peers peers;
         int life;
 
         Node(int index) {
@@ -104,9 +106,9 @@
             Settings settings = settings(index);
             Sender sender = world.from("node-" + index);
             HttpStateService state = new HttpStateService(loop, sender, settings.state());
-            Peers peers = new Peers(loop, settings, sender);
+            peers = new Peers(loop, settings, sender);
             controller = new Controller(loop, settings, state, new HttpCloud(loop, sender, settings.cloud(), 20),
-                    new HttpWorkers(loop, sender, REPORT_S), peers, state::share);
+                    new HttpWorkers(loop, sender, REPORT_S), peers, new Relay(loop, sender, settings), state::share);
             controller.start();
         }
 
@@ -123,6 +125,24 @@
         @Override public boolean alive() {
             return alive;
         }
+
+        SimWorld.Host peerSide() {
+            return new SimWorld.Host() {
+                @Override public void request(String method, String path, byte[] body, Consumer<Reply> answer) {
+                    int mine = life;
+                    peers.handle(call(method, path, body), reply -> {
+                        if (alive && life == mine) {
+                            answer.accept(reply);
+                        }
+                    });
+                    controller.flush();
+                }
+
+                @Override public boolean alive() {
+                    return alive;
+                }
+            };
+        }
     }
 
     public final SimWorld world;
@@ -137,6 +157,7 @@
     private double stateOutUntil;
     private double cloudOutUntil;
     private int port = 9000;
+    private int lostTasks;
 
     public Region(long seed) {
         world = new SimWorld(seed);
@@ -160,6 +181,7 @@
             Node node = new Node(i);
             nodes.add(node);
             world.listen("10.0.0." + (i + 1) + ":8080", node);
+            world.listen("10.0.0." + (i + 1) + ":8081", node.peerSide());
             node.start();
         }
         everySoOften(0.05, () -> {
@@ -204,30 +226,31 @@
     }
 
     private void bootLater(String name, String type, String zone, boolean spot) {
-        world.after(1 + 5 * world.random.nextDouble(), () -> {
-            if (deleted.contains(name)) {
-                return;
-            }
-            int mine = port++;
-            String address = "10.1.0.1:" + mine;
-            List<String> names = List.of("node-0", "node-1", "node-2");
-            List<String> addresses = List.of("10.0.0.1:8080", "10.0.0.2:8080", "10.0.0.3:8080");
-            WorkerStandIn worker = new WorkerStandIn(name, type, zone, spot, address, world::now, world.from(name), names, addresses,
-                    REPORT_S, LEASE_S, this);
-            workers.put(name, worker);
-            world.listen(address, new SimWorld.Host() {
-                @Override public void request(String method, String path, byte[] body, Consumer<Reply> answer) {
-                    if (worker.hung()) {
-                        world.after(1, () -> request(method, path, body, answer));
-                    } else if (worker.alive()) {
-                        worker.handle(path, body, answer);
-                    }
-                }
+        String address = "10.1.0.1:" + port++;
+        world.after(1 + 5 * world.random.nextDouble(), () -> begin(name, type, zone, spot, address));
+    }
 
-                @Override public boolean alive() {
-                    return worker.alive();
+    private void begin(String name, String type, String zone, boolean spot, String address) {
+        if (deleted.contains(name)) {
+            return;
+        }
+        List<String> names = List.of("node-0", "node-1", "node-2");
+        List<String> addresses = List.of("10.0.0.1:8080", "10.0.0.2:8080", "10.0.0.3:8080");
+        WorkerStandIn worker = new WorkerStandIn(name, type, zone, spot, address, world::now, world.from(name), names, addresses,
+                REPORT_S, LEASE_S, this);
+        workers.put(name, worker);
+        world.listen(address, new SimWorld.Host() {
+            @Override public void request(String method, String path, byte[] body, Consumer<Reply> answer) {
+                if (worker.hung()) {
+                    world.after(1, () -> request(method, path, body, answer));
+                } else if (worker.alive() && !worker.deaf()) {
+                    worker.handle(path, body, answer);
                 }
-            });
+            }
+
+            @Override public boolean alive() {
+                return worker.alive();
+            }
         });
     }
 
@@ -375,6 +398,7 @@
 
     @Override public void ends(WorkerStandIn worker, String task, boolean done) {
         running.remove(task, worker);
+        lostTasks += done || of(task).cancelAsked ? 0 : 1;
         if (done) {
             of(task).completed.add(Integer.parseInt(task.substring(task.indexOf('/') + 1)));
         }
@@ -399,7 +423,7 @@
         int node = world.random.nextInt(3);
         List<WorkerStandIn> up = List.copyOf(workers.values());
         WorkerStandIn worker = up.isEmpty() ? null : up.get(world.random.nextInt(up.size()));
-        switch (world.random.nextInt(9)) {
+        switch (world.random.nextInt(13)) {
             case 0 -> crash(node, world.random.nextBoolean() ? 0.2 : 3);
             case 1 -> List.of(0, 1, 2).forEach(i -> crash(i, 0.5 + 2 * world.random.nextDouble()));
             case 2 -> stateOutage(until);
@@ -412,6 +436,18 @@
                     worker.hang(until);
                 }
             }
+            case 8 -> {
+                if (worker != null) {
+                    worker.deafen(until + LEASE_S);
+                }
+            }
+            case 9 -> isolate(node, until);
+            case 10 -> world.cut("node-", "10.0.", until);
+            case 11 -> {
+                if (worker != null) {
+                    back(worker);
+                }
+            }
             default -> {
                 if (worker != null) {
                     worker.die();
@@ -428,6 +464,38 @@
         }
     }
 
+    /** Cut from the state service and the other controllers, but not from the workers. */
+    public void isolate(int index, double until) {
+        world.cut("node-" + index, "10.2.0.1", until);
+        for (int other = 0; other < 3; other++) {
+            if (other != index) {
+                world.cut("node-" + index, "10.0.0." + (other + 1), until);
+                world.cut("node-" + other, "10.0.0." + (index + 1), until);
+            }
+        }
+    }
+
+    /** The machine loses power and is back at once, with a worker that knows nothing of before. */
+    public void back(WorkerStandIn worker) {
+        worker.die();
+        world.after(0.3, () -> begin(worker.name, worker.type, worker.zone, worker.spot, worker.address));
+    }
+
+    /** The name of the node that leads, as the durable key has it, or empty. */
+    public String leader() {
+        JsonNode key = state.get("pepperfield/leader");
+        return key == null ? "" : key.path("node").asText();
+    }
+
+    /** Tasks that were killed with their machine or its lease, or stopped for others. */
+    public int lostTasks() {
+        return lostTasks;
+    }
+
+    public List<WorkerStandIn> machines() {
+        return List.copyOf(workers.values());
+    }
+
     public void stateOutage(double until) {
         state.outage(true);
         stateOutUntil = Math.max(stateOutUntil, until);
@@ -450,6 +518,26 @@
 
     // ---- what is left at the end
 
+    /** Asks every node about every accepted job; what was not answered with 200 within the time that users wait. */
+    public List<String> unanswered() {
+        world.lost = 0;
+        world.late = 0;
+        List<String> open = new ArrayList<>();
+        for (UserJob job : jobs.values()) {
+            for (int node = 1; node <= 3 && job.accepted; node++) {
+                String question = job.id + " at node " + node;
+                open.add(question);
+                world.from("users").send("10.0.0." + node, 8080, 1, "GET", "/api/jobs/" + job.id, null, 2000, outcome -> {
+                    if (outcome instanceof Outcome.Answered answer && answer.status() == 200) {
+                        open.remove(question);
+                    }
+                });
+            }
+        }
+        world.run(world.now() + 3);
+        return open;
+    }
+
     /** Jobs that should be over by now and are not, as their users see it. */
     public List<String> unfinished() {
         return jobs.values().stream().filter(j -> !j.last.equals("done") && !j.last.equals("cancelled"))
--- a/src/test/java/io/pepperfield/standin/SimWorld.java
+++ b/src/test/java/io/pepperfield/standin/SimWorld.java
@@ -37,6 +37,8 @@
     /** Parts of all requests whose answer is lost, or which arrive only much later. */
     public double lost;
     public double late;
+    /** Part of all reports of which a copy comes once more, seconds to well over a lease later. */
+    public double copies;
 
     public SimWorld(long seed) {
         this.random = new Random(seed);
@@ -109,6 +111,14 @@
             boolean[] sent = new boolean[1];
             after(deadlineMs / 1000.0, () -> finish.accept(new Outcome.NoAnswer("deadline")));
             double wait = random.nextDouble() < late ? 5 + random.nextDouble() * 60 : delay();
+            if (copies > 0 && path.equals("/agent/beat") && random.nextDouble() < copies) {
+                after(2 + random.nextDouble() * 58, () -> {
+                    Host there = hosts.get(to);
+                    if (there != null && there.alive()) {
+                        there.request(method, path, body, reply -> { });
+                    }
+                });
+            }
             at(Math.max(held, now) + wait, () -> {
                 sent[0] = true;
                 Host there = hosts.get(to);
--- a/src/test/java/io/pepperfield/standin/WorkerStandIn.java
+++ b/src/test/java/io/pepperfield/standin/WorkerStandIn.java
@@ -65,6 +65,7 @@
     private boolean changed;
     private double reportedAt = Double.NEGATIVE_INFINITY;
     private double hungUntil;
+    private double deafUntil;
     private boolean dead;
 
     public WorkerStandIn(String name, String type, String zone, boolean spot, String address, DoubleSupplier clock, Sender sender,
@@ -85,6 +86,15 @@
         this.target = Math.abs(name.hashCode()) % controllers.size();
     }
 
+    /** Its session: 1 while its lease has never run out. */
+    public long tenure() {
+        return tenure;
+    }
+
+    public boolean busy() {
+        return !held.isEmpty();
+    }
+
     public boolean alive() {
         return !dead;
     }
@@ -103,6 +113,15 @@
         hungUntil = until;
     }
 
+    /** Until then its reports leave, and neither answers nor orders reach it. */
+    public void deafen(double until) {
+        deafUntil = until;
+    }
+
+    public boolean deaf() {
+        return clock.getAsDouble() < deafUntil;
+    }
+
     public boolean hung() {
         return clock.getAsDouble() < hungUntil;
     }
@@ -162,6 +181,11 @@
             if (dead) {
                 return;
             }
+            if (deaf()) {
+                nextAt = later + 1;
+                target = (target + 1) % controllers.size();
+                return;
+            }
             if (outcome instanceof Outcome.Answered answer && answer.status() == 200) {
                 JsonNode json = answer.json();
                 long seen = json.path("epoch").longValue();
