--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -44,7 +44,7 @@
 
     /** Sets this node's part of the state service's rates. */
     public interface Rates {
-        void share(double requests, double writes);
+        void share(double requests, double leadersWrites, double usersWrites);
     }
 
     private final Loop loop;
@@ -125,13 +125,15 @@
         tick();
     }
 
-    /** The leader writes most; the others need enough to confirm answers and to take submissions. */
+    /**
+     * The leader writes most. Submissions and cancellations come to all nodes, but seldom to all at once: each may use a
+     * quarter of the changes for them, and where that is too much together, the service's own refusal is the limit.
+     */
     private void share(boolean leading) {
         Settings.State limits = settings.deployment().state();
         int others = settings.deployment().size() - 1;
         double part = others == 0 ? 0.95 : leading ? 0.45 : 0.5 / others;
-        double writes = others == 0 ? 0.95 : leading ? 0.65 : 0.3 / others;
-        rates.share(limits.rps() * part, limits.writeRps() * writes);
+        rates.share(limits.rps() * part, leading ? limits.writeRps() * 0.65 : 0, limits.writeRps() * 0.25);
     }
 
     private void changed(String key, JsonNode data, long stamp) {
--- a/src/main/java/io/pepperfield/store/Budget.java
+++ b/src/main/java/io/pepperfield/store/Budget.java
@@ -8,18 +8,38 @@
 
 /**
  * This node's part of the state service's two rates. What exceeds it waits in order of urgency; what has waited too
- * long is refused here, which is certain, instead of by the service.
+ * long is refused here, which is certain, instead of by the service. The leader's writes and the users' have changes of
+ * their own: a leader that always has something to write must not keep its users waiting, nor they its starts.
  */
 final class Budget {
 
     private record Waiting(int writes, double until, Runnable go, Runnable refuse) { }
 
+    private static final class Changes {
+        double rate;
+        double left;
+
+        void rate(double perSecond) {
+            left = Math.min(rate == 0 ? perSecond : left, perSecond);
+            rate = perSecond;
+        }
+
+        void refill(double seconds) {
+            left = Math.min(rate, left + seconds * rate);
+        }
+
+        /** A second's worth may be saved up; what is larger goes once as much is there, and is paid for afterwards. */
+        boolean allow(int changes) {
+            return changes == 0 || rate > 0 && left >= Math.min(changes, rate);
+        }
+    }
+
     private final Loop loop;
     private final Map<StateService.Urgency, ArrayDeque<Waiting>> queues = new EnumMap<>(StateService.Urgency.class);
     private double requestRate;
-    private double writeRate;
     private double requests;
-    private double writes;
+    private final Changes leaders = new Changes();
+    private final Changes users = new Changes();
     private double filledAt;
     private boolean pumping;
 
@@ -30,13 +50,13 @@
         }
     }
 
-    /** Sets the part of both rates; a second's worth may be saved up, as the service allows in all. */
-    void share(double requestRate, double writeRate) {
+    /** Sets the parts of both rates; a second's worth may be saved up, as the service allows in all. */
+    void share(double requestRate, double leadersWriteRate, double usersWriteRate) {
         refill();
         this.requestRate = requestRate;
-        this.writeRate = writeRate;
         this.requests = Math.min(requests == 0 ? requestRate : requests, requestRate);
-        this.writes = Math.min(writes == 0 ? writeRate : writes, writeRate);
+        leaders.rate(leadersWriteRate);
+        users.rate(usersWriteRate);
     }
 
     void submit(StateService.Urgency urgency, int changes, double patienceS, Runnable go, Runnable refuse) {
@@ -44,7 +64,7 @@
         if (urgency == StateService.Urgency.GRANT) {
             refill();
             requests -= 1;
-            writes -= changes;
+            users.left -= changes;
             go.run();
             return;
         }
@@ -57,35 +77,33 @@
     private void refill() {
         double now = loop.now();
         requests = Math.min(requestRate, requests + (now - filledAt) * requestRate);
-        writes = Math.min(writeRate, writes + (now - filledAt) * writeRate);
+        leaders.refill(now - filledAt);
+        users.refill(now - filledAt);
         filledAt = now;
     }
 
     private void pump() {
         pumping = false;
         refill();
-        boolean writesShort = false;
         boolean blocked = false;
-        for (ArrayDeque<Waiting> queue : queues.values()) {
+        for (Map.Entry<StateService.Urgency, ArrayDeque<Waiting>> entry : queues.entrySet()) {
+            Changes changes = entry.getKey() == StateService.Urgency.RUN ? leaders : users;
+            ArrayDeque<Waiting> queue = entry.getValue();
             while (!queue.isEmpty()) {
                 Waiting first = queue.peek();
                 if (first.until < filledAt) {
                     queue.poll();
                     first.refuse.run();
-                    continue;
-                }
-                // Changes wait for the more urgent ones before them, but a question needs none of the changes' rate: it
-                // must not be kept waiting, or a leader that writes all the time would answer nobody.
-                boolean allowed = first.writes == 0 || !writesShort && writes >= Math.min(first.writes, writeRate);
-                if (requests < 1 || !allowed) {
-                    writesShort |= first.writes > 0;
+                } else if (requests >= 1 && changes.allow(first.writes)) {
+                    queue.poll();
+                    requests -= 1;
+                    changes.left -= first.writes;
+                    first.go.run();
+                } else {
+                    // What is behind may need no changes: a leader that waits for its writes still answers questions.
                     blocked = true;
                     break;
                 }
-                queue.poll();
-                requests -= 1;
-                writes -= first.writes;
-                first.go.run();
             }
         }
         // What was let go may have asked for more and set the timer already.
--- a/src/main/java/io/pepperfield/store/HttpStateService.java
+++ b/src/main/java/io/pepperfield/store/HttpStateService.java
@@ -33,8 +33,8 @@
         this.budget = new Budget(loop);
     }
 
-    public void share(double requestRate, double writeRate) {
-        budget.share(requestRate, writeRate);
+    public void share(double requestRate, double leadersWriteRate, double usersWriteRate) {
+        budget.share(requestRate, leadersWriteRate, usersWriteRate);
     }
 
     @Override public void txn(Urgency urgency, List<Guard> guards, List<Change> changes, Consumer<TxnResult> done) {
