--- a/src/main/java/io/pepperfield/fleet/Fleet.java
+++ b/src/main/java/io/pepperfield/fleet/Fleet.java
@@ -386,7 +386,9 @@
         if (machine == null) {
             return;
         }
-        LOG.info("{} is gone with {} attempts", machine.describe(), machine.attempts.values().stream().filter(Attempt::live).count());
+        if (machine.live > 0) {
+            LOG.info("{} is gone with {} attempts", machine.describe(), machine.live);
+        }
         for (Attempt attempt : List.copyOf(machine.attempts.values())) {
             if (attempt.live()) {
                 end(attempt, Cause.OTHER);
--- a/src/main/java/io/pepperfield/fleet/Machine.java
+++ b/src/main/java/io/pepperfield/fleet/Machine.java
@@ -58,7 +58,7 @@
     final Set<String> failedJobs = new HashSet<>();
     final Map<TaskRef, Attempt> attempts = new LinkedHashMap<>();
     final Set<String> images = new LinkedHashSet<>();
-    private int live;
+    int live;
     private int replicas;
     private double cpus;
     private double gpus;
--- a/src/main/java/io/pepperfield/http/HttpServer.java
+++ b/src/main/java/io/pepperfield/http/HttpServer.java
@@ -49,6 +49,9 @@
     private final int mostConnections;
     private final int mostBytes;
     private final Set<Connection> open = new HashSet<>();
+    private String crowdPath = "";
+    private int mostOfCrowd;
+    private int crowd;
     private Channel listening;
 
     public HttpServer(EventLoopGroup loops, int mostConnections, Handler handler) {
@@ -63,6 +66,13 @@
         this.handler = handler;
     }
 
+    /** Clients of that path, of which there are many, may hold so many of the connections; the rest is for all others. */
+    public HttpServer limit(String path, int most) {
+        crowdPath = path;
+        mostOfCrowd = most;
+        return this;
+    }
+
     public int start(String host, int port) throws InterruptedException {
         ServerBootstrap bootstrap = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 256)
@@ -107,6 +117,7 @@
         final Channel channel;
         boolean receiving;
         boolean answering;
+        boolean ofCrowd;
         long since = System.nanoTime();
 
         Connection(Channel channel) {
@@ -127,6 +138,8 @@
 
         @Override public void channelInactive(ChannelHandlerContext ctx) {
             open.remove(this);
+            crowd -= ofCrowd ? 1 : 0;
+            ofCrowd = false;
             ctx.fireChannelInactive();
         }
     }
@@ -174,6 +187,15 @@
                 answer.accept(Reply.error(400, "malformed address"));
                 return;
             }
+            if (!connection.ofCrowd && call.path().equals(crowdPath)) {
+                if (crowd >= mostOfCrowd) {
+                    // When one node alone has all workers, its users must still find a connection.
+                    answer.accept(Reply.later("too many connections").closing());
+                    return;
+                }
+                connection.ofCrowd = true;
+                crowd++;
+            }
             handler.handle(call, answer);
         }
 
--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -47,6 +47,9 @@
         void share(double requests, double leadersWrites, double usersWrites);
     }
 
+    /** Where workers report. */
+    static final String BEAT = "/agent/beat";
+
     private final Loop loop;
     private final Settings settings;
     private final Cloud cloud;
@@ -270,7 +273,7 @@
         String path = call.path();
         if (path.equals("/up")) {
             only("GET", call, answer, () -> answer.accept(Reply.empty(healthy() ? 200 : 503)));
-        } else if (path.equals("/agent/beat")) {
+        } else if (path.equals(BEAT)) {
             only("POST", call, answer, () -> beat(call, timed("beat", began, answer)));
         } else if (path.equals("/api/jobs")) {
             only("POST", call, answer, () -> users.submit(call.body(), timed("submit", began, answer)));
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -295,8 +295,8 @@
     }
 
     @Override public void appeared(Machine machine) {
-        double took = loop.now() - machine.rentedAt();
-        LOG.info("{} reports, {} s after its rental", machine.describe(), Math.round(took));
+        // A line for each machine of a large fleet would fill the log at every take-over.
+        LOG.debug("{} reports, {} s after its rental", machine.describe(), Math.round(loop.now() - machine.rentedAt()));
         dispatcher.wake();
     }
 
--- a/src/main/java/io/pepperfield/node/Service.java
+++ b/src/main/java/io/pepperfield/node/Service.java
@@ -42,7 +42,8 @@
         Controller controller = new Controller(owner, settings, state, cloud, workers, peers, relay, state::share);
         owner.handlers(controller::flush, controller::failed);
         int sockets = settings.deployment().quota().sockets();
-        users = new HttpServer(network, sockets * 7 / 10, (call, answer) -> owner.post(() -> controller.handle(call, answer)));
+        users = new HttpServer(network, sockets * 7 / 10, (call, answer) -> owner.post(() -> controller.handle(call, answer)))
+                .limit(Controller.BEAT, sockets * 6 / 10);
         others = new HttpServer(network, sockets / 10, 4 * HttpServer.MOST_BYTES, (call, answer) -> owner.post(() -> peers.handle(call, answer)));
         int port = users.start(settings.bind().host(), settings.bind().port());
         others.start(settings.peerListen().host(), settings.peerListen().port());
--- a/src/test/java/io/pepperfield/fleet/AttemptTraceTest.java
+++ b/src/test/java/io/pepperfield/fleet/AttemptTraceTest.java
@@ -23,7 +23,8 @@
     private Fleet fleet;
     private double now;
 
-    @ParameterizedTest @ValueSource(strings = {"attempt-life.txt", "attempt-late-orders.txt", "attempt-proofs.txt", "attempt-takeover.txt"})
+    @ParameterizedTest @ValueSource(strings = {"attempt-life.txt", "attempt-late-orders.txt", "attempt-proofs.txt", "attempt-takeover.txt",
+            "attempt-deaf.txt", "attempt-copies.txt"})
     void trace(String name) throws IOException {
         Trace.check(name, this::play);
     }
@@ -54,6 +55,12 @@
                 }
             }
             case "heard" -> fleet.heard(report(words), now);
+            case "remembered" -> fleet.remembered(report(words), now);
+            case "listed" -> fleet.expect(words[1], "box", "east", false, now, now);
+            case "ask" -> {
+                Machine machine = fleet.get(words[1]);
+                return List.of(machine.takesWork(now) ? "takes work" : machine.reborn() ? "began anew" : machine.deaf() ? "deaf" : "no work");
+            }
             default -> throw new IllegalArgumentException(words[0]);
         }
         if (fleet.newerTokenWanted()) {
--- /dev/null
+++ b/src/test/java/io/pepperfield/http/SocketsTest.java
@@ -0,0 +1,61 @@
+package io.pepperfield.http;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import java.util.concurrent.CompletableFuture;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+/** Sockets are short: nobody may use up those of the others. */
+class SocketsTest {
+
+    private final EventLoopGroup network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+    @AfterEach void stop() {
+        network.shutdownGracefully();
+    }
+
+    private Outcome ask(HttpClient client, int port, String path) {
+        CompletableFuture<Outcome> answer = new CompletableFuture<>();
+        client.send("127.0.0.1", port, 1, "GET", path, null, 5000, answer::complete);
+        return answer.join();
+    }
+
+    private int server() throws InterruptedException {
+        return new HttpServer(network, 4, (call, answer) -> answer.accept(Reply.empty(200))).limit("/beat", 2).start("127.0.0.1", 0);
+    }
+
+    private int status(HttpClient client, int port, String path) {
+        return ((Outcome.Answered) ask(client, port, path)).status();
+    }
+
+    @Test void workersLeaveConnectionsToUsers() throws InterruptedException {
+        int port = server();
+        assertEquals(200, status(new HttpClient(network, 1 << 16), port, "/beat"));
+        assertEquals(200, status(new HttpClient(network, 1 << 16), port, "/beat"));
+        assertEquals(503, status(new HttpClient(network, 1 << 16), port, "/beat"));
+        assertEquals(200, status(new HttpClient(network, 1 << 16), port, "/up"));
+    }
+
+    @Test void theLongestIdleConnectionGivesWay() throws InterruptedException {
+        HttpClient client = new HttpClient(network, 1 << 16, 1);
+        int first = server();
+        int second = server();
+        assertEquals(200, status(client, first, "/a"));
+        assertEquals(200, status(client, second, "/a"));
+        assertEquals(200, status(client, first, "/a"));
+    }
+
+    @Test void whereNoneIsLeftTheRequestFailsAtOnce() throws InterruptedException {
+        HttpClient client = new HttpClient(network, 1 << 16, 1);
+        int silent = new HttpServer(network, 4, (call, answer) -> { }).start("127.0.0.1", 0);
+        int port = server();
+        client.send("127.0.0.1", silent, 1, "GET", "/a", null, 60_000, outcome -> { });
+        assertInstanceOf(Outcome.NotSent.class, ask(client, port, "/a"));
+    }
+}
--- a/src/test/java/io/pepperfield/node/SimulationTest.java
+++ b/src/test/java/io/pepperfield/node/SimulationTest.java
@@ -72,6 +72,11 @@
         int lostBefore = region.lostTasks();
         String leader = region.leader();
         region.isolate(Integer.parseInt(leader.substring(5)), 70);
+        region.world.run(50);
+        // It can answer nobody: it leaves the load balancer and ends the connections that were opened before.
+        int alone = Integer.parseInt(leader.substring(5));
+        assertEquals(503, region.answer(alone, "GET", "/up").status());
+        assertTrue(region.answer(alone, "GET", "/api/jobs/run-999998").close());
         region.world.run(68);
         assertNotEquals(leader, region.leader());
         // No lease ran out, and no machine was given up for a silence that was the old leader's doing.
@@ -82,6 +87,26 @@
         assertEquals(List.of(), region.unanswered());
     }
 
+    @Test void processesThatAreBackAtOnceInMidElectionLeadNobodyAstray() {
+        Region region = new Region(5);
+        region.world.copies = 0.05;
+        for (int i = 1; i <= 16; i++) {
+            int number = i;
+            region.world.at(10 + 2 * i, () -> region.submit(number));
+        }
+        for (int i = 0; i < 30; i++) {
+            int node = i % 3;
+            region.world.at(20 + 0.9 * i, () -> region.crash(node, 0.1));
+            // The whole lot at once, in the middle of what the crash before has set off.
+            region.world.at(20.3 + 4.5 * (i / 5), () -> region.crash((node + 1) % 3, 0.15));
+        }
+        region.world.run(250);
+        assertEquals(List.of(), region.broken);
+        assertEquals(List.of(), region.reusedRentalNames());
+        assertEquals(List.of(), region.unfinished());
+        assertEquals(List.of(), region.unanswered());
+    }
+
     @ParameterizedTest @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22})
     void noRuleBreaksWhateverFails(long seed) {
         run(seed);
--- a/src/test/java/io/pepperfield/placement/PlacerTest.java
+++ b/src/test/java/io/pepperfield/placement/PlacerTest.java
@@ -53,7 +53,9 @@
                         number(f, "cpus", 4), 0, 1, f.getOrDefault("image", "img"), 1, null, f.get("zone"), f.containsKey("together"),
                         f.containsKey("spread"), f.containsKey("spot"), 1, 0, 0, null, 0, 10);
                 Set<String> avoid = f.containsKey("avoid") ? new HashSet<>(Set.of(f.get("avoid"))) : new HashSet<>();
-                wants.add(new Want(job, waiting, f.containsKey("within"), wants.size(), perZone, avoid));
+                Want want = new Want(job, waiting, f.containsKey("within"), wants.size(), perZone, avoid);
+                want.overdue(f.containsKey("overdue"));
+                wants.add(want);
             }
             default -> {
                 Map<String, Integer> counts = new LinkedHashMap<>();
--- a/src/test/java/io/pepperfield/standin/CloudStandIn.java
+++ b/src/test/java/io/pepperfield/standin/CloudStandIn.java
@@ -30,6 +30,9 @@
     private final int capacity;
     private final Map<String, List<String>> requests = new LinkedHashMap<>();
     private final Map<String, Rented> rented = new LinkedHashMap<>();
+    private final Map<String, String> asked = new LinkedHashMap<>();
+    /** Names that were used for two requests: the cloud would take the second for a repeat of the first. */
+    public final List<String> reused = new ArrayList<>();
     private int next;
     private boolean out;
 
@@ -75,6 +78,10 @@
 
     private Reply rent(JsonNode body) {
         String request = body.path("hire").asText();
+        String wanted = body.toString();
+        if (!asked.computeIfAbsent(request, r -> wanted).equals(wanted)) {
+            reused.add(request);
+        }
         List<String> names = requests.get(request);
         if (names == null) {
             names = new ArrayList<>();
--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -518,6 +518,20 @@
 
     // ---- what is left at the end
 
+    /** What a node answers, without the network between; null where it has said nothing within two seconds. */
+    public Reply answer(int node, String method, String path) {
+        Reply[] got = new Reply[1];
+        nodes.get(node).request(method, path, null, reply -> got[0] = reply);
+        for (int step = 0; step < 40 && got[0] == null; step++) {
+            world.run(world.now() + 0.05);
+        }
+        return got[0];
+    }
+
+    public List<String> reusedRentalNames() {
+        return cloud.reused;
+    }
+
     /** Asks every node about every accepted job; what was not answered with 200 within the time that users wait. */
     public List<String> unanswered() {
         world.lost = 0;
