Work that has overrun its time no longer makes the expected demand NaN

A task that has run longer than expected, of a job past half its aim, was nought by nought. Excluded: refusals (both pools open) and rentals without an answer.

--- a/src/main/java/io/pepperfield/node/Sizer.java
+++ b/src/main/java/io/pepperfield/node/Sizer.java
@@ -164,7 +164,7 @@
                 double left = Predictor.remaining(classTimes.expected(job.workload(), job.expectedS()), ranS);
                 double age = now - of.submittedAt;
                 double time = Math.min(unitS, AIM_RESERVE * books.aims().finish(job.workload(), age + left) - age);
-                patient += job.cpus() * Math.min(1, left / Math.max(left, time));
+                patient += job.cpus() * Steering.weight(left, time);
             } else {
                 eager += job.cpus();
             }
--- a/src/main/java/io/pepperfield/steering/Steering.java
+++ b/src/main/java/io/pepperfield/steering/Steering.java
@@ -63,6 +63,14 @@
         return targets;
     }
 
+    /**
+     * The part of a machine's time that work counts for: what it fills of the time left for it. Where no time is left it
+     * counts whole, also when nothing seems left to do: nought by nought is no number, and would spoil every sum it is in.
+     */
+    public static double weight(double leftS, double timeS) {
+        return leftS >= timeS ? 1 : Math.max(0, leftS) / timeS;
+    }
+
     private static void load(Offer offer, Work task, Map<Pool, List<Upcoming>> loads, Map<Pool, Double> shares) {
         double share = Math.min(1, offer.share(task.job()));
         loads.get(offer.pool()).add(new Upcoming(task.remainingS(), share));
--- a/src/test/java/io/pepperfield/steering/ResizeTest.java
+++ b/src/test/java/io/pepperfield/steering/ResizeTest.java
@@ -7,12 +7,22 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 class ResizeTest {
 
     @Test void machines() throws IOException {
         Trace.check("resize.txt", ResizeTest::play);
     }
 
+    @Test void workThatHasOverrunIsStillANumber() {
+        assertEquals(0.5, Steering.weight(10, 20));
+        assertEquals(1, Steering.weight(30, 20));
+        assertEquals(1, Steering.weight(0, -5));
+        assertEquals(1, Steering.weight(0, 0));
+        assertEquals(0, Steering.weight(0, 20));
+    }
+
     /** machines COUNTxREMAINING/SLOTS ... with u = 60 and a fifth of it for the last machine. */
     private static List<String> play(String[] words) {
         List<Resize.Upcoming> tasks = new ArrayList<>();
