Room that is freed for a job is kept for it

A production service beyond its team's guarantee stops standard work; the placer gives the room to guaranteed standard work first; the service stops that again.

--- a/src/main/java/io/pepperfield/node/Dispatcher.java
+++ b/src/main/java/io/pepperfield/node/Dispatcher.java
@@ -42,6 +42,8 @@
 
     private final Books books;
     private final Starter starter;
+    /** Jobs for which others are being stopped, and until when the room that this frees is kept for them. */
+    private final Map<Job, Double> promised = new HashMap<>();
     private boolean dirty = true;
     private double placedAt = Double.NEGATIVE_INFINITY;
     private double nextAt = Double.NEGATIVE_INFINITY;
@@ -97,6 +99,12 @@
         colder.forEach(choice -> byMachine.get(choice.machine()).book(byJob.get(choice.job())));
         start(colder);
         stop(Preemption.victims(wants, places, shares), victims);
+        for (Want want : wants) {
+            if (want.madeRoom()) {
+                // As long as a stop takes to show; else what was stopped would only have made way for those in front.
+                promised.merge(books.jobs().get(want.job().id()), now + books.reportS(), Math::max);
+            }
+        }
     }
 
     private void start(List<Placer.Choice> choices) {
@@ -159,6 +167,7 @@
     List<Want> wants(double now) {
         List<Want> wants = new ArrayList<>();
         Map<String, Double> before = new HashMap<>();
+        promised.values().removeIf(until -> until < now);
         List<Job> order = new ArrayList<>(books.jobs().values());
         order.sort(BY_AGE);
         Map<Job, Set<String>> kept = null;
@@ -177,6 +186,7 @@
                     kept.getOrDefault(job, Set.of()));
             want.warmOnly(mustBeWarm(job.spec) && now - job.submittedAt < books.aims().wait(job.spec.workload()));
             want.overdue(job.doneCount() == 0 && !books.ledger().has(job) && now - job.submittedAt > PATIENCE_S);
+            want.promised(promised.containsKey(job));
             wants.add(want);
         }
         return wants;
--- a/src/main/java/io/pepperfield/placement/Placer.java
+++ b/src/main/java/io/pepperfield/placement/Placer.java
@@ -16,7 +16,7 @@
 
     private static final double SLACK = 1e-6;
     private static final Comparator<Want> IN_TEAM = Comparator.comparing((Want w) -> !w.overdue)
-            .thenComparing(w -> !w.guaranteed).thenComparing(w -> w.job.rank()).thenComparing(w -> !w.job.service()).thenComparing(w -> w.submittedAt)
+            .thenComparing(w -> !w.promised).thenComparing(w -> !w.guaranteed).thenComparing(w -> w.job.rank()).thenComparing(w -> !w.job.service()).thenComparing(w -> w.submittedAt)
             .thenComparing(w -> w.job.id());
 
     private Placer() { }
@@ -122,6 +122,9 @@
         if (a.overdue != b.overdue) {
             return a.overdue;
         }
+        if (a.promised != b.promised) {
+            return a.promised;
+        }
         if (a.guaranteed != b.guaranteed) {
             return a.guaranteed;
         }
--- a/src/main/java/io/pepperfield/placement/Preemption.java
+++ b/src/main/java/io/pepperfield/placement/Preemption.java
@@ -75,6 +75,7 @@
                 if (best == null) {
                     continue;
                 }
+                want.madeRoom |= !best.stopped.isEmpty();
                 for (Victim victim : best.stopped) {
                     best.place.victims.remove(victim);
                     best.place.room.free(victim.job, 1);
--- a/src/main/java/io/pepperfield/placement/Want.java
+++ b/src/main/java/io/pepperfield/placement/Want.java
@@ -22,6 +22,9 @@
     boolean warmOnly;
     /** Nothing of it has begun for so long that it comes first: what is smaller or ranks higher cannot hold it back for ever. */
     boolean overdue;
+    /** Others are being stopped for it: the room that this frees is its own. */
+    boolean promised;
+    boolean madeRoom;
     boolean stuck;
 
     public Want(JobSpec job, int waiting, boolean guaranteed, double submittedAt, Map<String, Integer> perZone, Set<String> avoid) {
@@ -38,6 +41,15 @@
         overdue = late;
     }
 
+    public void promised(boolean room) {
+        promised = room;
+    }
+
+    /** Whether something was chosen to be stopped for it. */
+    public boolean madeRoom() {
+        return madeRoom;
+    }
+
     public JobSpec job() {
         return job;
     }
--- a/src/test/java/io/pepperfield/placement/PlacerTest.java
+++ b/src/test/java/io/pepperfield/placement/PlacerTest.java
@@ -55,6 +55,7 @@
                 Set<String> avoid = f.containsKey("avoid") ? new HashSet<>(Set.of(f.get("avoid"))) : new HashSet<>();
                 Want want = new Want(job, waiting, f.containsKey("within"), wants.size(), perZone, avoid);
                 want.overdue(f.containsKey("overdue"));
+                want.promised(f.containsKey("promised"));
                 wants.add(want);
             }
             default -> {
