--- a/src/main/java/io/pepperfield/node/Sizer.java
+++ b/src/main/java/io/pepperfield/node/Sizer.java
@@ -106,10 +106,10 @@
         Map<Pool, Integer> targets = Steering.targets(offers, work, new Steering.Expected(
                 ordinaryDemand.quantile(headroom), eagerDemand.quantile(headroom) + patientDemand.quantile(books.settings().operators().steady())),
                 unitS, books.settings().operators().partlyShare());
-        // What is asked for at this moment is no surplus, whatever was asked for of late; and a leader that has not yet
-        // seen a whole unit knows neither run times nor demand.
+        // What is asked for at this moment is no surplus, whatever was asked for of late; and a new leader has not seen
+        // what came and went in the time that a boot takes.
         Map<Pool, Integer> needed = Steering.floor(offers, new Steering.Expected(demand.ordinary, demand.all));
-        boolean seasoned = now - startedAt >= unitS;
+        boolean seasoned = now - startedAt >= intervalS;
         LOG.debug("steering: demand {} {} {}, targets {}, offers {}", demand.ordinary, demand.eager, demand.patient, targets, offers);
         for (Steering.Offer offer : offers) {
             int target = targets.getOrDefault(offer.pool(), 0);
