A lease is renewed without a leader only as far as the machine was told of cancellations

Found by reasoning on ran_cancelled: a part owner in touch with the state service knows a cancellation, but while nobody leads it gives no stop. The bound now runs from the last leader's answer that went through this node.

--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -330,12 +330,12 @@
             if (report.token() > leadership.token()) {
                 leadership.sawToken(report.token());
                 answer.accept(Reply.error(503, "a newer token is about"));
-            } else if (!mayRenewLeases(now)) {
+            } else if (!mayLeadWorkers(now)) {
                 answer.accept(Reply.error(503, "not in touch with the state service"));
             } else if (leader == null) {
                 keepAlive(report, answer);
             } else if (!sentHome(report, members.live(now), answer)) {
-                relay.remember(report, call.body());
+                relay.remember(report, call.body(), sync.contactAt());
                 List<Order> orders = leader.report(report, "");
                 answer.accept(orders == null ? Reply.error(503, "an old report")
                         : Reply.json(200, Order.reply(leadership.token(), orders)));
@@ -344,7 +344,7 @@
             if (!sentHome(report, relay.live(), answer)) {
                 relay.submit(report, call.body(), verdict -> relayed(report, verdict, answer));
             }
-        } else if (mayRenewLeases(now) && (now - relay.linkedAt() < reportS || leadership.leader().isEmpty()
+        } else if (!lostAlone(now) && (now - relay.linkedAt() < reportS || leadership.leader().isEmpty()
                 || peers.contact(now) == Peers.Contact.LOST_BY_ALL)) {
             keepAlive(report, answer);
         } else if (peers.contact(now) == Peers.Contact.FINE && !leadership.leader().isEmpty()
@@ -380,35 +380,47 @@
             ObjectNode body = Json.object().put("epoch", relay.token());
             body.set("orders", orders.orders());
             answer.accept(Reply.json(200, body));
-        } else if (verdict == null && mayRenewLeases(loop.now())) {
+        } else if (verdict == null) {
             keepAlive(report, answer);
         } else {
-            answer.accept(Reply.error(503, verdict == null ? "no leader answers" : "an old report"));
+            answer.accept(Reply.error(503, "an old report"));
         }
     }
 
-    /** Renews a lease without orders, while nobody leads or the leader cannot be asked. */
+    /**
+     * Renews a lease without orders, while nobody leads or the leader cannot be asked: no longer than the cancellations
+     * allow of which the machine has been told through this node, however much this node itself may know.
+     */
     private void keepAlive(Report report, Consumer<Reply> answer) {
         long token = Math.max(leadership.leaderToken(), relay.token());
         if (token == 0 || report.token() > token) {
             // A worker drops an answer with a lower token, and would stay here while its lease runs out.
             answer.accept(Reply.error(503, "no valid token is known here"));
+        } else if (!withinCancellations(relay.confirmedAt(report.machine()), loop.now())) {
+            answer.accept(Reply.error(503, "no leader answers"));
         } else {
             answer.accept(Reply.json(200, Order.reply(token, List.of())));
         }
     }
 
     /**
-     * A node without the state service may not know of a cancellation. All that it renews now has ended by itself
-     * cancel_s after the last moment for which it knows all cancellations, with the drift of two clocks and a margin. And
-     * one that alone has lost the state service lets go at once, so that others take its workers within their leases.
+     * Whether a lease may be renewed where all cancellations up to a time have been acted on: what is renewed now has ended
+     * by itself cancel_s after that, with the drift of two clocks and a margin.
      */
-    private boolean mayRenewLeases(double now) {
+    private boolean withinCancellations(double upTo, double now) {
         Settings.Workers w = settings.deployment().workers();
         double margin = w.cancelS() / 500 + reportS / 2;
-        double knownUpTo = Math.max(sync.contactAt(), relay.contactAt());
-        boolean alone = !leadership.confirmed() && !relay.linked(now) && peers.contact(now) == Peers.Contact.LOST_ALONE;
-        return !alone && now <= knownUpTo + w.cancelS() - w.leaseS() - margin;
+        return now <= upTo + w.cancelS() - w.leaseS() - margin;
+    }
+
+    /** Cut off from the state service, and from whoever may lead by now: others are to take the workers within their leases. */
+    private boolean lostAlone(double now) {
+        return !leadership.confirmed() && !relay.linked(now) && peers.contact(now) == Peers.Contact.LOST_ALONE;
+    }
+
+    /** Whether this node, which leads as far as it knows, may answer workers. */
+    private boolean mayLeadWorkers(double now) {
+        return !lostAlone(now) && withinCancellations(sync.contactAt(), now);
     }
 
     /** What a part owner passes on. */
@@ -417,7 +429,7 @@
         if (batch.token() > leadership.token() && leadership.leading()) {
             leadership.sawToken(batch.token());
         }
-        if (!leadership.leading() || leader == null || !mayRenewLeases(now)) {
+        if (!leadership.leading() || leader == null || !mayLeadWorkers(now)) {
             answer.accept(Reply.error(503, "not leading"));
             return;
         }
--- a/src/main/java/io/pepperfield/peer/Relay.java
+++ b/src/main/java/io/pepperfield/peer/Relay.java
@@ -48,6 +48,8 @@
         Report report;
         byte[] raw;
         double at;
+        /** Up to when the leader that answered it last knew all cancellations, and with its answer gave their stops. */
+        double confirmedAt = Double.NEGATIVE_INFINITY;
         /** Whether the leader has it, as far as this node knows. */
         boolean passedOn;
     }
@@ -69,7 +71,6 @@
     private double sentAt = Double.NEGATIVE_INFINITY;
     private double linkedAt = Double.NEGATIVE_INFINITY;
     private boolean linked;
-    private double contactAt = Double.NEGATIVE_INFINITY;
 
     public Relay(Loop loop, Sender client, Settings settings) {
         this.loop = loop;
@@ -107,9 +108,10 @@
         return linkedAt;
     }
 
-    /** Up to when the leader that answered last knew all cancellations. */
-    public double contactAt() {
-        return contactAt;
+    /** Up to when the machine has been told of all cancellations through this node. */
+    public double confirmedAt(String machine) {
+        Known last = known.get(machine);
+        return last == null ? Double.NEGATIVE_INFINITY : last.confirmedAt;
     }
 
     /** The highest token that a leader has shown this node. */
@@ -132,9 +134,14 @@
         return all;
     }
 
-    /** A worker's report was taken here; remembered so that a new leader need not wait for the next one. */
-    public void remember(Report report, byte[] raw) {
+    /**
+     * A leader has answered a worker's report through this node; remembered so that a new one need not wait for the next.
+     *
+     * @param confirmedAt up to when that leader knew all cancellations
+     */
+    public void remember(Report report, byte[] raw, double confirmedAt) {
         Known last = known.computeIfAbsent(report.machine(), m -> new Known());
+        last.confirmedAt = Math.max(last.confirmedAt, confirmedAt);
         if (last.report == null || report.tenure() > last.report.tenure()
                 || report.tenure() == last.report.tenure() && report.serial() > last.report.serial()) {
             last.report = report;
@@ -238,7 +245,6 @@
         live = answer.live();
         linked = true;
         linkedAt = Math.max(linkedAt, sent);
-        contactAt = Math.max(contactAt, sent - answer.contactAgoS());
         for (int i = 0; i < batch.size(); i++) {
             Waiting w = batch.get(i);
             if (answer.verdicts().get(i) instanceof Verdict.WantsWhole && !w.whole) {
@@ -247,14 +253,14 @@
                 continue;
             }
             if (answer.verdicts().get(i) instanceof Verdict.Orders) {
-                remember(w.report, w.raw);
+                remember(w.report, w.raw, sent - answer.contactAgoS());
                 Known last = known.get(w.report.machine());
                 last.passedOn = last.report == w.report;
             }
             w.done.accept(answer.verdicts().get(i));
         }
         if (known.size() > 64) {
-            double old = loop.now() - settings.deployment().workers().leaseS();
+            double old = loop.now() - settings.deployment().workers().cancelS();
             known.values().removeIf(k -> k.at < old);
         }
     }
