--- a/src/main/java/io/pepperfield/node/Books.java
+++ b/src/main/java/io/pepperfield/node/Books.java
@@ -54,7 +54,7 @@
             if (type != null && machine.takesWork(now) && machine.lostFor(now) < 1.5 * reportS()
                     && (full || machine.freeCpus(type) > 0)) {
                 rooms.add(new Room(machine.name, machine.type(), machine.zone(), machine.spot(), machine.images(),
-                        machine.holdsReplica(), machine.freeCpus(type), machine.freeGpus(type), machine.freeMemGb(type)));
+                        machine.freeCpus(type), machine.freeGpus(type), machine.freeMemGb(type)));
             }
         }
         return rooms;
--- a/src/main/java/io/pepperfield/placement/Placer.java
+++ b/src/main/java/io/pepperfield/placement/Placer.java
@@ -140,7 +140,6 @@
         want.waiting -= tasks;
         want.perZone.merge(room.zone, tasks, Integer::sum);
         room.free(want.job, -tasks);
-        room.replicas |= want.job.service();
         share.free(want.job, -tasks);
     }
 
@@ -193,11 +192,6 @@
         if (hereA != hereB) {
             return hereA < hereB;
         }
-        if (a.replicas != b.replicas) {
-            // A machine with a replica stays rented: replicas together leave the others free to be given back, if what is
-            // soon over does not take the room beside them.
-            return a.replicas == want.job.service();
-        }
         // The fullest first, so that the emptiest can be given back.
         return a.cpus != b.cpus ? a.cpus < b.cpus : a.machine.compareTo(b.machine) < 0;
     }
--- a/src/main/java/io/pepperfield/placement/Room.java
+++ b/src/main/java/io/pepperfield/placement/Room.java
@@ -12,19 +12,16 @@
     final String zone;
     final boolean spot;
     final Set<String> images;
-    /** Holds a replica, and so stays rented whatever else goes. */
-    boolean replicas;
     double cpus;
     double gpus;
     double memGb;
 
-    public Room(String machine, String type, String zone, boolean spot, Set<String> images, boolean replicas, double cpus, double gpus, double memGb) {
+    public Room(String machine, String type, String zone, boolean spot, Set<String> images, double cpus, double gpus, double memGb) {
         this.machine = machine;
         this.type = type;
         this.zone = zone;
         this.spot = spot;
         this.images = images;
-        this.replicas = replicas;
         this.cpus = cpus;
         this.gpus = gpus;
         this.memGb = memGb;
--- a/src/test/java/io/pepperfield/placement/PreemptionTest.java
+++ b/src/test/java/io/pepperfield/placement/PreemptionTest.java
@@ -36,7 +36,7 @@
     }
 
     private List<String> stopped(Want want, double free, Preemption.Victim... victims) {
-        Room room = new Room("m1", "box", "east", false, Set.of(), false, free, 0, 64);
+        Room room = new Room("m1", "box", "east", false, Set.of(), free, 0, 64);
         return Preemption.victims(new ArrayList<>(List.of(want)), List.of(new Preemption.Place(room, List.of(victims))), shares);
     }
 
