--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -107,7 +107,7 @@
         this.replica = new Replica(this::changed);
         this.sync = new Sync(loop, state, replica, reportS / 2, spacingS);
         // Below a worker's patience of a lease by far, so that a take-over costs no task; above a pause of this process.
-        double ttlS = Math.min(settings.deployment().workers().leaseS() / 4, reportS);
+        double ttlS = Math.min(settings.deployment().workers().leaseS() / 8, reportS);
         this.leadership = new Leadership(loop, state, settings.node(), ttlS, this);
         this.tickS = ttlS / 20;
         this.writer = new Writer(loop, state, replica, sync, new Writer.Lead() {
