Starts go by what may be alive; a team at its limit makes room by its own lower work

Found by reading: stopping for a job with its image freed the victim's share for the placing that follows in the same pass, so that a team at its limit could start one more before the stopped task was gone (quota). A test of the dispatcher fails without the copy. With it, higher work that its own team's limit holds up may now stop that team's lower work, as the protocol allows.

--- a/src/main/java/io/pepperfield/node/Dispatcher.java
+++ b/src/main/java/io/pepperfield/node/Dispatcher.java
@@ -83,22 +83,29 @@
         Map<String, Share> shares = books.shares();
         List<Room> rooms = books.rooms(now, false);
         start(Placer.place(wants, rooms, shares));
-        if (wants.stream().noneMatch(Want::stuck)) {
+        if (wants.stream().noneMatch(want -> want.stuck() || heldByLimit(want))) {
             return;
         }
         // To stop lower work on a machine that has the image beats a start on one that must fetch it first.
         Map<String, Attempt> victims = new HashMap<>();
-        List<Preemption.Place> places = places(books.rooms(now, true), victims, now);
-        stop(Preemption.victims(wants.stream().filter(Want::warmOnly).toList(), places, shares), victims);
+        Map<String, Share> later = new HashMap<>();
+        shares.forEach((team, share) -> later.put(team, share.copy()));
+        List<Preemption.Place> places = places(books.rooms(now, true), later, victims, now);
+        stop(Preemption.victims(wants.stream().filter(Want::warmOnly).toList(), places, later), victims);
         wants.forEach(want -> want.warmOnly(false));
         Map<String, Want> byJob = new HashMap<>();
         wants.forEach(want -> byJob.put(want.job().id(), want));
         Map<String, Preemption.Place> byMachine = new HashMap<>();
         places.forEach(place -> byMachine.put(place.machine(), place));
+        // Starts go by what the teams use as long as the stopped is not gone, or their limits would be passed meanwhile.
         List<Placer.Choice> colder = Placer.place(wants, rooms, shares);
-        colder.forEach(choice -> byMachine.get(choice.machine()).book(byJob.get(choice.job())));
+        for (Placer.Choice choice : colder) {
+            JobSpec job = byJob.get(choice.job()).job();
+            byMachine.get(choice.machine()).book(byJob.get(choice.job()));
+            later.get(job.team()).free(job, -1);
+        }
         start(colder);
-        stop(Preemption.victims(wants, places, shares), victims);
+        stop(Preemption.victims(wants, places, later), victims);
         for (Want want : wants) {
             if (want.madeRoom()) {
                 // As long as a stop takes to show; else what was stopped would only have made way for those in front.
@@ -107,6 +114,11 @@
         }
     }
 
+    /** Waits although machines may have room, and ranks above something: its team's limit may be taken up by lower work. */
+    private static boolean heldByLimit(Want want) {
+        return want.waiting() > 0 && !want.job().gang() && want.job().rank().compareTo(JobSpec.Rank.STANDARD) < 0;
+    }
+
     private void start(List<Placer.Choice> choices) {
         for (Placer.Choice choice : choices) {
             Job job = books.jobs().get(choice.job());
@@ -122,15 +134,20 @@
         }
     }
 
-    /** The machines as they will be once all that is being stopped is gone, with what else could be stopped. */
-    private List<Preemption.Place> places(List<Room> rooms, Map<String, Attempt> byId, double now) {
+    /** The machines and shares as they will be once all that is being stopped is gone, with what else could be stopped. */
+    private List<Preemption.Place> places(List<Room> rooms, Map<String, Share> later, Map<String, Attempt> byId, double now) {
         List<Preemption.Place> places = new ArrayList<>();
         for (Room room : rooms) {
             List<Preemption.Victim> victims = new ArrayList<>();
             for (Attempt attempt : books.fleet().get(room.machine()).attempts()) {
                 JobSpec spec = attempt.job.spec;
+                if (!later.containsKey(spec.team())) {
+                    // Of a team that the settings name no longer: left to end, as there is no share to count it by.
+                    continue;
+                }
                 if (attempt.stopWanted() && attempt.live()) {
                     room.free(spec, 1);
+                    later.get(spec.team()).free(spec, 1);
                 } else if (attempt.live() && attempt.phase() != Attempt.Phase.INTENDED && attempt.phase() != Attempt.Phase.ORDERED) {
                     String id = attempt.ref.toString();
                     byId.put(id, attempt);
@@ -216,7 +233,7 @@
         if (wants.stream().allMatch(want -> want.waiting() == 0)) {
             return true;
         }
-        List<Preemption.Place> places = places(books.rooms(now, true), new HashMap<>(), now);
+        List<Preemption.Place> places = places(books.rooms(now, true), shares, new HashMap<>(), now);
         Map<String, Preemption.Place> byMachine = new HashMap<>();
         places.forEach(place -> byMachine.put(place.machine(), place));
         choices.forEach(choice -> byMachine.get(choice.machine()).book(byJob.get(choice.job())));
--- a/src/main/java/io/pepperfield/placement/Preemption.java
+++ b/src/main/java/io/pepperfield/placement/Preemption.java
@@ -51,21 +51,28 @@
     private Preemption() { }
 
     /**
-     * The tasks to stop. The rooms must count what is already being stopped as free, so that nothing is stopped twice for
-     * the same need.
+     * The tasks to stop. Rooms and shares must count what is already being stopped as free, so that nothing is stopped twice
+     * for the same need; they are therefore not those that tasks are started by.
      */
     public static List<String> victims(List<Want> wants, List<Place> places, Map<String, Share> shares) {
         List<String> stopped = new ArrayList<>();
-        List<Want> order = wants.stream().filter(w -> w.stuck && !w.job.gang()).sorted(Comparator.comparing((Want w) -> !w.guaranteed)
+        List<Want> order = wants.stream().filter(w -> w.waiting > 0 && !w.job.gang()).sorted(Comparator.comparing((Want w) -> !w.guaranteed)
                 .thenComparing(w -> w.job.rank()).thenComparing(w -> w.submittedAt)).toList();
         for (Want want : order) {
             Share share = shares.get(want.job.team());
             // Every place is weighed once for the job and again only when it comes up, not once more for each task.
             PriorityQueue<Plan> plans = new PriorityQueue<>(Comparator.comparingDouble(Plan::lost));
-            if (share.allows(want.job.cpus(), want.job.gpus())) {
+            boolean limited = !share.allows(want.job.cpus(), want.job.gpus());
+            if (limited || want.stuck) {
                 places.forEach(place -> offer(plans, plan(want, place, shares)));
             }
-            while (want.waiting > 0 && share.allows(want.job.cpus(), want.job.gpus()) && !plans.isEmpty()) {
+            while (want.waiting > 0 && !plans.isEmpty()) {
+                if (limited != !share.allows(want.job.cpus(), want.job.gpus())) {
+                    limited = !limited;
+                    plans.clear();
+                    places.forEach(place -> offer(plans, plan(want, place, shares)));
+                    continue;
+                }
                 Plan first = plans.poll();
                 Plan best = plan(want, first.place, shares);
                 if (best != null && best.lost > first.lost) {
@@ -101,7 +108,12 @@
         if (!Placer.allowed(want, room) || want.avoid.contains(room.machine)) {
             return null;
         }
-        if (Placer.holds(want, room.cpus, room.gpus, room.memGb)) {
+        // A team at its limit makes room for its higher work by stopping its lower.
+        Share own = shares.get(want.job.team());
+        boolean limited = !own.allows(want.job.cpus(), want.job.gpus());
+        double ownCpus = 0;
+        double ownGpus = 0;
+        if (!limited && Placer.holds(want, room.cpus, room.gpus, room.memGb)) {
             return new Plan(place, List.of(), 0);
         }
         double cpus = room.cpus;
@@ -110,15 +122,18 @@
         double lost = 0;
         List<Victim> stopped = new ArrayList<>();
         for (Victim victim : place.victims) {
-            if (!mayStop(want, victim, shares)) {
+            boolean sameTeam = victim.job.team().equals(want.job.team());
+            if (!mayStop(want, victim, shares) || limited && !sameTeam) {
                 continue;
             }
             cpus += victim.job.cpus();
             gpus += victim.job.gpus();
             memGb += victim.job.memGb();
+            ownCpus += sameTeam ? victim.job.cpus() : 0;
+            ownGpus += sameTeam ? victim.job.gpus() : 0;
             lost += (victim.lostS + 1) * victim.job.cpus();
             stopped.add(victim);
-            if (Placer.holds(want, cpus, gpus, memGb)) {
+            if (Placer.holds(want, cpus, gpus, memGb) && own.allows(want.job.cpus() - ownCpus, want.job.gpus() - ownGpus)) {
                 return new Plan(place, stopped, lost);
             }
         }
--- a/src/main/java/io/pepperfield/placement/Share.java
+++ b/src/main/java/io/pepperfield/placement/Share.java
@@ -16,6 +16,11 @@
         this.gpus = gpus;
     }
 
+    /** The same figures, to be changed apart: what is being stopped still counts against a limit until it is gone. */
+    public Share copy() {
+        return new Share(team, cpus, gpus);
+    }
+
     /** Rounding in sums of decimal figures must neither break a limit nor waste its last task. */
     private static final double SLACK = 1e-6;
 
--- /dev/null
+++ b/src/test/java/io/pepperfield/node/DispatcherTest.java
@@ -0,0 +1,107 @@
+package io.pepperfield.node;
+
+import io.pepperfield.cloud.MachineType;
+import io.pepperfield.config.Aims;
+import io.pepperfield.config.Operators;
+import io.pepperfield.config.Settings;
+import io.pepperfield.fleet.Attempt;
+import io.pepperfield.fleet.Fleet;
+import io.pepperfield.fleet.Ledger;
+import io.pepperfield.fleet.Machine;
+import io.pepperfield.fleet.Report;
+import io.pepperfield.fleet.TaskRef;
+import io.pepperfield.jobs.Job;
+import io.pepperfield.jobs.JobSpec;
+import io.pepperfield.jobs.JobSpec.Rank;
+import io.pepperfield.jobs.JobSpec.Shape;
+import org.junit.jupiter.api.Test;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Starting and stopping in one pass over real books. */
+class DispatcherTest implements Loop, Fleet.Listener, Dispatcher.Starter {
+
+    private final Settings settings = settings();
+    private final Types types = new Types(settings);
+    private final Fleet fleet = new Fleet(this, 10);
+    private final Ledger ledger = new Ledger();
+    private final Map<String, Job> jobs = new LinkedHashMap<>();
+    private final Dispatcher dispatcher = new Dispatcher(new Books(this, settings, new Aims(settings.deployment().objectives()), types,
+            fleet, ledger, jobs, null), this);
+    private final List<String> said = new ArrayList<>();
+
+    private static Settings settings() {
+        Map<String, Settings.Team> teams = new LinkedHashMap<>();
+        teams.put("red", new Settings.Team("red", 0, 8, 0, 0));
+        teams.put("blue", new Settings.Team("blue", 8, 64, 0, 0));
+        return new Settings("node-0", "east", null, null, List.of(), null, null, new Settings.Deployment(1, List.of("east"), 5, teams,
+                List.of(new Settings.Objective("wait", "gate", 1, 0.9, 0)), new Settings.Workers(1, 6, 20), new Settings.State(100, 50, 8, 32),
+                new Settings.Cloud(2, 2), new Settings.Quota(1, 256, 1000)), Operators.DEFAULTS);
+    }
+
+    private Job job(String id, String workload, String team, Rank rank, String image, int tasks) {
+        Job job = new Job(new JobSpec(id, workload, team, Shape.ARRAY, rank, tasks, 4, 0, 1, image, 2, null, null, false, false, false, 9,
+                0, 0, null, 0, 10), 0);
+        jobs.put(id, job);
+        return job;
+    }
+
+    private void report(String machine, int serial, Report.Line... lines) {
+        fleet.expect(machine, "box", "east", false, 0, 0);
+        fleet.beat(new Report(machine, "a:1", "box", "east", false, 1, serial, 10, null, List.of(lines)), now());
+    }
+
+    @Override public void start(Job job, int task, Machine machine) {
+        Attempt attempt = fleet.intend(job, task, job.begin(task), machine, now());
+        ledger.add(attempt);
+        fleet.ordered(attempt);
+        said.add("start " + attempt.ref + " on " + machine.name);
+    }
+
+    @Override public void stop(Attempt attempt, double drainS) {
+        fleet.stop(attempt, drainS);
+        said.add("stop " + attempt.ref);
+    }
+
+    /** What is stopped for another team still counts against its own team's limit: it may be alive for a while. */
+    @Test void aStoppedTaskLeavesNoRoomUnderTheLimitUntilItIsGone() {
+        types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
+        report("m1", 1);
+        Job array = job("run-000001", "batch", "red", Rank.STANDARD, "img", 3);
+        start(array, 0, fleet.get("m1"));
+        start(array, 1, fleet.get("m1"));
+        report("m1", 2, new Report.Line(new TaskRef("run-000001", 0), 1, Report.State.RUNNING, Report.Cause.NONE),
+                new Report.Line(new TaskRef("run-000001", 1), 1, Report.State.RUNNING, Report.Cause.NONE));
+        report("m2", 1);
+        // Wants its image at once, which only the full machine has; the array's last task would have room elsewhere.
+        job("run-000002", "gate", "blue", Rank.PRODUCTION, "img", 1);
+        said.clear();
+        dispatcher.flush();
+        assertEquals(List.of("stop run-000001/0"), said);
+    }
+
+    @Override public double now() {
+        return 0.5;
+    }
+
+    @Override public long wallMs() {
+        return 0;
+    }
+
+    @Override public void post(Runnable command) { }
+
+    @Override public void after(double seconds, Runnable command) { }
+
+    @Override public void started(Attempt attempt) { }
+
+    @Override public void completed(Attempt attempt, double ranS) { }
+
+    @Override public void gone(Attempt attempt, Report.Cause cause) { }
+
+    @Override public void appeared(Machine machine) { }
+}
--- a/src/test/java/io/pepperfield/placement/PreemptionTest.java
+++ b/src/test/java/io/pepperfield/placement/PreemptionTest.java
@@ -58,6 +58,17 @@
         assertEquals(List.of(), stopped(want(Rank.STANDARD, 4, true), 0, victim("a", "red", Rank.STANDARD, 4, 9)));
     }
 
+    @Test void aTeamAtItsLimitMakesRoomByItsOwnLowerWork() {
+        shares.put("red", new Share(new Settings.Team("red", 8, 8, 0, 0), 8, 0));
+        Want urgent = want(Rank.URGENT, 1, false);
+        urgent.stuck = false;
+        assertEquals(List.of("b"), stopped(urgent, 64, victim("a", "blue", Rank.BEST_EFFORT, 4, 1),
+                victim("b", "red", Rank.STANDARD, 4, 5), victim("c", "red", Rank.URGENT, 4, 1)));
+        Want standard = want(Rank.STANDARD, 1, true);
+        standard.stuck = false;
+        assertEquals(List.of(), stopped(standard, 64, victim("b", "red", Rank.STANDARD, 4, 5)));
+    }
+
     @Test void whatIsBeingFreedIsNotFreedTwice() {
         assertEquals(List.of(), stopped(want(Rank.PRODUCTION, 4, false), 4, victim("a", "blue", Rank.STANDARD, 4, 1)));
     }
--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -265,7 +265,9 @@
         for (String team : List.of("red", "blue")) {
             teams.put(team, new Settings.Team(team, 12, TEAM_LIMIT, 0, 0));
         }
-        Settings.Deployment deployment = new Settings.Deployment(3, List.of("east", "west"), 5, teams, List.of(),
+        Settings.Deployment deployment = new Settings.Deployment(3, List.of("east", "west"), 5, teams,
+                // Services should find their image, so that placing and stopping have their second way to go.
+                List.of(new Settings.Objective("wait", "gate", 0.5, 0.9, 0)),
                 new Settings.Workers(REPORT_S, LEASE_S, CANCEL_S), new Settings.State(150, 60, 8, 32), new Settings.Cloud(20, 2),
                 new Settings.Quota(1, 256, 1000));
         Operators operators = new Operators(10, 0.2, 0.2, 0.85, 0.85, 3);
