--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -69,6 +69,7 @@
     private final Writer writer;
     private final UserRequests users;
     private final Latencies latencies = new Latencies();
+    private final Warnings warnings = new Warnings();
     private final double reportS;
     private final double tickS;
     private Leader leader;
@@ -322,6 +323,7 @@
     private void beat(Call call, Consumer<Reply> answer) {
         Report report = Report.read(Json.read(call.body()));
         if (report == null) {
+            warnings.once("a worker", "sends what is no report");
             answer.accept(Reply.error(400, "not a report"));
             return;
         }
@@ -335,8 +337,12 @@
             } else if (leader == null) {
                 keepAlive(report, answer);
             } else if (!sentHome(report, members.live(now), answer)) {
-                relay.remember(report, call.body(), sync.contactAt());
                 List<Order> orders = leader.report(report, "");
+                if (orders == null) {
+                    warnings.once(report.machine(), "sends a late copy of a report, or has been returned");
+                } else {
+                    relay.remember(report, call.body(), sync.contactAt());
+                }
                 answer.accept(orders == null ? Reply.error(503, "an old report")
                         : Reply.json(200, Order.reply(leadership.token(), orders)));
             }
@@ -434,6 +440,7 @@
             return;
         }
         if (!members.heard(batch.node(), batch.life(), batch.sequence(), now)) {
+            warnings.once(batch.node(), "a message of its earlier process or a copy came");
             answer.accept(Reply.error(409, "a message of an earlier process"));
             return;
         }
--- a/src/main/java/io/pepperfield/peer/RelayMessages.java
+++ b/src/main/java/io/pepperfield/peer/RelayMessages.java
@@ -49,8 +49,10 @@
 
     private RelayMessages() { }
 
+    /** A worker's report as part of a message; one in another encoding than UTF-8 would spoil the others beside it. */
     static RawValue raw(byte[] report) {
-        return new RawValue(new String(report, StandardCharsets.UTF_8));
+        boolean plain = report.length > 1 && report[0] > 0 && report[1] > 0;
+        return new RawValue(new String(plain ? report : Json.write(Json.read(report)), StandardCharsets.UTF_8));
     }
 
     /** Null where the message is not one of this version's: it is refused whole. */
--- a/src/test/java/io/pepperfield/peer/PartsTest.java
+++ b/src/test/java/io/pepperfield/peer/PartsTest.java
@@ -1,7 +1,9 @@
 package io.pepperfield.peer;
 
+import io.pepperfield.http.Json;
 import org.junit.jupiter.api.Test;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +11,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Whose part a machine is in, and which messages of which life of a process count. */
@@ -34,6 +37,21 @@
         assertEquals("", Parts.owner(machine(1), List.of()));
     }
 
+    @Test void whatIsNoMessageOfThisVersionIsRefusedWhole() {
+        String good = "{\"node\":\"worker-1\",\"life\":\"a\",\"seq\":1,\"epoch\":7,\"beats\":[[\"host-1\",1,2,3,7]],\"more\":{}}";
+        assertEquals(1, RelayMessages.batch(Json.read(good.getBytes(StandardCharsets.UTF_8))).beats().size());
+        for (String bad : List.of("", "{}", "[]", good.replace("\"beats\"", "\"reports\""), good.replace("1,2,3,7", "1,2"),
+                good.replace("\"seq\":1", "\"seq\":\"1\""), good.substring(0, 40))) {
+            assertNull(RelayMessages.batch(Json.read(bad.getBytes(StandardCharsets.UTF_8))), bad);
+        }
+    }
+
+    @Test void aReportInAnotherEncodingDoesNotSpoilTheOthers() {
+        String text = "{\"host\":\"host-1\"}";
+        assertEquals(text, RelayMessages.raw(text.getBytes(StandardCharsets.UTF_16BE)).rawValue());
+        assertEquals(text, RelayMessages.raw(text.getBytes(StandardCharsets.UTF_8)).rawValue());
+    }
+
     @Test void aLateMessageOfAnEarlierProcessIsNotTheNewOnes() {
         Members members = new Members("worker-0", 2);
         assertTrue(members.heard("worker-1", "first", 7, 10));
