--- a/src/main/java/io/pepperfield/jobs/Job.java
+++ b/src/main/java/io/pepperfield/jobs/Job.java
@@ -92,10 +92,6 @@
         return attempts.get(task);
     }
 
-    public Iterable<Integer> attempted() {
-        return attempts.keySet();
-    }
-
     public double notBefore() {
         return notBefore;
     }
