--- a/src/test/java/io/pepperfield/node/SimulationTest.java
+++ b/src/test/java/io/pepperfield/node/SimulationTest.java
@@ -87,6 +87,25 @@
         assertEquals(List.of(), region.unanswered());
     }
 
+    @Test void cancelledTasksEndInTimeThoughNobodyLeads() {
+        Region region = new Region(6);
+        for (int i = 1; i <= 12; i++) {
+            int number = i;
+            region.world.at(10 + 2 * i, () -> region.submit(number));
+        }
+        region.world.run(36);
+        assertTrue(region.runningTasks() > 4, "tasks " + region.runningTasks());
+        // The others know of the cancellations, but give no stops; their answers must not keep the tasks alive.
+        region.nobodyLeads(36 + 3 * Region.CANCEL_S);
+        region.cancelAll();
+        region.world.run(36 + 2 * Region.CANCEL_S);
+        assertEquals(List.of(), region.broken);
+        assertEquals(0, region.runningTasks());
+        region.world.run(250);
+        assertEquals(List.of(), region.broken);
+        assertEquals(List.of(), region.unfinished());
+    }
+
     @Test void processesThatAreBackAtOnceInMidElectionLeadNobodyAstray() {
         Region region = new Region(5);
         region.world.copies = 0.05;
--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -477,6 +477,19 @@
         }
     }
 
+    /** The leader ends for good, and until then nobody else can be elected, although the state service answers. */
+    public void nobodyLeads(double until) {
+        int leader = Integer.parseInt(leader().substring(5));
+        state.noGrants = true;
+        crash(leader, until - world.now());
+        world.at(until, () -> state.noGrants = false);
+    }
+
+    /** Every user whose job is not over cancels it now. */
+    public void cancelAll() {
+        jobs.values().stream().filter(job -> job.accepted && !job.last.equals("done")).toList().forEach(this::cancel);
+    }
+
     /** The machine loses power and is back at once, with a worker that knows nothing of before. */
     public void back(WorkerStandIn worker) {
         worker.die();
--- a/src/test/java/io/pepperfield/standin/StateStandIn.java
+++ b/src/test/java/io/pepperfield/standin/StateStandIn.java
@@ -51,6 +51,9 @@
         this.kept = kept;
     }
 
+    /** While true nobody gets a new grant, so that nobody can be elected. */
+    public boolean noGrants;
+
     /** Begins or ends an outage; at its end every grant has its full time again. */
     public void outage(boolean begins) {
         out = begins;
@@ -152,6 +155,9 @@
             return range(call.parameter("starts", ""), call.parameter("since", ""), Integer.parseInt(call.parameter("limit", "1000")));
         }
         if (call.path().equals("/grants")) {
+            if (noGrants) {
+                return Reply.error(503, "trouble");
+            }
             double ttl = body.path("ttlMs").asDouble() / 1000;
             grants.put(nextGrant, new Grant(ttl, clock.getAsDouble() + ttl));
             return Reply.json(200, Json.object().put("claim", nextGrant++));
