--- a/src/main/java/io/pepperfield/node/Sizer.java
+++ b/src/main/java/io/pepperfield/node/Sizer.java
@@ -103,8 +103,10 @@
         patientDemand.add(now, demand.patient);
         double headroom = books.settings().operators().headroom();
         List<Steering.Offer> offers = offers(now);
+        // The median of a rising demand lags half a unit behind, and a boot comes on top: what waits now counts as it is.
+        double patient = Math.max(demand.patient, patientDemand.quantile(books.settings().operators().steady()));
         Map<Pool, Integer> targets = Steering.targets(offers, work, new Steering.Expected(
-                ordinaryDemand.quantile(headroom), eagerDemand.quantile(headroom) + patientDemand.quantile(books.settings().operators().steady())),
+                ordinaryDemand.quantile(headroom), eagerDemand.quantile(headroom) + patient),
                 unitS, books.settings().operators().partlyShare());
         // What is asked for at this moment is no surplus, whatever was asked for of late; and a new leader has not seen
         // what came and went in the time that a boot takes.
