--- a/src/test/java/io/pepperfield/node/SimulationTest.java
+++ b/src/test/java/io/pepperfield/node/SimulationTest.java
@@ -19,12 +19,18 @@
  */
 class SimulationTest {
 
-    @Test void aQuietDayEndsWithEveryJobOver() {
-        Region region = new Region(1);
-        for (int i = 1; i <= 12; i++) {
+    /** A region in which that many jobs come from the tenth second on. */
+    private static Region region(long seed, int jobs, double everyS) {
+        Region region = new Region(seed);
+        for (int i = 1; i <= jobs; i++) {
             int number = i;
-            region.world.at(10 + 3 * i, () -> region.submit(number));
+            region.world.at(10 + everyS * i, () -> region.submit(number));
         }
+        return region;
+    }
+
+    @Test void aQuietDayEndsWithEveryJobOver() {
+        Region region = region(1, 12, 3);
         region.world.at(30, region::askForNothing);
         region.world.run(220);
         assertEquals(List.of(), region.broken);
@@ -34,11 +40,7 @@
     }
 
     @Test void anOutageOfTheStateServiceCostsNoRunningWork() {
-        Region region = new Region(2);
-        for (int i = 1; i <= 6; i++) {
-            int number = i;
-            region.world.at(10 + i, () -> region.submit(number));
-        }
+        Region region = region(2, 6, 1);
         region.world.at(24, () -> region.stateOutage(34));
         region.world.run(150);
         assertEquals(List.of(), region.broken);
@@ -46,11 +48,7 @@
     }
 
     @Test void aMachineThatDoesNotHearGetsNoWorkAndIsReturned() {
-        Region region = new Region(3);
-        for (int i = 1; i <= 20; i++) {
-            int number = i;
-            region.world.at(10 + 3 * i, () -> region.submit(number));
-        }
+        Region region = region(3, 20, 3);
         region.world.run(45);
         WorkerStandIn deaf = region.machines().stream().filter(WorkerStandIn::busy).findFirst().orElseThrow();
         deaf.deafen(400);
@@ -62,11 +60,7 @@
     }
 
     @Test void aLeaderCutFromAllButItsWorkersLetsThemGoWithinTheirLeases() {
-        Region region = new Region(4);
-        for (int i = 1; i <= 12; i++) {
-            int number = i;
-            region.world.at(10 + 2 * i, () -> region.submit(number));
-        }
+        Region region = region(4, 12, 2);
         region.world.run(40);
         assertTrue(region.runningTasks() > 8, "tasks " + region.runningTasks());
         int lostBefore = region.lostTasks();
@@ -88,11 +82,7 @@
     }
 
     @Test void cancelledTasksEndInTimeThoughNobodyLeads() {
-        Region region = new Region(6);
-        for (int i = 1; i <= 12; i++) {
-            int number = i;
-            region.world.at(10 + 2 * i, () -> region.submit(number));
-        }
+        Region region = region(6, 12, 2);
         region.world.run(36);
         assertTrue(region.runningTasks() > 4, "tasks " + region.runningTasks());
         // The others know of the cancellations, but give no stops; their answers must not keep the tasks alive.
@@ -107,12 +97,8 @@
     }
 
     @Test void processesThatAreBackAtOnceInMidElectionLeadNobodyAstray() {
-        Region region = new Region(5);
+        Region region = region(5, 16, 2);
         region.world.copies = 0.05;
-        for (int i = 1; i <= 16; i++) {
-            int number = i;
-            region.world.at(10 + 2 * i, () -> region.submit(number));
-        }
         for (int i = 0; i < 30; i++) {
             int node = i % 3;
             region.world.at(20 + 0.9 * i, () -> region.crash(node, 0.1));
--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -113,13 +113,7 @@
         }
 
         @Override public void request(String method, String path, byte[] body, Consumer<Reply> answer) {
-            int mine = life;
-            controller.handle(call(method, path, body), reply -> {
-                if (alive && life == mine) {
-                    answer.accept(reply);
-                }
-            });
-            controller.flush();
+            take(controller::handle, call(method, path, body), answer);
         }
 
         @Override public boolean alive() {
@@ -129,13 +123,7 @@
         SimWorld.Host peerSide() {
             return new SimWorld.Host() {
                 @Override public void request(String method, String path, byte[] body, Consumer<Reply> answer) {
-                    int mine = life;
-                    peers.handle(call(method, path, body), reply -> {
-                        if (alive && life == mine) {
-                            answer.accept(reply);
-                        }
-                    });
-                    controller.flush();
+                    take(peers::handle, call(method, path, body), answer);
                 }
 
                 @Override public boolean alive() {
@@ -143,6 +131,17 @@
                 }
             };
         }
+
+        /** An answer of a process that has ended meanwhile never leaves. */
+        private void take(Handler by, Call call, Consumer<Reply> answer) {
+            int mine = life;
+            by.handle(call, reply -> {
+                if (alive && life == mine) {
+                    answer.accept(reply);
+                }
+            });
+            controller.flush();
+        }
     }
 
     public final SimWorld world;
