--- a/src/main/java/io/pepperfield/node/Watch.java
+++ b/src/main/java/io/pepperfield/node/Watch.java
@@ -17,6 +17,8 @@
     private final Dispatcher dispatcher;
     private final Workers workers;
     private final Dispatcher.Starter starter;
+    /** Until when the silence of a zone's machines is taken for a cut. */
+    private final Map<String, Double> cutUntil = new HashMap<>();
     private boolean over;
     private double askedForRoomAt = Double.NEGATIVE_INFINITY;
 
@@ -87,6 +89,13 @@
         boolean allCut = lost.size() > Math.max(few, up / 3);
         Map<String, Integer> lostPerZone = new HashMap<>();
         lost.forEach(machine -> lostPerZone.merge(machine.zone(), 1, Integer::sum));
+        lostPerZone.forEach((zone, count) -> {
+            if (allCut || count > Math.max(few, perZone.get(zone) / 2)) {
+                // When a cut ends its machines come back one by one, each after its patience with nodes it could not reach:
+                // those that are still silent then are no dead among the living.
+                cutUntil.put(zone, now + books.leaseS());
+            }
+        });
         // A tenth of a large fleet may die at once with a rack; three at a time would take it minutes to be replaced.
         int most = Math.max(books.settings().operators().silentAtOnce(), up / 10);
         lost.sort(Comparator.comparingDouble((Machine m) -> m.lostFor(now)).reversed());
@@ -94,8 +103,7 @@
             if (books.renting().releasing() >= most) {
                 break;
             }
-            boolean cut = allCut || lostPerZone.get(machine.zone()) > Math.max(few, perZone.get(machine.zone()) / 2);
-            if (isLost(machine, cut, now)) {
+            if (isLost(machine, cutUntil.getOrDefault(machine.zone(), Double.NEGATIVE_INFINITY) > now, now)) {
                 books.renting().release(machine, (machine.deaf() ? "does not hear, for " : "silent for ")
                         + Math.round(machine.lostFor(now)) + " s");
             }
--- /dev/null
+++ b/src/test/java/io/pepperfield/node/WatchTest.java
@@ -0,0 +1,119 @@
+package io.pepperfield.node;
+
+import io.pepperfield.cloud.Cloud;
+import io.pepperfield.cloud.MachineType;
+import io.pepperfield.cloud.Renting;
+import io.pepperfield.config.Aims;
+import io.pepperfield.config.Operators;
+import io.pepperfield.config.Settings;
+import io.pepperfield.fleet.Attempt;
+import io.pepperfield.fleet.Fleet;
+import io.pepperfield.fleet.HttpWorkers;
+import io.pepperfield.fleet.Ledger;
+import io.pepperfield.fleet.Machine;
+import io.pepperfield.fleet.Report;
+import org.junit.jupiter.api.Test;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Which silent machines are given up: twelve in the east and twelve in the west, reports every second, leases of six. */
+class WatchTest implements Loop, Fleet.Listener {
+
+    private final Settings settings = new Settings("node-0", "east", null, null, List.of(), null, null,
+            new Settings.Deployment(1, List.of("east", "west"), 5, Map.of(), List.of(), new Settings.Workers(1, 6, 20),
+                    new Settings.State(100, 50, 8, 32), new Settings.Cloud(2, 2), new Settings.Quota(1, 256, 1000)), Operators.DEFAULTS);
+    private final TreeSet<String> released = new TreeSet<>();
+    private final Fleet fleet = new Fleet(this, 10);
+    private final Map<String, Integer> serials = new HashMap<>();
+    private final Watch watch;
+    private double now;
+
+    WatchTest() {
+        Types types = new Types(settings);
+        types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east", "west"))));
+        Cloud cloud = new Cloud() {
+            @Override public void types(Consumer<List<MachineType>> done) { }
+
+            @Override public void rent(String request, String type, String zone, boolean spot, int count, Consumer<Rented> done) { }
+
+            @Override public void release(List<String> names, Consumer<Boolean> done) {
+                released.addAll(names);
+                done.accept(true);
+            }
+
+            @Override public void list(Consumer<List<Listed>> done) { }
+        };
+        Renting renting = new Renting(this, cloud, null, fleet, 10, 1, 10, () -> true);
+        Books books = new Books(this, settings, new Aims(List.of()), types, fleet, new Ledger(), new HashMap<>(), renting);
+        watch = new Watch(books, null, new HttpWorkers(this, (host, port, connections, method, path, body, deadlineMs, done) -> { }, 1), null);
+    }
+
+    private void run(double until, String... zones) {
+        for (; now < until; now += 0.5) {
+            for (String zone : zones) {
+                for (int i = 0; i < 12; i++) {
+                    report(zone + i, zone);
+                }
+            }
+            watch.tick(now);
+        }
+    }
+
+    private void report(String name, String zone) {
+        fleet.expect(name, "box", zone, false, 0, now);
+        fleet.beat(new Report(name, "a:1", "box", zone, false, 1, serials.merge(name, 1, Integer::sum), 10, null, List.of()), now);
+    }
+
+    @Test void aZonesSilenceIsTakenForACutUntilItsMachinesHadTimeToComeBack() {
+        run(10, "east", "west");
+        run(25, "east");
+        // The cut ends: most are heard again, and the others have been silent for longer than a lease.
+        for (int i = 0; i < 8; i++) {
+            report("west" + i, "west");
+        }
+        watch.tick(now);
+        assertEquals(List.of(), new ArrayList<>(released));
+        run(27, "east");
+        assertEquals(List.of(), new ArrayList<>(released));
+    }
+
+    @Test void aFewSilentMachinesAreReturnedAndAZoneThatNeverComesBackIsToo() {
+        run(10, "east", "west");
+        report("east12", "east");
+        run(14, "east", "west");
+        assertEquals(List.of("east12"), new ArrayList<>(released));
+        run(33, "east");
+        assertEquals(1, released.size());
+        run(38, "east");
+        assertEquals(13, released.size());
+    }
+
+    @Override public double now() {
+        return now;
+    }
+
+    @Override public long wallMs() {
+        return 0;
+    }
+
+    @Override public void post(Runnable command) {
+        command.run();
+    }
+
+    @Override public void after(double seconds, Runnable command) { }
+
+    @Override public void started(Attempt attempt) { }
+
+    @Override public void completed(Attempt attempt, double ranS) { }
+
+    @Override public void gone(Attempt attempt, Report.Cause cause) { }
+
+    @Override public void appeared(Machine machine) { }
+}
