--- a/src/main/java/io/pepperfield/node/Sizer.java
+++ b/src/main/java/io/pepperfield/node/Sizer.java
@@ -162,7 +162,8 @@
                 return;
             }
             all += job.cpus();
-            if (Double.isInfinite(books.aims().wait(job.workload()))) {
+            // A wait longer than any boot is met by renting when the work comes, and is no reason to keep machines for it.
+            if (books.aims().wait(job.workload()) > intervalS) {
                 double left = Predictor.remaining(classTimes.expected(job.workload(), job.expectedS()), ranS);
                 double age = now - of.submittedAt;
                 double time = Math.min(unitS, AIM_RESERVE * books.aims().finish(job.workload(), age + left) - age);
