--- a/src/main/java/io/pepperfield/node/Dispatcher.java
+++ b/src/main/java/io/pepperfield/node/Dispatcher.java
@@ -204,6 +204,7 @@
             want.warmOnly(mustBeWarm(job.spec) && now - job.submittedAt < books.aims().wait(job.spec.workload()));
             want.overdue(job.doneCount() == 0 && !books.ledger().has(job) && now - job.submittedAt > PATIENCE_S);
             want.promised(promised.containsKey(job));
+            want.waited(now - job.submittedAt);
             wants.add(want);
         }
         return wants;
--- a/src/main/java/io/pepperfield/placement/Placer.java
+++ b/src/main/java/io/pepperfield/placement/Placer.java
@@ -16,7 +16,8 @@
 
     private static final double SLACK = 1e-6;
     private static final Comparator<Want> IN_TEAM = Comparator.comparing((Want w) -> !w.overdue)
-            .thenComparing(w -> !w.promised).thenComparing(w -> !w.guaranteed).thenComparing(w -> w.job.rank()).thenComparing(w -> !w.job.service()).thenComparing(w -> w.submittedAt)
+            .thenComparing(w -> !w.promised).thenComparing(w -> !w.guaranteed).thenComparing(w -> w.job.rank()).thenComparing(w -> !w.job.service())
+            .thenComparing(w -> -w.waitedForSize).thenComparing(w -> w.submittedAt)
             .thenComparing(w -> w.job.id());
 
     private Placer() { }
--- a/src/main/java/io/pepperfield/placement/Want.java
+++ b/src/main/java/io/pepperfield/placement/Want.java
@@ -26,6 +26,8 @@
     boolean promised;
     boolean madeRoom;
     boolean stuck;
+    /** How long it has waited for each CPU that it still waits for. */
+    double waitedForSize;
 
     public Want(JobSpec job, int waiting, boolean guaranteed, double submittedAt, Map<String, Integer> perZone, Set<String> avoid) {
         this.job = job;
@@ -41,6 +43,14 @@
         overdue = late;
     }
 
+    /**
+     * Within a team's queue what has waited longest for its size goes first: where more is asked than can be done, whole jobs
+     * are done in time instead of parts of all of them, and a large one's turn comes all the same.
+     */
+    public void waited(double seconds) {
+        waitedForSize = job.service() ? 0 : seconds / (waiting * job.cpus());
+    }
+
     public void promised(boolean room) {
         promised = room;
     }
--- a/src/test/java/io/pepperfield/placement/PlacerTest.java
+++ b/src/test/java/io/pepperfield/placement/PlacerTest.java
@@ -56,6 +56,7 @@
                 Want want = new Want(job, waiting, f.containsKey("within"), wants.size(), perZone, avoid);
                 want.overdue(f.containsKey("overdue"));
                 want.promised(f.containsKey("promised"));
+                want.waited(number(f, "waited", 0));
                 wants.add(want);
             }
             default -> {
