--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -129,7 +129,7 @@
             @Override public StateService.Guard guard() {
                 return leadership.guard();
             }
-        }, limits.txnOps(), reportS / 10, reportS);
+        }, limits.txnOps(), reportS / 10, 2 * reportS);
         this.users = new UserRequests(loop, catalog, sync, state, types, limits.txnOps(), limits.valueKb());
     }
 
@@ -147,7 +147,7 @@
         Settings.State limits = settings.deployment().state();
         int others = settings.deployment().size() - 1;
         double part = others == 0 ? 0.95 : leading ? 0.45 : 0.5 / others;
-        rates.share(limits.rps() * part, leading ? limits.writeRps() * 0.65 : 0, limits.writeRps() * 0.25);
+        rates.share(limits.rps() * part, leading ? limits.writeRps() * 0.75 : 0, limits.writeRps() * 0.25);
     }
 
     private void changed(String key, JsonNode data, long stamp) {
