--- a/src/main/java/io/pepperfield/fleet/Attempt.java
+++ b/src/main/java/io/pepperfield/fleet/Attempt.java
@@ -28,6 +28,8 @@
     /** From a durable record of an earlier leader, which may have cleared it: it is not ordered again, only seen or gone. */
     boolean restored;
     double runningSince = Double.NaN;
+    /** This leader has seen it begin, so that the time it runs is known. */
+    boolean startSeen;
     boolean stopWanted;
     double drainS;
     /** What ended it is durable or of no consequence: nothing is lost by clearing it. */
--- a/src/main/java/io/pepperfield/fleet/Fleet.java
+++ b/src/main/java/io/pepperfield/fleet/Fleet.java
@@ -27,7 +27,10 @@
         /** The attempt runs now, for the first time as far as this leader knows. */
         void started(Attempt attempt);
 
-        /** Completed; the attempt stays in the machine's reports until it is settled and cleared. */
+        /**
+         * Completed; the attempt stays in the machine's reports until it is settled and cleared. The time that it ran is 0 where
+         * its start was not seen: a part of it would make every later prediction too short.
+         */
         void completed(Attempt attempt, double ranS);
 
         /** Proven gone without being completed; its task may be started again. */
@@ -229,11 +232,8 @@
         if (report.tenure() < machine.tenure || report.tenure() == machine.tenure && report.serial() <= machine.serial) {
             return machine;
         }
-        boolean appeared = !machine.up();
-        if (report.tenure() > machine.tenure) {
-            newTenure(machine, report.tenure());
-            appeared = true;
-        }
+        boolean appeared = !machine.up() || report.tenure() > machine.tenure;
+        machine.tenure = report.tenure();
         machine.serial = report.serial();
         // A worker keeps the highest token it has seen. One that has forgotten it is another process on a machine that came
         // back at once: it would carry out old orders, so that nothing missing from its reports is proven gone for good.
@@ -241,6 +241,9 @@
         machine.seenToken = Math.max(machine.seenToken, report.token());
         machine.heardLeader |= report.token() >= electedToken;
         machine.takenAt = report.noticeS() == null ? Double.NaN : now + report.noticeS();
+        if (!machine.reborn && report.token() >= electedToken) {
+            endEarlierSessions(machine);
+        }
         Set<TaskRef> shown = new HashSet<>();
         for (Report.Line line : report.lines()) {
             Attempt attempt = machine.attempts.get(line.ref());
@@ -258,11 +261,14 @@
         return machine;
     }
 
-    /** Proof 2: a worker that begins a new session has killed and forgotten all of the one before. */
-    private void newTenure(Machine machine, long tenure) {
-        machine.tenure = tenure;
+    /**
+     * Proof 2: a worker that begins a new session has killed and forgotten all of the one before. Only a report that shows
+     * this leader's token tells so: sessions begin at 1 again on a machine that was back at once, and a late copy from before
+     * that names a higher session than the one in which its tasks run now.
+     */
+    private void endEarlierSessions(Machine machine) {
         for (Attempt attempt : List.copyOf(machine.attempts.values())) {
-            if (attempt.tenure < tenure) {
+            if (attempt.tenure < machine.tenure) {
                 machine.attempts.remove(attempt.ref, attempt);
                 if (attempt.live()) {
                     end(attempt, Cause.OTHER);
@@ -279,6 +285,8 @@
             case PULLING -> attempt.phase = Attempt.Phase.PULLING;
             case RUNNING, SAVING -> {
                 boolean first = Double.isNaN(attempt.runningSince);
+                // One that an earlier leader has begun may have run for long before it is first seen here.
+                attempt.startSeen |= first && (!attempt.restored || attempt.phase == Attempt.Phase.PULLING);
                 attempt.phase = line.state() == Report.State.RUNNING ? Attempt.Phase.RUNNING : Attempt.Phase.SAVING;
                 if (first) {
                     attempt.runningSince = now;
@@ -290,7 +298,7 @@
                     attempt.phase = Attempt.Phase.ENDED;
                     attempt.machine.count(attempt, -1);
                     attempt.machine.failedJobs.clear();
-                    listener.completed(attempt, Double.isNaN(attempt.runningSince) ? 0 : now - attempt.runningSince);
+                    listener.completed(attempt, attempt.startSeen ? now - attempt.runningSince : 0);
                 } else {
                     // Proof 1. The machine goes on holding the attempt until cleared, so no late order starts it again.
                     attempt.settled = true;
