--- a/src/main/java/io/pepperfield/cloud/Renting.java
+++ b/src/main/java/io/pepperfield/cloud/Renting.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -30,6 +31,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Renting.class);
     private static final int MOST_AT_ONCE = 50;
     private static final int MOST_RELEASED = 100;
+    /** Batches up to this size are logged by name. */
+    private static final int NAMED = 3;
 
     private static final class Hire {
         final String name;
@@ -68,7 +71,8 @@
     private final BooleanSupplier confirmed;
     private final Map<String, Hire> hires = new LinkedHashMap<>();
     private final Map<String, Double> refusedUntil = new HashMap<>();
-    private final Set<String> toRelease = new LinkedHashSet<>();
+    /** Machines to be returned, with the reason. */
+    private final Map<String, String> toRelease = new LinkedHashMap<>();
     private boolean releasing;
     private int sequence;
     private boolean over;
@@ -173,9 +177,9 @@
     /** Gives machines back. What is asked for once is repeated until the cloud confirms it: it may take effect late. */
     public void release(Machine machine, String why) {
         if (!machine.releasing()) {
-            LOG.info("releasing {}: {}", machine.describe(), why);
+            LOG.debug("returning {}: {}", machine.describe(), why);
             fleet.releasing(machine);
-            toRelease.add(machine.name);
+            toRelease.put(machine.name, why);
             send();
         }
     }
@@ -197,7 +201,11 @@
                 loop.after(retryS, this::send);
                 return;
             }
-            List<String> names = toRelease.stream().limit(MOST_RELEASED).toList();
+            List<String> names = toRelease.keySet().stream().limit(MOST_RELEASED).toList();
+            // One line for a batch: machines are lost and returned by the hundred.
+            Map<String, Integer> reasons = new TreeMap<>();
+            names.forEach(name -> reasons.merge(toRelease.get(name), 1, Integer::sum));
+            LOG.info("returning {} machines {}{}", names.size(), reasons, names.size() <= NAMED ? " " + names : "");
             cloud.release(names, done -> {
                 releasing = false;
                 if (over) {
--- a/src/main/java/io/pepperfield/fleet/Fleet.java
+++ b/src/main/java/io/pepperfield/fleet/Fleet.java
@@ -395,7 +395,7 @@
             return;
         }
         if (machine.live > 0) {
-            LOG.info("{} is gone with {} attempts", machine.describe(), machine.live);
+            LOG.debug("{} is gone with {} attempts", machine.describe(), machine.live);
         }
         for (Attempt attempt : List.copyOf(machine.attempts.values())) {
             if (attempt.live()) {
--- a/src/main/java/io/pepperfield/node/Watch.java
+++ b/src/main/java/io/pepperfield/node/Watch.java
@@ -73,7 +73,7 @@
                     books.renting().release(machine, machine.faulty() ? "faulty" : "about to be taken");
                 }
             } else if (!before && now - machine.rentedAt() > books.bootLimit(machine) && machine.lostFor(now) > silentS) {
-                books.renting().release(machine, "not up " + Math.round(now - machine.rentedAt()) + " s after its rental");
+                books.renting().release(machine, "never came up");
             }
         }
         if (up > 1 && lost.size() == up) {
@@ -104,8 +104,7 @@
                 break;
             }
             if (isLost(machine, cutUntil.getOrDefault(machine.zone(), Double.NEGATIVE_INFINITY) > now, now)) {
-                books.renting().release(machine, (machine.deaf() ? "does not hear, for " : "silent for ")
-                        + Math.round(machine.lostFor(now)) + " s");
+                books.renting().release(machine, machine.deaf() ? "does not hear" : "silent");
             }
         }
     }
