--- a/src/main/java/io/pepperfield/http/HttpServer.java
+++ b/src/main/java/io/pepperfield/http/HttpServer.java
@@ -25,6 +25,8 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 import java.net.InetSocketAddress;
 import java.util.HashSet;
@@ -36,6 +38,7 @@
 public final class HttpServer {
 
     public static final int MOST_BYTES = 64 * 1024;
+    private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
     private static final long RECEIVE_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(180);
 
@@ -52,6 +55,7 @@
     private String crowdPath = "";
     private int mostOfCrowd;
     private int crowd;
+    private boolean crowded;
     private Channel listening;
 
     public HttpServer(EventLoopGroup loops, int mostConnections, Handler handler) {
@@ -139,6 +143,8 @@
         @Override public void channelInactive(ChannelHandlerContext ctx) {
             open.remove(this);
             crowd -= ofCrowd ? 1 : 0;
+            // Said again only after a clear let-up, or each refusal near the limit would be a line.
+            crowded &= crowd >= mostOfCrowd * 9 / 10;
             ofCrowd = false;
             ctx.fireChannelInactive();
         }
@@ -189,6 +195,10 @@
             }
             if (!connection.ofCrowd && call.path().equals(crowdPath)) {
                 if (crowd >= mostOfCrowd) {
+                    if (!crowded) {
+                        crowded = true;
+                        LOG.warn("{} connections of {} are as many as this controller can carry: others are refused", crowd, crowdPath);
+                    }
                     // When one node alone has all workers, its users must still find a connection.
                     answer.accept(Reply.later("too many connections").closing());
                     return;
--- a/src/main/java/io/pepperfield/node/Service.java
+++ b/src/main/java/io/pepperfield/node/Service.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.pepperfield.cloud.HttpCloud;
 import io.pepperfield.config.Settings;
+import io.pepperfield.config.Shortage;
 import io.pepperfield.fleet.HttpWorkers;
 import io.pepperfield.http.HttpClient;
 import io.pepperfield.http.HttpServer;
@@ -14,6 +15,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import java.util.List;
+
 /** One controller process: a network thread, the owner, and the slices wired to both. */
 public final class Service {
 
@@ -33,6 +36,10 @@
 
     /** Listens; gives the port for users and workers. */
     public int start() throws InterruptedException {
+        List<String> shortage = Shortage.of(settings.deployment().quota(), Runtime.getRuntime().maxMemory() / 1048576.0);
+        if (!shortage.isEmpty()) {
+            LOG.warn("starting, but short of what the deployment may need: {}", String.join("; ", shortage));
+        }
         HttpClient client = new HttpClient(network, MOST_ANSWER_BYTES);
         HttpStateService state = new HttpStateService(owner, client, settings.state());
         HttpCloud cloud = new HttpCloud(owner, client, settings.cloud(), settings.deployment().cloud().rps());
--- a/src/test/java/io/pepperfield/config/SettingsTest.java
+++ b/src/test/java/io/pepperfield/config/SettingsTest.java
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Test;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -78,4 +79,11 @@
             assertThrows(SettingsException.class, () -> xml(bad), bad);
         }
     }
+
+    @Test void aQuotaThatIsTooSmallIsNamedAndNothingMore() {
+        assertEquals(List.of(), Shortage.of(new Settings.Quota(0.34, 263, 1200), 128));
+        assertEquals(List.of("deployment.quota.mem_mb = 200, and the process may come to hold 224",
+                "deployment.quota.sockets = 40, and 64 are needed before any worker reports"),
+                Shortage.of(new Settings.Quota(0.34, 200, 40), 128));
+    }
 }
