Nothing is looked for to stop where nothing may be stopped; passes are measured

In a long overload only the lowest rank waits: planning stops then looked at every task of the fleet in each pass. The minute's line on the leader shows passes of placing and sizing.

--- a/src/main/java/io/pepperfield/node/Books.java
+++ b/src/main/java/io/pepperfield/node/Books.java
@@ -19,7 +19,7 @@
 
 /** What the parts of one leadership share: the jobs, the machines, and what may be alive on them. */
 record Books(Loop loop, Settings settings, Aims aims, Types types, Fleet fleet, Ledger ledger, Map<String, Job> jobs,
-             Renting renting) {
+             Renting renting, Latencies passes) {
 
     double reportS() {
         return settings.deployment().workers().reportS();
--- a/src/main/java/io/pepperfield/node/Dispatcher.java
+++ b/src/main/java/io/pepperfield/node/Dispatcher.java
@@ -72,7 +72,9 @@
         placedAt = now;
         place(now);
         // A pass over a large fleet must leave room for reports and answers, whatever there is to place.
-        nextAt = now + Math.max(books.reportS() / 50, (books.loop().now() - now) / MOST_OF_TIME);
+        double took = books.loop().now() - now;
+        books.passes().record("placing", took);
+        nextAt = now + Math.max(books.reportS() / 50, took / MOST_OF_TIME);
     }
 
     private void place(double now) {
@@ -83,7 +85,10 @@
         Map<String, Share> shares = books.shares();
         List<Room> rooms = books.rooms(now, false);
         start(Placer.place(wants, rooms, shares));
-        if (wants.stream().noneMatch(want -> want.stuck() || heldByLimit(want))) {
+        JobSpec.Rank lowest = lowestAlive();
+        boolean borrowed = shares.values().stream().anyMatch(Share::borrows);
+        if (wants.stream().noneMatch(want -> want.stuck() && want.warmOnly() || mayStopAnything(want, lowest, borrowed))) {
+            // When only the lowest wait, as in a long overload, a look at every task of the fleet would find nothing to stop.
             return;
         }
         // To stop lower work on a machine that has the image beats a start on one that must fetch it first.
@@ -114,6 +119,15 @@
         }
     }
 
+    private JobSpec.Rank lowestAlive() {
+        return books.ledger().jobs().stream().map(job -> job.spec.rank()).max(Comparator.naturalOrder()).orElse(JobSpec.Rank.PRODUCTION);
+    }
+
+    /** Waits for room, and either ranks above something that may be alive or has a guarantee to claim from what is borrowed. */
+    private static boolean mayStopAnything(Want want, JobSpec.Rank lowest, boolean borrowed) {
+        return (want.stuck() || heldByLimit(want)) && (want.guaranteed() && borrowed || want.job().rank().compareTo(lowest) < 0);
+    }
+
     /** Waits although machines may have room, and ranks above something: its team's limit may be taken up by lower work. */
     private static boolean heldByLimit(Want want) {
         return want.waiting() > 0 && !want.job().gang() && want.job().rank().compareTo(JobSpec.Rank.STANDARD) < 0;
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -84,7 +84,8 @@
                 leadership::confirmed);
         this.startedAt = loop.now();
         this.mintedAt = startedAt;
-        this.books = new Books(loop, settings, new Aims(settings.deployment().objectives()), types, fleet, ledger, jobs, renting);
+        this.books = new Books(loop, settings, new Aims(settings.deployment().objectives()), types, fleet, ledger, jobs, renting,
+                new Latencies());
         Dispatcher.Starter starter = new Dispatcher.Starter() {
             @Override public void start(Job job, int task, Machine machine) {
                 begin(job, task, machine);
@@ -439,7 +440,8 @@
     String summary() {
         int waiting = jobs.values().stream().filter(j -> j.end() == null).mapToInt(Job::waitingCount).sum();
         return "machines " + fleet.census(loop.now(), 2 * reportS) + ", jobs " + jobs.size() + ", attempts " + ledger.size()
-                + ", waiting tasks " + waiting + ", writes waiting " + writer.waiting();
+                + ", waiting tasks " + waiting + ", writes waiting " + writer.waiting()
+                + ", passes " + books.passes().summary();
     }
 
     void describe(ObjectNode node) {
--- a/src/main/java/io/pepperfield/node/Sizer.java
+++ b/src/main/java/io/pepperfield/node/Sizer.java
@@ -59,6 +59,7 @@
         if (now - steeredAt >= books.reportS() / 2 && books.types().known()) {
             steeredAt = now;
             steer(now);
+            books.passes().record("sizing", books.loop().now() - now);
         }
     }
 
--- a/src/main/java/io/pepperfield/placement/Share.java
+++ b/src/main/java/io/pepperfield/placement/Share.java
@@ -42,4 +42,9 @@
     public double cpus() {
         return cpus;
     }
+
+    /** Whether it uses more than its guarantee. */
+    public boolean borrows() {
+        return cpus > team.cpus();
+    }
 }
--- a/src/test/java/io/pepperfield/node/WatchTest.java
+++ b/src/test/java/io/pepperfield/node/WatchTest.java
@@ -51,7 +51,8 @@
             @Override public void list(Consumer<List<Listed>> done) { }
         };
         Renting renting = new Renting(this, cloud, null, fleet, 10, 1, 10, () -> true);
-        Books books = new Books(this, settings, new Aims(List.of()), types, fleet, new Ledger(), new HashMap<>(), renting);
+        Books books = new Books(this, settings, new Aims(List.of()), types, fleet, new Ledger(), new HashMap<>(), renting,
+                new Latencies());
         watch = new Watch(books, null, new HttpWorkers(this, (host, port, connections, method, path, body, deadlineMs, done) -> { }, 1), null);
     }
 
