The one controller inside a cut zone goes on too

Read in the last look at the change: a node that found its zone cut off went on only where another node inside shared its view; alone it still sent workers away. A test that fails without the mend.

--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -380,7 +380,7 @@
                 relay.submit(report, call.body(), verdict -> relayed(report, verdict, answer));
             }
         } else if (!lostAlone(now) && (now - relay.linkedAt() < reportS || leadership.leader().isEmpty()
-                || peers.contact(now) == Peers.Contact.LOST_BY_ALL)) {
+                || peers.contact(now) != Peers.Contact.FINE)) {
             keepAlive(report, answer);
         } else if (peers.contact(now) == Peers.Contact.FINE && !leadership.leader().isEmpty()
                 && !leadership.leader().equals(settings.node())) {
--- a/src/test/java/io/pepperfield/node/SimulationTest.java
+++ b/src/test/java/io/pepperfield/node/SimulationTest.java
@@ -114,6 +114,27 @@
         assertEquals(List.of(), region.unanswered());
     }
 
+    @Test void theOneControllerInsideACutGoesOnForItsZone() {
+        Region region = region(9, 0, 1);
+        region.world.run(10);
+        int inside = (Integer.parseInt(region.leader().substring(5)) + 1) % 3;
+        for (int i = 0; i < 100; i++) {
+            region.report(inside, i % 2 == 0 ? "east" : "west");
+        }
+        double cut = region.world.now();
+        region.cutZone("east", inside, cut + 40);
+        region.world.run(cut + 4);
+        // Alone as far as it knows: others are to take the worker.
+        assertEquals(503, region.report(inside, "east").status());
+        for (int i = 0; i < 12; i++) {
+            region.report(inside, "east");
+        }
+        assertEquals(200, region.report(inside, "east").status());
+        // But not beyond what it knows of cancellations.
+        region.world.run(cut + Region.CANCEL_S - Region.LEASE_S);
+        assertEquals(503, region.report(inside, "east").status());
+    }
+
     @Test void aZonesOwnReportsAloneTellThatItIsCutOff() {
         ZoneWatch watch = new ZoneWatch();
         for (int i = 0; i < 200; i++) {
--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -195,6 +195,7 @@
     private double cloudOutUntil;
     private int port = 9000;
     private int lostTasks;
+    private int madeUp;
 
     public Region(long seed) {
         world = new SimWorld(seed);
@@ -603,8 +604,19 @@
 
     /** What a node answers, without the network between; null where it has said nothing within two seconds. */
     public Reply answer(int node, String method, String path) {
+        return answer(node, method, path, null);
+    }
+
+    /** What a node answers to the report of an idle machine of that zone, of which there is one. */
+    public Reply report(int node, String zone) {
+        return answer(node, "POST", "/agent/beat", Json.write(Json.object().put("host", "made-up-" + zone).put("addr", "10.9.0.1:1")
+                .put("flavour", "box").put("site", zone).put("reclaimable", false).put("tenure", 1).put("serial", ++madeUp).put("epoch", 0)
+                .putNull("warningS").set("shards", Json.array())));
+    }
+
+    private Reply answer(int node, String method, String path, byte[] body) {
         Reply[] got = new Reply[1];
-        nodes.get(node).request(method, path, null, reply -> got[0] = reply);
+        nodes.get(node).request(method, path, body, reply -> got[0] = reply);
         for (int step = 0; step < 40 && got[0] == null; step++) {
             world.run(world.now() + 0.05);
         }
