--- a/src/test/java/io/pepperfield/node/SimulationTest.java
+++ b/src/test/java/io/pepperfield/node/SimulationTest.java
@@ -65,10 +65,10 @@
         assertTrue(region.runningTasks() > 8, "tasks " + region.runningTasks());
         int lostBefore = region.lostTasks();
         String leader = region.leader();
-        region.isolate(Integer.parseInt(leader.substring(5)), 70);
+        int alone = region.leaderIndex();
+        region.isolate(alone, 70);
         region.world.run(50);
         // It can answer nobody: it leaves the load balancer and ends the connections that were opened before.
-        int alone = Integer.parseInt(leader.substring(5));
         assertEquals(503, region.answer(alone, "GET", "/up").status());
         assertTrue(region.answer(alone, "GET", "/api/jobs/run-999998").close());
         region.world.run(68);
@@ -87,7 +87,7 @@
         for (int i = 0; i < 6; i++) {
             // Shorter than a lease, so that workers may still turn to it; longer than its grant.
             region.world.run(40 + 9 * i);
-            region.freeze(Integer.parseInt(region.leader().substring(5)), region.world.now() + 1.5 + 0.5 * i);
+            region.freeze(region.leaderIndex(), region.world.now() + 1.5 + 0.5 * i);
         }
         region.world.run(250);
         assertEquals(List.of(), region.broken);
@@ -98,7 +98,7 @@
     @Test void aZoneOutOfHearingIsNotReturnedByALeaderThatNeverHeardIt() {
         Region region = region(8, 12, 2);
         region.world.run(40);
-        int leader = Integer.parseInt(region.leader().substring(5));
+        int leader = region.leaderIndex();
         List<String> zone = region.machines().stream().filter(w -> w.zone.equals("east")).map(w -> w.name).toList();
         assertTrue(zone.size() >= 3, "machines " + zone);
         region.cutZone("east", (leader + 1) % 3, 40 + 2.5 * Region.LEASE_S);
@@ -117,7 +117,7 @@
     @Test void theOneControllerInsideACutGoesOnForItsZone() {
         Region region = region(9, 0, 1);
         region.world.run(10);
-        int inside = (Integer.parseInt(region.leader().substring(5)) + 1) % 3;
+        int inside = (region.leaderIndex() + 1) % 3;
         for (int i = 0; i < 100; i++) {
             region.report(inside, i % 2 == 0 ? "east" : "west");
         }
--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -548,7 +548,7 @@
 
     /** The leader ends for good, and until then nobody else can be elected, although the state service answers. */
     public void nobodyLeads(double until) {
-        int leader = Integer.parseInt(leader().substring(5));
+        int leader = leaderIndex();
         state.noGrants = true;
         crash(leader, until - world.now());
         world.at(until, () -> state.noGrants = false);
@@ -571,6 +571,11 @@
         return key == null ? "" : key.path("node").asText();
     }
 
+    /** Which of the nodes leads. */
+    public int leaderIndex() {
+        return Integer.parseInt(leader().substring(5));
+    }
+
     /** Tasks that were killed with their machine or its lease, or stopped for others. */
     public int lostTasks() {
         return lostTasks;
