--- a/src/main/java/io/pepperfield/config/Settings.java
+++ b/src/main/java/io/pepperfield/config/Settings.java
@@ -18,7 +18,7 @@
     public record Deployment(int size, List<String> zones, double clockErrorMs, Map<String, Team> teams,
                              List<Objective> objectives, Workers workers, State state, Cloud cloud, Quota quota) { }
 
-    /** A limit of 0 means the team may use none of that resource. */
+    /** A guarantee of 0 is none; a limit that the platform does not set is infinite. */
     public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) { }
 
     /** What is expected of a class of jobs; figures that an objective does not carry are 0. */
--- a/src/main/java/io/pepperfield/config/SettingsReader.java
+++ b/src/main/java/io/pepperfield/config/SettingsReader.java
@@ -77,8 +77,8 @@
         }
         Map<String, Team> teams = new LinkedHashMap<>();
         for (Team team : each(d, "deployment.", "teams", t -> new Team(text(t, "deployment.teams.", "name"),
-                number(t, "deployment.teams.", "cpus", 0, 1e9), number(t, "deployment.teams.", "cpus_max", 0, 1e9),
-                optional(t, "deployment.teams.", "gpus", 0, 1e9), optional(t, "deployment.teams.", "gpus_max", 0, 1e9)))) {
+                number(t, "deployment.teams.", "cpus", 0, 1e9), limit(t, "cpus_max"),
+                optional(t, "deployment.teams.", "gpus", 0, 1e9), limit(t, "gpus_max")))) {
             if (teams.put(team.name(), team) != null) {
                 faults.add("deployment.teams.name = \"" + team.name() + "\" is there twice");
             }
@@ -166,6 +166,12 @@
         return in.path(field).isMissingNode() ? 0 : number(in, prefix, field, least, most);
     }
 
+    /** A team's limit; 0 or none is no limit, as for guests, of whom every job would be refused by a limit of nothing. */
+    private double limit(JsonNode team, String field) {
+        double limit = optional(team, "deployment.teams.", field, 0, 1e9);
+        return limit == 0 ? Double.POSITIVE_INFINITY : limit;
+    }
+
     private double number(JsonNode in, String prefix, String field, double least, double most) {
         JsonNode value = in.path(field);
         double number = value.asDouble(Double.NaN);
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -463,8 +463,11 @@
         shares.keySet().stream().sorted().forEach(name -> {
             Settings.Team team = settings.deployment().teams().get(name);
             int waiting = jobs.values().stream().filter(j -> j.end() == null && j.spec.team().equals(name)).mapToInt(Job::waitingCount).sum();
-            teams.addObject().put("name", name).put("cpus", shares.get(name).cpus()).put("guaranteed", team.cpus())
-                    .put("most", team.cpusMax()).put("waitingTasks", waiting);
+            ObjectNode line = teams.addObject().put("name", name).put("cpus", shares.get(name).cpus()).put("guaranteed", team.cpus())
+                    .put("waitingTasks", waiting);
+            if (Double.isFinite(team.cpusMax())) {
+                line.put("most", team.cpusMax());
+            }
         });
         ArrayNode queue = node.putArray("waiting");
         for (Want want : dispatcher.wants(now)) {
--- a/src/test/java/io/pepperfield/config/SettingsTest.java
+++ b/src/test/java/io/pepperfield/config/SettingsTest.java
@@ -52,6 +52,17 @@
         return assertThrows(SettingsException.class, () -> SettingsReader.parse("f.toml", toml, Operators.DEFAULTS)).getMessage();
     }
 
+    @Test void aTeamWhoseLimitIsNoughtHasNone() throws SettingsException {
+        String guests = GOOD.replace("[deployment.workers]", """
+                [[deployment.teams]]
+                name = "guests"
+                cpus = 0.0
+                cpus_max = 0.0
+                [deployment.workers]""");
+        // Read as a limit of nothing, every job of theirs would be refused for good.
+        assertEquals(Double.POSITIVE_INFINITY, SettingsReader.parse("f.toml", guests, Operators.DEFAULTS).deployment().teams().get("guests").cpusMax());
+    }
+
     @Test void readsWhatThePlatformHandsOver() throws SettingsException {
         Settings settings = SettingsReader.parse("f.toml", GOOD, Operators.DEFAULTS);
         assertEquals(2.5, settings.deployment().workers().reportS());
