--- a/src/main/java/io/pepperfield/jobs/Catalog.java
+++ b/src/main/java/io/pepperfield/jobs/Catalog.java
@@ -7,8 +7,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /** All jobs that were ever accepted, as the replica has them; every node answers its users from here. */
@@ -68,6 +70,7 @@
 
     private final Map<String, Record> records = new HashMap<>();
     private final Map<String, Status> endsBeforeJobs = new HashMap<>();
+    private final Map<String, List<String>> inShared = new HashMap<>();
 
     public Record get(String id) {
         return records.get(id);
@@ -102,12 +105,27 @@
             } else if (record.end != end) {
                 LOG.error("{} was {} and is called {} in the state service", id, record.end, end);
             }
+        } else if (key.startsWith(Keys.SHARED)) {
+            // What is left out now is over with nothing alive: its old lines must not come to life under the next leader.
+            inShared.getOrDefault(key, List.of()).stream().filter(id -> !data.has(id)).forEach(id -> lines(id, 0, null));
+            List<String> ids = new ArrayList<>();
+            data.fieldNames().forEachRemaining(ids::add);
+            inShared.put(key, ids);
+            ids.forEach(id -> lines(id, 0, data.get(id)));
         } else if (key.startsWith(Keys.RUN)) {
             int slash = key.lastIndexOf('/');
-            Record record = records.get(key.substring(Keys.RUN.length(), slash));
-            if (record != null && record.end != Status.DONE) {
-                record.counted = false;
-                record.chunks.put(Integer.parseInt(key.substring(slash + 1)), data);
+            lines(key.substring(Keys.RUN.length(), slash), Integer.parseInt(key.substring(slash + 1)), data);
+        }
+    }
+
+    private void lines(String id, int chunk, JsonNode data) {
+        Record record = records.get(id);
+        if (record != null && record.end != Status.DONE) {
+            record.counted = false;
+            if (data == null) {
+                record.chunks.remove(chunk);
+            } else {
+                record.chunks.put(chunk, data);
             }
         }
     }
--- /dev/null
+++ b/src/main/java/io/pepperfield/jobs/SharedRecords.java
@@ -0,0 +1,84 @@
+package io.pepperfield.jobs;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pepperfield.http.Json;
+import io.pepperfield.store.Keys;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/**
+ * Which small jobs share a durable run record. A swarm of jobs with a task each would otherwise cost a change for each
+ * intent, and changes per second are the scarcest resource. A record whose jobs are all over is used again.
+ */
+public final class SharedRecords {
+
+    /** A job is small if so many like it fill a record. */
+    private static final int SMALL = 16;
+
+    private final long token;
+    private final Map<String, Map<String, Job>> members = new HashMap<>();
+    private final Map<String, String> recordOf = new HashMap<>();
+    private final ArrayDeque<String> empty = new ArrayDeque<>();
+    private String open = "";
+    private int openTasks;
+    private int sequence;
+
+    /** @param token of the leadership: no record's name is ever chosen by two leaders */
+    public SharedRecords(long token) {
+        this.token = token;
+    }
+
+    /** A record of an earlier leader with those of its jobs that are not over. */
+    public void restore(String key, JsonNode data, Map<String, Job> jobs) {
+        Map<String, Job> inside = members.computeIfAbsent(key, k -> new LinkedHashMap<>());
+        data.fieldNames().forEachRemaining(id -> {
+            Job job = jobs.get(id);
+            if (job != null) {
+                inside.put(id, job);
+                recordOf.put(id, key);
+            }
+        });
+        if (inside.isEmpty()) {
+            empty.add(key);
+        }
+    }
+
+    /** The record that the job shares, or null where it has its own; {@code begun}: it has run records of its own already. */
+    public String keyOf(Job job, boolean begun) {
+        String known = recordOf.get(job.spec.id());
+        if (known != null || begun || job.spec.service() || job.spec.tasks() * SMALL > job.spec.chunk()) {
+            return known;
+        }
+        if (open.isEmpty() || openTasks + job.spec.tasks() > job.spec.chunk()) {
+            open = empty.isEmpty() ? Keys.SHARED + token + "-" + ++sequence : empty.poll();
+            openTasks = 0;
+        }
+        openTasks += job.spec.tasks();
+        members.computeIfAbsent(open, k -> new LinkedHashMap<>()).put(job.spec.id(), job);
+        recordOf.put(job.spec.id(), open);
+        return open;
+    }
+
+    /** The job is over and nothing of it may be alive: its lines are left out from the next writing on. */
+    public void over(String id) {
+        String key = recordOf.remove(id);
+        if (key != null && members.get(key).remove(id) != null && members.get(key).isEmpty() && !key.equals(open)) {
+            empty.add(key);
+        }
+    }
+
+    /** What the record is to hold now. */
+    public JsonNode content(String key, Function<Job, List<RunRecord>> lines) {
+        ObjectNode node = Json.object();
+        Collection<Job> jobs = members.get(key).values();
+        jobs.forEach(job -> node.set(job.spec.id(), RunRecord.write(lines.apply(job))));
+        return node;
+    }
+}
--- a/src/main/java/io/pepperfield/node/Dispatcher.java
+++ b/src/main/java/io/pepperfield/node/Dispatcher.java
@@ -202,6 +202,7 @@
         List<Job> order = new ArrayList<>(books.jobs().values());
         order.sort(BY_AGE);
         Map<Job, Set<String>> kept = null;
+        Set<String> overdue = new HashSet<>();
         for (Job job : order) {
             if (job.end() != null) {
                 continue;
@@ -216,7 +217,9 @@
             Want want = new Want(job.spec, waiting, cpus <= team.cpus(), job.submittedAt, books.ledger().zones(job),
                     kept.getOrDefault(job, Set.of()));
             want.warmOnly(mustBeWarm(job.spec) && now - job.submittedAt < books.aims().wait(job.spec.workload()));
-            want.overdue(job.doneCount() == 0 && !books.ledger().has(job) && now - job.submittedAt > PATIENCE_S);
+            // The oldest of each class: if a swarm came first as a whole, it would have the fleet to itself.
+            want.overdue(job.doneCount() == 0 && !books.ledger().has(job) && now - job.submittedAt > PATIENCE_S
+                    && overdue.add(job.spec.team() + "/" + job.spec.workload()));
             want.promised(promised.containsKey(job));
             want.waited(now - job.submittedAt);
             wants.add(want);
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -18,7 +18,9 @@
 import io.pepperfield.jobs.Catalog;
 import io.pepperfield.jobs.Job;
 import io.pepperfield.jobs.JobMessages;
+import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.RunRecord;
+import io.pepperfield.jobs.SharedRecords;
 import io.pepperfield.jobs.Status;
 import io.pepperfield.leadership.Leadership;
 import io.pepperfield.peer.PartOrders;
@@ -54,6 +56,7 @@
     private final Renting renting;
     private final Cloud cloud;
     private final Map<String, Job> jobs = new LinkedHashMap<>();
+    private final SharedRecords shared;
     private final Map<Machine, List<Attempt>> toSend = new LinkedHashMap<>();
     private final Books books;
     private final Dispatcher dispatcher;
@@ -82,6 +85,7 @@
         this.fleet = new Fleet(this, leadership.token());
         this.renting = new Renting(loop, cloud, writer, fleet, leadership.token(), reportS, settings.operators().chargeS(),
                 leadership::confirmed);
+        this.shared = new SharedRecords(leadership.token());
         this.startedAt = loop.now();
         this.mintedAt = startedAt;
         this.books = new Books(loop, settings, new Aims(settings.deployment().objectives()), types, fleet, ledger, jobs, renting,
@@ -110,6 +114,7 @@
                 restore(record, now);
             }
         }
+        replica.each(Keys.SHARED, (key, data) -> shared.restore(key, data, jobs));
         if (types.known()) {
             typesHeard();
         }
@@ -139,7 +144,7 @@
         }
         if (job.end() == null || live) {
             jobs.put(job.spec.id(), job);
-            endIfDone(job);
+            endIfDone(job, () -> { });
         }
     }
 
@@ -167,7 +172,7 @@
     private void ended(Job job, Status end) {
         job.end(end);
         // What was waiting to be written of its tasks says less than its final state, and is spared.
-        for (int chunk = 0; end == Status.DONE && chunk < job.spec.chunks(); chunk++) {
+        for (int chunk = 0; end == Status.DONE && chunk < job.spec.chunks() && sharedKey(job) == null; chunk++) {
             writer.drop(Keys.run(job.spec.id(), chunk));
         }
         for (Attempt attempt : ledger.of(job)) {
@@ -181,6 +186,7 @@
     private void forgetIfOver(Job job) {
         if (job.end() != null && !ledger.has(job)) {
             jobs.remove(job.spec.id());
+            shared.over(job.spec.id());
         }
     }
 
@@ -269,14 +275,29 @@
             sizer.finished(job, ranS);
         }
         // Done must be durable before the machine may forget it, or a later leader would run the task again.
-        mark(job, attempt.task, Writer.Haste.PATIENT, attempt::settle);
-        endIfDone(job);
+        if (over(job) && sharedKey(job) != null) {
+            // The final state says it as well, and spares the record that others share a change for each of them.
+            endIfDone(job, attempt::settle);
+        } else {
+            mark(job, attempt.task, Writer.Haste.PATIENT, attempt::settle);
+            endIfDone(job, () -> { });
+        }
+    }
+
+    private static boolean over(Job job) {
+        return job.end() == null && !job.spec.service() && job.allDone();
     }
 
-    private void endIfDone(Job job) {
-        if (job.end() == null && !job.spec.service() && job.allDone()) {
-            writer.mark(Keys.END + job.spec.id(), Writer.Haste.END, () -> JobMessages.durableEnd(Status.DONE), () -> ended(job, Status.DONE),
-                    () -> ended(job, JobMessages.end(replica.get(Keys.END + job.spec.id()).data())));
+    private void endIfDone(Job job, Runnable settle) {
+        if (over(job)) {
+            String key = Keys.END + job.spec.id();
+            writer.mark(key, Writer.Haste.END, () -> JobMessages.durableEnd(Status.DONE), () -> {
+                settle.run();
+                ended(job, Status.DONE);
+            }, () -> {
+                settle.run();
+                ended(job, JobMessages.end(replica.get(key).data()));
+            });
         }
     }
 
@@ -303,10 +324,20 @@
     }
 
     private void mark(Job job, int task, Writer.Haste haste, Runnable effect) {
+        String key = sharedKey(job);
+        if (key != null) {
+            writer.mark(key, haste, () -> shared.content(key, member -> lines(member, 0)), effect, null);
+            return;
+        }
         int chunk = task / job.spec.chunk();
         writer.mark(Keys.run(job.spec.id(), chunk), haste, () -> RunRecord.write(lines(job, chunk)), effect, null);
     }
 
+    /** The run record that the job shares with other small ones, or null. */
+    private String sharedKey(Job job) {
+        return shared.keyOf(job, replica.get(Keys.run(job.spec.id(), 0)) != null);
+    }
+
     private List<RunRecord> lines(Job job, int chunk) {
         List<RunRecord> lines = new ArrayList<>();
         int end = Math.min(job.spec.tasks(), (chunk + 1) * job.spec.chunk());
@@ -405,7 +436,7 @@
     private void begin(Job job, int task, Machine machine) {
         Attempt attempt = fleet.intend(job, task, job.begin(task), machine, loop.now());
         ledger.add(attempt);
-        mark(job, task, Writer.Haste.INTENT, () -> {
+        mark(job, task, job.spec.rank() == JobSpec.Rank.BEST_EFFORT ? Writer.Haste.LATER : Writer.Haste.INTENT, () -> {
             if (!over && fleet.ordered(attempt)) {
                 direct(attempt);
             }
--- a/src/main/java/io/pepperfield/placement/Placer.java
+++ b/src/main/java/io/pepperfield/placement/Placer.java
@@ -1,10 +1,14 @@
 package io.pepperfield.placement;
 
+import io.pepperfield.jobs.JobSpec;
+
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Which waiting task goes to which machine. A queue for each team, served in turn: work within a guarantee first, then by
@@ -14,6 +18,9 @@
 
     public record Choice(String job, String machine) { }
 
+    /** What decides whether a task finds a place, where its job's other tasks have no say in it. */
+    private record Need(double cpus, double gpus, double memGb, List<String> types, String zone, boolean spot, String image) { }
+
     private static final double SLACK = 1e-6;
     private static final Comparator<Want> IN_TEAM = Comparator.comparing((Want w) -> !w.overdue)
             .thenComparing(w -> !w.promised).thenComparing(w -> !w.guaranteed).thenComparing(w -> w.job.rank()).thenComparing(w -> !w.job.service())
@@ -32,6 +39,8 @@
         queues.values().forEach(queue -> queue.sort(IN_TEAM));
         List<String> teams = queues.keySet().stream().sorted().toList();
         List<Choice> choices = new ArrayList<>();
+        // Of a swarm of like jobs that find no room one looks at the whole fleet, not each.
+        Set<Need> hopeless = new HashSet<>();
         while (true) {
             Want next = null;
             for (String team : teams) {
@@ -45,8 +54,12 @@
             }
             Share share = shares.get(next.job.team());
             if (!next.job.gang()) {
-                Room room = choose(next, rooms);
+                Need need = need(next);
+                Room room = need != null && hopeless.contains(need) ? null : choose(next, rooms);
                 if (room == null) {
+                    if (need != null) {
+                        hopeless.add(need);
+                    }
                     // Nothing fits this one now; what comes behind may be smaller or allowed elsewhere.
                     next.stuck = true;
                     if (next.overdue) {
@@ -71,6 +84,7 @@
                     }
                 }
                 next.stuck = true;
+                hopeless.clear();
                 continue;
             }
             for (Room room : taken) {
@@ -93,6 +107,13 @@
         }
     }
 
+    /** Null where zones or machines to avoid make the job a case of its own. */
+    private static Need need(Want want) {
+        JobSpec job = want.job;
+        return job.oneZone() || job.spread() || !want.avoid.isEmpty() ? null : new Need(job.cpus(), job.gpus(), job.memGb(),
+                job.types(), job.zone(), job.spot(), want.warmOnly ? job.image() : "");
+    }
+
     /** A turn fills a machine, so that a large array does not cost a look at the whole fleet for each task. */
     private static void fill(Want want, Room room, Share share, List<Choice> choices) {
         do {
--- a/src/main/java/io/pepperfield/placement/Preemption.java
+++ b/src/main/java/io/pepperfield/placement/Preemption.java
@@ -56,7 +56,9 @@
      */
     public static List<String> victims(List<Want> wants, List<Place> places, Map<String, Share> shares) {
         List<String> stopped = new ArrayList<>();
-        List<Want> order = wants.stream().filter(w -> w.waiting > 0 && !w.job.gang()).sorted(Comparator.comparing((Want w) -> !w.guaranteed)
+        // What is lowest and claims no guarantee may stop nothing; a swarm of it would cost a look at all tasks for each.
+        List<Want> order = wants.stream().filter(w -> w.waiting > 0 && !w.job.gang())
+                .filter(w -> w.guaranteed || w.job.rank() != JobSpec.Rank.BEST_EFFORT).sorted(Comparator.comparing((Want w) -> !w.guaranteed)
                 .thenComparing(w -> w.job.rank()).thenComparing(w -> w.submittedAt)).toList();
         for (Want want : order) {
             Share share = shares.get(want.job.team());
--- a/src/main/java/io/pepperfield/store/Keys.java
+++ b/src/main/java/io/pepperfield/store/Keys.java
@@ -8,6 +8,8 @@
     public static final String TYPES = ROOT + "types";
     public static final String JOB = ROOT + "job/";
     public static final String RUN = ROOT + "run/";
+    /** After the jobs in the order of keys, so that a reading in pages knows them first. */
+    public static final String SHARED = ROOT + "runs/";
     public static final String END = ROOT + "end/";
     public static final String HIRE = ROOT + "hire/";
 
--- a/src/main/java/io/pepperfield/store/Writer.java
+++ b/src/main/java/io/pepperfield/store/Writer.java
@@ -33,6 +33,8 @@
         INTENT,
         /** A final state, which users wait for. */
         END,
+        /** An intent of the lowest rank: gathered for a moment, so that a swarm of small jobs costs one change and not one each. */
+        LATER,
         /** A completed or lost task: if it is lost, a worker that still holds it tells it again, or it runs once more. */
         PATIENT
     }
@@ -63,6 +65,7 @@
     private final int mostChanges;
     private final double retryS;
     private final double patienceS;
+    private final double gatherS;
     private final Map<String, Long> stamps = new LinkedHashMap<>();
     private Map<String, Pending> pending = new LinkedHashMap<>();
     private boolean writing;
@@ -70,7 +73,7 @@
     private int generation;
 
     /**
-     * @param retryS    the pause after a refusal
+     * @param retryS    the pause after a refusal, and how long intents of the lowest rank are gathered
      * @param patienceS how long changes that nobody waits for are gathered, so that a chunk's many cost one
      */
     public Writer(Loop loop, StateService state, Replica replica, Sync sync, Lead lead, int mostChanges, double retryS,
@@ -83,6 +86,7 @@
         this.mostChanges = mostChanges;
         this.retryS = retryS;
         this.patienceS = patienceS;
+        this.gatherS = retryS;
     }
 
     /** Forgets what was waiting: it was the wish of a leadership that has ended. */
@@ -172,7 +176,12 @@
                 }
                 Pending change = entry.getValue();
                 int waited = (int) ((now - change.since) / patienceS);
-                if (Math.max(0, change.haste.ordinal() - waited) == rank && (change.haste != Haste.PATIENT || waited > 0)) {
+                boolean ripe = switch (change.haste) {
+                    case INTENT, END -> true;
+                    case LATER -> now - change.since >= gatherS;
+                    case PATIENT -> waited > 0;
+                };
+                if (ripe && Math.max(0, change.haste.ordinal() - waited) == rank) {
                     chosen.add(entry);
                 }
             }
