--- a/src/main/java/io/pepperfield/fleet/Fleet.java
+++ b/src/main/java/io/pepperfield/fleet/Fleet.java
@@ -333,7 +333,7 @@
         attempt.phase = Attempt.Phase.ENDED;
         attempt.machine.count(attempt, -1);
         if (cause == Cause.ERROR) {
-            attempt.machine.failedJobs.add(attempt.job.spec.id());
+            attempt.machine.failedJobs.add(attempt.job);
         }
         if (attempt.machine.tenure != attempt.tenure) {
             attempt.machine.attempts.remove(attempt.ref, attempt);
--- a/src/main/java/io/pepperfield/fleet/Machine.java
+++ b/src/main/java/io/pepperfield/fleet/Machine.java
@@ -1,6 +1,7 @@
 package io.pepperfield.fleet;
 
 import io.pepperfield.cloud.MachineType;
+import io.pepperfield.jobs.Job;
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.steering.Pool;
 
@@ -54,8 +55,8 @@
     boolean releasing;
     boolean draining;
     double avoidUntil;
-    /** Jobs of which a task failed here and no later one was completed. */
-    final Set<String> failedJobs = new HashSet<>();
+    /** Jobs of which a task failed here since one of any job was completed. */
+    final Set<Job> failedJobs = new HashSet<>();
     final Map<TaskRef, Attempt> attempts = new LinkedHashMap<>();
     final Set<String> images = new LinkedHashSet<>();
     int live;
@@ -166,9 +167,9 @@
         avoidUntil = Math.max(avoidUntil, until);
     }
 
-    /** Tasks of several jobs failed here. */
+    /** Tasks of several jobs failed here that succeed elsewhere: what fails everywhere is no fault of the machine. */
     public boolean faulty() {
-        return failedJobs.size() >= MOST_ERRORS;
+        return failedJobs.size() >= MOST_ERRORS && failedJobs.stream().filter(job -> job.doneCount() > 0).count() >= MOST_ERRORS;
     }
 
     public boolean reborn() {
--- a/src/main/java/io/pepperfield/jobs/Job.java
+++ b/src/main/java/io/pepperfield/jobs/Job.java
@@ -5,10 +5,16 @@
 import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap;
 
 import java.util.BitSet;
+import java.util.LinkedHashSet;
+import java.util.Set;
 
 /** The leader's working state of one accepted job. */
 public final class Job {
 
+    /** One machine on which tasks fail may be faulty; that two are, and nothing else is known of the job, is less likely. */
+    private static final int SUSPECT = 2;
+    private static final int REMEMBERED = 8;
+
     public final JobSpec spec;
     /** Run times of this job's tasks: what WIRE predicts from. */
     public final PeerTimes times = new PeerTimes();
@@ -16,9 +22,14 @@
     public final double submittedAt;
     private final BitSet waiting;
     private final BitSet done;
+    /** Tasks of which the last attempt failed. */
+    private final BitSet failed = new BitSet();
     private final Int2IntMap attempts = new Int2IntOpenHashMap();
     private Status end;
-    private int errors;
+    /** Machines on which a task failed since one of the job was last completed, the last few of them. */
+    private final LinkedHashSet<String> failedOn = new LinkedHashSet<>();
+    /** Tasks that durable records call failed, from before this leader. */
+    private int failedBefore;
     private double notBefore;
 
     public Job(JobSpec spec, double submittedAt) {
@@ -60,9 +71,18 @@
         return waiting.nextSetBit(0);
     }
 
+    public void markFailed(int task) {
+        failed.set(task);
+    }
+
+    public boolean hasFailed(int task) {
+        return failed.get(task);
+    }
+
     /** Takes the task off the waiting ones and gives its new attempt's number. */
     public int begin(int task) {
         waiting.clear(task);
+        failed.clear(task);
         int number = attempts.get(task) + 1;
         attempts.put(task, number);
         return number;
@@ -96,16 +116,47 @@
         return notBefore;
     }
 
-    /** A job that was submitted with a mistake fails everywhere; it must not keep machines busy until it is cancelled. */
-    public void failed(double now, double firstPauseS, double longestPauseS) {
-        errors++;
-        // The first errors are more likely the machine's fault than the job's.
-        if (errors > 2) {
-            notBefore = now + Math.min(longestPauseS, firstPauseS * Math.pow(2, errors - 3));
+    /** Where it failed of late: the next try goes elsewhere. */
+    public Set<String> failedOn() {
+        return failedOn;
+    }
+
+    /** A task failed on that machine; true if this makes the job suspect. */
+    public boolean failed(String machine, double now, double firstPauseS, double longestPauseS) {
+        boolean before = suspect();
+        failedOn.remove(machine);
+        failedOn.add(machine);
+        if (failedOn.size() > REMEMBERED) {
+            failedOn.remove(failedOn.iterator().next());
         }
+        if (suspect()) {
+            notBefore = now + Math.min(longestPauseS, firstPauseS * Math.pow(2, failedOn.size() + failedBefore - SUSPECT));
+        }
+        return suspect() && !before;
+    }
+
+    /** A durable record says that the task failed where it was last tried. */
+    public void failedBefore() {
+        failedBefore = Math.min(REMEMBERED, failedBefore + 1);
     }
 
+    /** What can be completed was not submitted with a mistake, whatever its bad machines have made of it. */
     public void succeeded() {
-        errors = 0;
+        failedOn.clear();
+        failedBefore = 0;
+        notBefore = 0;
+    }
+
+    /**
+     * Failed on several machines and completed on none since: submitted with a mistake, as far as anyone can tell. Such a job
+     * is tried one task at a time and after growing pauses, and neither rents nor stops anything until a task is completed.
+     */
+    public boolean suspect() {
+        return failedOn.size() + failedBefore >= SUSPECT;
+    }
+
+    /** How many of its tasks may be started now, beside those that may be alive. */
+    public int startable(boolean anyAlive) {
+        return !suspect() ? waitingCount() : anyAlive ? 0 : Math.min(1, waitingCount());
     }
 }
--- a/src/main/java/io/pepperfield/jobs/RunRecord.java
+++ b/src/main/java/io/pepperfield/jobs/RunRecord.java
@@ -7,10 +7,10 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** The durable line of one task: its latest attempt, where it may be alive, or that it is done. */
+/** The durable line of one task: its latest attempt, where it may be alive, that it is done, or that it failed. */
 public record RunRecord(int task, int attempt, State state, String machine, long tenure) {
 
-    public enum State { GONE, LIVE, DONE }
+    public enum State { GONE, LIVE, DONE, FAILED }
 
     public static JsonNode write(List<RunRecord> records) {
         ArrayNode all = Json.array();
--- a/src/main/java/io/pepperfield/node/Dispatcher.java
+++ b/src/main/java/io/pepperfield/node/Dispatcher.java
@@ -125,7 +125,7 @@
 
     /** Waits for room, and either ranks above something that may be alive or has a guarantee to claim from what is borrowed. */
     private static boolean mayStopAnything(Want want, JobSpec.Rank lowest, boolean borrowed) {
-        return (want.stuck() || heldByLimit(want)) && (want.guaranteed() && borrowed || want.job().rank().compareTo(lowest) < 0);
+        return !want.trial() && (want.stuck() || heldByLimit(want)) && (want.guaranteed() && borrowed || want.job().rank().compareTo(lowest) < 0);
     }
 
     /** Waits although machines may have room, and ranks above something: its team's limit may be taken up by lower work. */
@@ -195,6 +195,15 @@
         return kept;
     }
 
+    private static Set<String> avoided(Job job, Map<Job, Set<String>> kept) {
+        Set<String> avoided = kept.getOrDefault(job, Set.of());
+        if (!job.failedOn().isEmpty()) {
+            avoided = new HashSet<>(avoided);
+            avoided.addAll(job.failedOn());
+        }
+        return avoided;
+    }
+
     List<Want> wants(double now) {
         List<Want> wants = new ArrayList<>();
         Map<String, Double> before = new HashMap<>();
@@ -208,17 +217,19 @@
                 continue;
             }
             Settings.Team team = books.settings().deployment().teams().get(job.spec.team());
-            double cpus = before.merge(job.spec.team(), job.spec.tasks() * job.spec.cpus(), Double::sum);
-            int waiting = job.waitingCount();
+            // What fails everywhere must not use up its team's guarantee for the jobs behind it.
+            double cpus = before.merge(job.spec.team(), job.suspect() ? 0 : job.spec.tasks() * job.spec.cpus(), Double::sum);
+            int waiting = job.startable(books.ledger().has(job));
             if (waiting == 0 || team == null || job.notBefore() > now) {
                 continue;
             }
             kept = kept == null ? kept() : kept;
-            Want want = new Want(job.spec, waiting, cpus <= team.cpus(), job.submittedAt, books.ledger().zones(job),
-                    kept.getOrDefault(job, Set.of()));
-            want.warmOnly(mustBeWarm(job.spec) && now - job.submittedAt < books.aims().wait(job.spec.workload()));
+            Want want = new Want(job.spec, waiting, cpus <= team.cpus() && !job.suspect(), job.submittedAt, books.ledger().zones(job),
+                    avoided(job, kept));
+            want.trial(job.suspect());
+            want.warmOnly(!job.suspect() && mustBeWarm(job.spec) && now - job.submittedAt < books.aims().wait(job.spec.workload()));
             // The oldest of each class: if a swarm came first as a whole, it would have the fleet to itself.
-            want.overdue(job.doneCount() == 0 && !books.ledger().has(job) && now - job.submittedAt > PATIENCE_S
+            want.overdue(!job.suspect() && job.doneCount() == 0 && !books.ledger().has(job) && now - job.submittedAt > PATIENCE_S
                     && overdue.add(job.spec.team() + "/" + job.spec.workload()));
             want.promised(promised.containsKey(job));
             want.waited(now - job.submittedAt);
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -132,6 +132,9 @@
                 job.restore(line.task(), line.attempt(), line.state() == RunRecord.State.LIVE);
                 if (line.state() == RunRecord.State.DONE) {
                     job.markDone(line.task());
+                } else if (line.state() == RunRecord.State.FAILED) {
+                    // Or every change of leader would let a job that fails everywhere loose on the fleet once more.
+                    job.failedBefore();
                 } else if (line.state() == RunRecord.State.LIVE) {
                     live = true;
                     Attempt attempt = fleet.restore(job, line.task(), line.attempt(), line.machine(), line.tenure(), now);
@@ -143,6 +146,9 @@
             }
         }
         if (job.end() == null || live) {
+            if (job.doneCount() > 0) {
+                job.succeeded();
+            }
             jobs.put(job.spec.id(), job);
             endIfDone(job, () -> { });
         }
@@ -305,13 +311,21 @@
         Job job = attempt.job;
         ledger.remove(attempt);
         dispatcher.wake();
-        if (cause == Report.Cause.ERROR || cause == Report.Cause.NO_SUCH) {
-            job.failed(loop.now(), reportS, settings.operators().chargeS());
-            LOG.info("{} attempt {} failed on {}: {}", attempt.ref, attempt.number, attempt.machine.describe(), cause);
+        boolean failed = cause == Report.Cause.ERROR || cause == Report.Cause.NO_SUCH;
+        if (failed) {
+            // One line for a job: the tasks of a broken array fail by the hundred.
+            LOG.debug("{} attempt {} failed on {}: {}", attempt.ref, attempt.number, attempt.machine.describe(), cause);
+            if (job.failed(attempt.machine.name, loop.now(), reportS, settings.operators().chargeS())) {
+                LOG.info("{} has failed on {} and is tried one task at a time until one is completed", job.spec.id(), job.failedOn());
+            }
         }
-        if (cause != Report.Cause.STOPPED && cause != Report.Cause.OTHER) {
+        // What fails of a job that nowhere succeeded says nothing about the machine: several broken jobs would idle the fleet.
+        if (failed ? job.doneCount() > 0 : cause != Report.Cause.STOPPED && cause != Report.Cause.OTHER) {
             attempt.machine.avoid(loop.now() + 2 * reportS);
         }
+        if (failed) {
+            job.markFailed(attempt.task);
+        }
         job.requeue(attempt.task);
         mark(job, attempt.task, Writer.Haste.PATIENT, null);
         forgetIfOver(job);
@@ -349,7 +363,7 @@
             } else if (attempt != null) {
                 lines.add(new RunRecord(task, number, RunRecord.State.LIVE, attempt.machine.name, attempt.tenure));
             } else if (number > 0) {
-                lines.add(new RunRecord(task, number, RunRecord.State.GONE, "", 0));
+                lines.add(new RunRecord(task, number, job.hasFailed(task) ? RunRecord.State.FAILED : RunRecord.State.GONE, "", 0));
             }
         }
         return lines;
@@ -501,8 +515,15 @@
             }
         });
         ArrayNode queue = node.putArray("waiting");
+        jobs.values().stream().filter(job -> job.end() == null && job.suspect()).forEach(job ->
+                queue.addObject().put("job", job.spec.id()).put("team", job.spec.team()).put("tasks", job.waitingCount())
+                        .put("why", "its tasks fail wherever they are tried; the next try is due in "
+                                + Math.max(0, Math.round(job.notBefore() - now)) + " s"));
         for (Want want : dispatcher.wants(now)) {
             Job job = jobs.get(want.job().id());
+            if (job.suspect()) {
+                continue;
+            }
             boolean limited = shares.get(job.spec.team()).cpus() + job.spec.cpus() > settings.deployment().teams().get(job.spec.team()).cpusMax();
             queue.addObject().put("job", job.spec.id()).put("team", job.spec.team()).put("tasks", want.waiting())
                     .put("why", limited ? "the team's limit" : !types.known() ? "the machine types are not known" : "no machine has room");
--- a/src/main/java/io/pepperfield/node/Sizer.java
+++ b/src/main/java/io/pepperfield/node/Sizer.java
@@ -71,7 +71,7 @@
         books.settings().deployment().teams().forEach((name, team) -> left.put(name, team.cpusMax() - books.ledger().cpus(name)));
         Map<Job, Double> runTimes = new HashMap<>();
         for (Job job : books.ledger().jobs()) {
-            if (job.end() != null) {
+            if (job.end() != null || job.suspect()) {
                 continue;
             }
             double runTime = runTime(job, now);
@@ -88,7 +88,7 @@
         for (Job job : books.jobs().values()) {
             job.times.learn();
             int waiting = job.waitingCount();
-            if (job.end() != null || waiting == 0 || job.notBefore() > now) {
+            if (job.end() != null || waiting == 0 || job.suspect()) {
                 continue;
             }
             double runTime = runTimes.computeIfAbsent(job, j -> runTime(j, now));
--- a/src/main/java/io/pepperfield/placement/Preemption.java
+++ b/src/main/java/io/pepperfield/placement/Preemption.java
@@ -58,7 +58,7 @@
         List<String> stopped = new ArrayList<>();
         // What is lowest and claims no guarantee may stop nothing; a swarm of it would cost a look at all tasks for each.
         List<Want> order = wants.stream().filter(w -> w.waiting > 0 && !w.job.gang())
-                .filter(w -> w.guaranteed || w.job.rank() != JobSpec.Rank.BEST_EFFORT).sorted(Comparator.comparing((Want w) -> !w.guaranteed)
+                .filter(w -> !w.trial() && (w.guaranteed || w.job.rank() != JobSpec.Rank.BEST_EFFORT)).sorted(Comparator.comparing((Want w) -> !w.guaranteed)
                 .thenComparing(w -> w.job.rank()).thenComparing(w -> w.submittedAt)).toList();
         for (Want want : order) {
             Share share = shares.get(want.job.team());
--- a/src/main/java/io/pepperfield/placement/Want.java
+++ b/src/main/java/io/pepperfield/placement/Want.java
@@ -25,6 +25,8 @@
     /** Others are being stopped for it: the room that this frees is its own. */
     boolean promised;
     boolean madeRoom;
+    /** Of a job that has only failed so far: nothing is stopped for it. */
+    private boolean trial;
     boolean stuck;
     /** How long it has waited for each CPU that it still waits for. */
     double waitedForSize;
@@ -51,6 +53,14 @@
         waitedForSize = job.service() ? 0 : seconds / (waiting * job.cpus());
     }
 
+    public void trial(boolean suspect) {
+        trial = suspect;
+    }
+
+    public boolean trial() {
+        return trial;
+    }
+
     public void promised(boolean room) {
         promised = room;
     }
