--- a/src/main/java/io/pepperfield/node/Books.java
+++ b/src/main/java/io/pepperfield/node/Books.java
@@ -19,7 +19,7 @@
 
 /** What the parts of one leadership share: the jobs, the machines, and what may be alive on them. */
 record Books(Loop loop, Settings settings, Aims aims, Types types, Fleet fleet, Ledger ledger, Map<String, Job> jobs,
-             Renting renting, Latencies passes) {
+             Renting renting, Boots boots, Latencies passes) {
 
     double reportS() {
         return settings.deployment().workers().reportS();
@@ -34,11 +34,6 @@
         return 2.25 * reportS();
     }
 
-    double bootLimit(Machine machine) {
-        MachineType type = types.get(machine.type());
-        return type == null ? settings.operators().chargeS() : 3 * type.bootS();
-    }
-
     Map<String, Share> shares() {
         Map<String, Share> shares = new HashMap<>();
         settings.deployment().teams().forEach((name, team) -> shares.put(name, new Share(team, ledger.cpus(name), ledger.gpus(name))));
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -65,6 +65,7 @@
     private final double reportS;
     private final double startedAt;
     private double mintedAt;
+    private double lookedAt = Double.NEGATIVE_INFINITY;
     private double listedAt = Double.NEGATIVE_INFINITY;
     private boolean listing;
     private boolean acting;
@@ -89,7 +90,7 @@
         this.startedAt = loop.now();
         this.mintedAt = startedAt;
         this.books = new Books(loop, settings, new Aims(settings.deployment().objectives()), types, fleet, ledger, jobs, renting,
-                new Latencies());
+                new Boots(types, settings.operators().chargeS()), new Latencies());
         Dispatcher.Starter starter = new Dispatcher.Starter() {
             @Override public void start(Job job, int task, Machine machine) {
                 begin(job, task, machine);
@@ -334,6 +335,10 @@
     @Override public void appeared(Machine machine) {
         // A line for each machine of a large fleet would fill the log at every take-over.
         LOG.debug("{} reports, {} s after its rental", machine.describe(), Math.round(loop.now() - machine.rentedAt()));
+        // One from before this leader may have been up for long already.
+        if (!machine.up() && machine.rentedAt() >= startedAt) {
+            books.boots().up(machine, loop.now());
+        }
         dispatcher.wake();
     }
 
@@ -431,6 +436,10 @@
             acting = now - startedAt >= reportS || fleet.machines().stream().allMatch(Machine::up);
             return;
         }
+        if (now - lookedAt >= reportS / 4) {
+            lookedAt = now;
+            books.boots().look(fleet, now);
+        }
         if (!watch.tick(now)) {
             // All of them dead at once is less likely than this node cut off, while another may reach them.
             leadership.abdicate("no worker reports here", settings.deployment().workers().leaseS());
--- a/src/main/java/io/pepperfield/node/Sizer.java
+++ b/src/main/java/io/pepperfield/node/Sizer.java
@@ -64,7 +64,7 @@
     }
 
     private void steer(double now) {
-        intervalS = Math.max(intervalS, books.types().all().stream().mapToDouble(MachineType::bootS).max().orElse(0));
+        intervalS = books.boots().longest();
         List<Steering.Work> work = new ArrayList<>();
         Demand demand = new Demand();
         Map<String, Double> left = new HashMap<>();
@@ -120,7 +120,7 @@
                 rent(offer.pool(), target - offer.present());
             }
             // To rent again costs a boot; a surplus must have stood that long before returning it can pay.
-            DemandWindow kept = wanted.computeIfAbsent(offer.pool(), p -> new DemandWindow(offer.bootS()));
+            DemandWindow kept = wanted.computeIfAbsent(offer.pool(), p -> new DemandWindow(books.types().get(offer.pool().type()).bootS()));
             kept.add(now, Math.max(target, needed.get(offer.pool())));
             int most = (int) kept.quantile(1);
             if (seasoned && most < offer.present()) {
@@ -179,7 +179,7 @@
         Map<Pool, Integer> present = new HashMap<>();
         for (Machine machine : books.fleet().machines()) {
             // A silent machine is not counted on: what takes its place boots meanwhile.
-            boolean coming = machine.up() ? machine.lostFor(now) <= books.silentS() : now - machine.rentedAt() <= books.bootLimit(machine);
+            boolean coming = machine.up() ? machine.lostFor(now) <= books.silentS() : books.boots().coming(machine, now);
             if (!machine.releasing() && !machine.draining() && coming) {
                 present.merge(machine.pool(), 1, Integer::sum);
             }
@@ -189,7 +189,8 @@
             for (boolean spot : new boolean[] {false, true}) {
                 Pool pool = new Pool(type.name(), spot);
                 boolean open = type.zones().stream().anyMatch(zone -> books.renting().open(pool, zone));
-                offers.add(new Steering.Offer(pool, type.cpus(), type.gpus(), type.memGb(), type.price(spot), type.bootS(),
+                offers.add(new Steering.Offer(pool, type.cpus(), type.gpus(), type.memGb(), type.price(spot),
+                        type.zones().stream().mapToDouble(zone -> books.boots().expected(type, zone)).min().orElse(type.bootS()),
                         present.getOrDefault(pool, 0) + books.renting().underWay(pool), open));
             }
         }
@@ -208,9 +209,15 @@
         if (zones.isEmpty()) {
             return;
         }
+        List<String> prompt = zones.stream().filter(z -> !books.boots().late(books.types().get(pool.type()), z)).toList();
+        if (!prompt.isEmpty()) {
+            // Where machines come late or not at all, what waits has nowhere to go.
+            zones = prompt;
+        }
+        List<String> from = zones;
         Map<String, Integer> shares = new LinkedHashMap<>();
         for (int i = 0; i < count; i++) {
-            String zone = zones.stream().min(Comparator.comparingInt(z -> perZone.getOrDefault(z, 0))).orElseThrow();
+            String zone = from.stream().min(Comparator.comparingInt(z -> perZone.getOrDefault(z, 0))).orElseThrow();
             perZone.merge(zone, 1, Integer::sum);
             shares.merge(zone, 1, Integer::sum);
         }
--- a/src/main/java/io/pepperfield/node/Watch.java
+++ b/src/main/java/io/pepperfield/node/Watch.java
@@ -45,7 +45,7 @@
             }
             // One that had long booted when this leader began may be out of hearing with the rest of its zone: silent, and
             // not a machine that never came up.
-            boolean before = !machine.up() && machine.awaitedSince() - machine.rentedAt() > books.bootLimit(machine);
+            boolean before = !machine.up() && books.boots().longBooted(machine);
             if (machine.up() || before) {
                 up++;
                 perZone.merge(machine.zone(), 1, Integer::sum);
@@ -72,7 +72,7 @@
                 } else if (machine.draining() && machine.idle()) {
                     books.renting().release(machine, machine.faulty() ? "faulty" : "about to be taken");
                 }
-            } else if (!before && now - machine.rentedAt() > books.bootLimit(machine) && machine.lostFor(now) > silentS) {
+            } else if (!before && books.boots().givenUp(machine, now) && machine.lostFor(now) > silentS) {
                 books.renting().release(machine, "never came up");
             }
         }
--- /dev/null
+++ b/src/test/java/io/pepperfield/jobs/SharedRecordsTest.java
@@ -0,0 +1,85 @@
+package io.pepperfield.jobs;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.http.Json;
+import io.pepperfield.store.Keys;
+import org.junit.jupiter.api.Test;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+/** Swarms of small jobs share their run records. */
+class SharedRecordsTest {
+
+    private static final int CHUNK = 32;
+
+    private static Job job(int number, int tasks) {
+        return new Job(spec(number, tasks), 0);
+    }
+
+    private static JobSpec spec(int number, int tasks) {
+        return new JobSpec(String.format("run-%06d", number), "w", "t", JobSpec.Shape.ARRAY, JobSpec.Rank.BEST_EFFORT, tasks, 1, 0, 1, "i", 1,
+                null, null, false, false, true, 1, 0, 0, null, 0, CHUNK);
+    }
+
+    private static List<RunRecord> live(Job job) {
+        return List.of(new RunRecord(0, 1, RunRecord.State.LIVE, "m1", 1));
+    }
+
+    @Test void aSwarmCostsAKeyForEachChunkOfIt() {
+        SharedRecords records = new SharedRecords(7);
+        Set<String> keys = new HashSet<>();
+        for (int i = 0; i < 4 * CHUNK; i++) {
+            keys.add(records.keyOf(job(i, 1), false));
+        }
+        assertEquals(4, keys.size());
+        assertNull(records.keyOf(job(500, CHUNK), false), "a large job has chunks of its own");
+        assertNull(records.keyOf(job(501, 1), true), "and so has one that began with them");
+    }
+
+    @Test void whatIsOverIsLeftOutAndItsRecordUsedAgain() {
+        SharedRecords records = new SharedRecords(7);
+        String first = records.keyOf(job(0, 1), false);
+        for (int i = 1; i <= CHUNK; i++) {
+            records.keyOf(job(i, 1), false);
+        }
+        records.over("run-000003");
+        assertEquals(CHUNK - 1, records.content(first, SharedRecordsTest::live).size());
+        for (int i = 0; i < CHUNK; i++) {
+            records.over(String.format("run-%06d", i));
+        }
+        Set<String> keys = new HashSet<>();
+        for (int i = 100; i < 100 + 2 * CHUNK; i++) {
+            keys.add(records.keyOf(job(i, 1), false));
+        }
+        assertEquals(3, keys.size());
+        assertEquals(true, keys.contains(first));
+    }
+
+    @Test void theNextLeaderFindsEachJobInItsRecordAndNothingOfThoseLeftOut() {
+        Catalog catalog = new Catalog();
+        Map<String, Job> jobs = new HashMap<>();
+        for (int i = 0; i < 3; i++) {
+            catalog.changed(Keys.JOB + spec(i, 1).id(), JobMessages.durable(spec(i, 1)));
+            jobs.put(spec(i, 1).id(), job(i, 1));
+        }
+        String key = Keys.SHARED + "7-1";
+        JsonNode both = Json.read("{\"run-000000\":[[0,1,1,\"m1\",1]],\"run-000001\":[[0,1,1,\"m2\",1]]}".getBytes());
+        catalog.changed(key, both);
+        assertEquals("running", catalog.get("run-000000").answer().path("status").asText());
+        // Left out once it was over: a line that stayed would be an attempt on a machine long gone.
+        catalog.changed(key, Json.read("{\"run-000001\":[[0,1,1,\"m2\",1]]}".getBytes()));
+        assertEquals(0, catalog.get("run-000000").chunks().size());
+        assertEquals(1, catalog.get("run-000001").chunks().size());
+        SharedRecords next = new SharedRecords(9);
+        next.restore(key, Json.read("{\"run-000001\":[[0,1,1,\"m2\",1]]}".getBytes()), jobs);
+        assertEquals(key, next.keyOf(jobs.get("run-000001"), false));
+        assertEquals(Keys.SHARED + "9-1", next.keyOf(jobs.get("run-000002"), false));
+    }
+}
--- a/src/test/java/io/pepperfield/node/DispatcherTest.java
+++ b/src/test/java/io/pepperfield/node/DispatcherTest.java
@@ -32,7 +32,7 @@
     private final Ledger ledger = new Ledger();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Dispatcher dispatcher = new Dispatcher(new Books(this, settings, new Aims(settings.deployment().objectives()), types,
-            fleet, ledger, jobs, null, new Latencies()), this);
+            fleet, ledger, jobs, null, new Boots(types, 60), new Latencies()), this);
     private final List<String> said = new ArrayList<>();
 
     private static Settings settings() {
--- a/src/test/java/io/pepperfield/node/WatchTest.java
+++ b/src/test/java/io/pepperfield/node/WatchTest.java
@@ -22,6 +22,7 @@
 import java.util.function.Consumer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Which silent machines are given up: twelve in the east and twelve in the west, reports every second, leases of six. */
 class WatchTest implements Loop, Fleet.Listener {
@@ -32,11 +33,13 @@
     private final TreeSet<String> released = new TreeSet<>();
     private final Fleet fleet = new Fleet(this, 10);
     private final Map<String, Integer> serials = new HashMap<>();
+    private final List<Runnable> posted = new ArrayList<>();
+    private final Types types = new Types(settings);
+    private final Boots boots = new Boots(types, 60);
     private final Watch watch;
     private double now;
 
     WatchTest() {
-        Types types = new Types(settings);
         types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east", "west"))));
         Cloud cloud = new Cloud() {
             @Override public void types(Consumer<List<MachineType>> done) { }
@@ -52,10 +55,16 @@
         };
         Renting renting = new Renting(this, cloud, null, fleet, 10, 1, 10, () -> true);
         Books books = new Books(this, settings, new Aims(List.of()), types, fleet, new Ledger(), new HashMap<>(), renting,
-                new Latencies());
+                boots, new Latencies());
         watch = new Watch(books, null, new HttpWorkers(this, (host, port, connections, method, path, body, deadlineMs, done) -> { }, 1), null);
     }
 
+    private void tick() {
+        watch.tick(now);
+        List.copyOf(posted).forEach(Runnable::run);
+        posted.clear();
+    }
+
     private void run(double until, String... zones) {
         for (; now < until; now += 0.5) {
             for (String zone : zones) {
@@ -63,7 +72,7 @@
                     report(zone + i, zone);
                 }
             }
-            watch.tick(now);
+            tick();
         }
     }
 
@@ -79,7 +88,7 @@
         for (int i = 0; i < 8; i++) {
             report("west" + i, "west");
         }
-        watch.tick(now);
+        tick();
         assertEquals(List.of(), new ArrayList<>(released));
         run(27, "east");
         assertEquals(List.of(), new ArrayList<>(released));
@@ -96,6 +105,37 @@
         assertEquals(13, released.size());
     }
 
+    @Test void machinesOfASlowZoneAreWaitedForAndOneThatNeverComesIsNot() {
+        // Nominal 5 s. In the west all come late; in the east all but one are up in time.
+        for (int i = 0; i < 6; i++) {
+            fleet.expect("west" + i, "box", "west", false, 0, 0);
+        }
+        fleet.expect("never", "box", "east", false, 0, 0);
+        for (int i = 0; i < 4; i++) {
+            report("east" + i, "east");
+            now = 6;
+            boots.up(fleet.get("east" + i), now);
+        }
+        for (now = 6; now < 19; now += 0.5) {
+            boots.look(fleet, now);
+            for (int i = 0; i < 4; i++) {
+                report("east" + i, "east");
+            }
+            tick();
+            // Counted on or a second fleet would be rented for one that is about to come.
+            assertTrue(boots.coming(fleet.get("west0"), now), "at " + now);
+            assertTrue(now <= 12 || fleet.get("never") == null || !boots.coming(fleet.get("never"), now));
+        }
+        assertEquals(List.of("never"), new ArrayList<>(released));
+        assertTrue(boots.late(types.get("box"), "west"));
+        // When the trouble ends, what comes in time is believed again.
+        for (int i = 0; i < 6; i++) {
+            fleet.gone("west" + i);
+        }
+        boots.look(fleet, now);
+        assertEquals(5, boots.expected(types.get("box"), "west"));
+    }
+
     @Override public double now() {
         return now;
     }
@@ -105,7 +145,7 @@
     }
 
     @Override public void post(Runnable command) {
-        command.run();
+        posted.add(command);
     }
 
     @Override public void after(double seconds, Runnable command) { }
