--- a/src/main/java/io/pepperfield/jobs/Catalog.java
+++ b/src/main/java/io/pepperfield/jobs/Catalog.java
@@ -1,6 +1,7 @@
 package io.pepperfield.jobs;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.http.Json;
 import io.pepperfield.store.Keys;
 import it.unimi.dsi.fastutil.ints.Int2ObjectMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
@@ -18,13 +19,27 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Catalog.class);
 
+    /** One durable run record, with how many of its tasks are done and how many may be alive. */
+    private record Chunk(byte[] json, int done, int running) {
+
+        static Chunk of(JsonNode data) {
+            int done = 0;
+            int running = 0;
+            for (JsonNode line : data) {
+                RunRecord.State state = RunRecord.stateOf(line);
+                done += state == RunRecord.State.DONE ? 1 : 0;
+                running += state == RunRecord.State.LIVE ? 1 : 0;
+            }
+            return new Chunk(Json.write(data), done, running);
+        }
+    }
+
     /** One accepted job. */
     public static final class Record {
         private final JobSpec spec;
         private Status end;
-        private final Int2ObjectMap<JsonNode> chunks = new Int2ObjectOpenHashMap<>();
-        /** Users ask more often than chunks change: counted again only after news. */
-        private boolean counted;
+        /** As written: trees of an array of 100,000 tasks would take a third of the heap. */
+        private final Int2ObjectMap<Chunk> chunks = new Int2ObjectOpenHashMap<>();
         private int done;
         private int running;
 
@@ -41,26 +56,18 @@
             return end;
         }
 
-        public Collection<JsonNode> chunks() {
-            return chunks.values();
+        public List<byte[]> chunks() {
+            return chunks.values().stream().map(Chunk::json).toList();
         }
 
-        private void count() {
-            counted = true;
-            done = 0;
-            running = 0;
-            for (JsonNode chunk : chunks.values()) {
-                for (RunRecord line : RunRecord.read(chunk)) {
-                    done += line.state() == RunRecord.State.DONE ? 1 : 0;
-                    running += line.state() == RunRecord.State.LIVE ? 1 : 0;
-                }
-            }
+        /** Counted with each change, for that chunk alone: neither news nor a question costs a look at the whole array. */
+        private void put(int number, Chunk chunk) {
+            Chunk old = chunk == null ? chunks.remove(number) : chunks.put(number, chunk);
+            done += (chunk == null ? 0 : chunk.done) - (old == null ? 0 : old.done);
+            running += (chunk == null ? 0 : chunk.running) - (old == null ? 0 : old.running);
         }
 
         public JsonNode answer() {
-            if (!counted) {
-                count();
-            }
             if (end != null) {
                 return JobMessages.state(spec.id(), end, end == Status.DONE ? spec.tasks() : done, 0);
             }
@@ -76,6 +83,11 @@
         return records.get(id);
     }
 
+    /** Shared run records, with the jobs that each holds. */
+    public Map<String, List<String>> shared() {
+        return inShared;
+    }
+
     public Collection<Record> all() {
         return records.values();
     }
@@ -121,12 +133,7 @@
     private void lines(String id, int chunk, JsonNode data) {
         Record record = records.get(id);
         if (record != null && record.end != Status.DONE) {
-            record.counted = false;
-            if (data == null) {
-                record.chunks.remove(chunk);
-            } else {
-                record.chunks.put(chunk, data);
-            }
+            record.put(chunk, data == null ? null : Chunk.of(data));
         }
     }
 }
--- a/src/main/java/io/pepperfield/jobs/RunRecord.java
+++ b/src/main/java/io/pepperfield/jobs/RunRecord.java
@@ -23,10 +23,14 @@
         return all;
     }
 
+    static State stateOf(JsonNode line) {
+        return State.values()[line.path(2).asInt()];
+    }
+
     public static List<RunRecord> read(JsonNode data) {
         List<RunRecord> records = new ArrayList<>();
         for (JsonNode line : data) {
-            records.add(new RunRecord(line.path(0).asInt(), line.path(1).asInt(), State.values()[line.path(2).asInt()],
+            records.add(new RunRecord(line.path(0).asInt(), line.path(1).asInt(), stateOf(line),
                     line.path(3).asText(""), line.path(4).asLong()));
         }
         return records;
--- a/src/main/java/io/pepperfield/jobs/SharedRecords.java
+++ b/src/main/java/io/pepperfield/jobs/SharedRecords.java
@@ -36,9 +36,9 @@
     }
 
     /** A record of an earlier leader with those of its jobs that are not over. */
-    public void restore(String key, JsonNode data, Map<String, Job> jobs) {
+    public void restore(String key, Collection<String> ids, Map<String, Job> jobs) {
         Map<String, Job> inside = members.computeIfAbsent(key, k -> new LinkedHashMap<>());
-        data.fieldNames().forEachRemaining(id -> {
+        ids.forEach(id -> {
             Job job = jobs.get(id);
             if (job != null) {
                 inside.put(id, job);
--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -1,6 +1,7 @@
 package io.pepperfield.node;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.cloud.Cloud;
 import io.pepperfield.cloud.TypesRecord;
@@ -16,6 +17,7 @@
 import io.pepperfield.jobs.Status;
 import io.pepperfield.jobs.UserRequests;
 import io.pepperfield.leadership.Leadership;
+import io.pepperfield.peer.Hearing;
 import io.pepperfield.peer.Members;
 import io.pepperfield.peer.PartOrders;
 import io.pepperfield.peer.Parts;
@@ -61,6 +63,8 @@
     private final Members members;
     /** Machines of other parts that report here, and since when. */
     private final Map<String, Double> strays = new HashMap<>();
+    private Hearing hearing;
+    private Set<String> heardOf = Set.of();
     private final ZoneWatch zoneWatch = new ZoneWatch();
     private final Types types;
     private final Catalog catalog = new Catalog();
@@ -97,6 +101,7 @@
         this.reportS = settings.deployment().workers().reportS();
         // Three words are missed before a part is taken from its owner.
         this.members = new Members(settings.node(), 0.75 * reportS);
+        this.hearing = new Hearing(reportS, settings.deployment().workers().leaseS());
         peers.handler(new Peers.Handler() {
             @Override public void relayed(RelayMessages.Batch batch, Consumer<Reply> answer) {
                 relayedTo(batch, answer);
@@ -168,18 +173,10 @@
         }
     }
 
-    /** What a job that is done ran on is of no use any more; of its keys only the stamps are kept in memory. */
+    /** The catalog keeps run records in its own short form, for as long as they say something; of their keys only the stamps. */
     private void lighten(String key) {
-        boolean run = key.startsWith(Keys.RUN);
-        if (!run && !key.startsWith(Keys.END)) {
-            return;
-        }
-        String id = run ? key.substring(Keys.RUN.length(), key.lastIndexOf('/')) : key.substring(Keys.END.length());
-        Catalog.Record record = catalog.get(id);
-        if (record != null && record.end() == Status.DONE) {
-            for (int chunk = 0; chunk < record.spec().chunks(); chunk++) {
-                replica.lighten(Keys.run(id, chunk));
-            }
+        if (key.startsWith(Keys.RUN) || key.startsWith(Keys.SHARED)) {
+            replica.lighten(key);
         }
     }
 
@@ -207,6 +204,9 @@
         if (leader != null) {
             leader.tick();
         }
+        if (leader != null) {
+            lookAtOthers(loop.now());
+        }
         peers.tick(loop.now(), sync.contactAt(), leadership.token());
         relay.flush();
         double now = loop.now();
@@ -233,7 +233,7 @@
                 LOG.info("answered {}", line);
             }
             if (leader != null) {
-                LOG.info("{}, parts of {}", leader.summary(), members.live(now));
+                LOG.info("{}, parts of {}", leader.summary(), owners(now));
             }
             strays.values().removeIf(since -> now - since > settings.operators().chargeS());
         }
@@ -272,6 +272,7 @@
                 return;
             }
             leader = new Leader(loop, settings, leadership, replica, catalog, writer, partOrders, cloud, types);
+            hearing = new Hearing(reportS, settings.deployment().workers().leaseS());
             leader.takeOver();
             relay.kept(loop.now()).forEach(leader::remembered);
         });
@@ -285,6 +286,7 @@
 
     @Override public void deposed(String why) {
         share(false);
+        heardOf = Set.of();
         if (leader != null) {
             leader.stop();
             leader = null;
@@ -365,8 +367,9 @@
                 answer.accept(Reply.error(503, "not in touch with the state service"));
             } else if (leader == null) {
                 keepAlive(report, answer);
-            } else if (!sentHome(report, members.live(now), answer)) {
+            } else if (!sentHome(report, owners(now), answer)) {
                 List<Order> orders = leader.report(report, "");
+                hearing.report(report.machine(), Parts.owner(report.machine(), owners(now)), settings.node(), now);
                 if (orders == null) {
                     warnings.once(report.machine(), "sends a late copy of a report, or has been returned");
                 } else {
@@ -475,6 +478,25 @@
         return !lostAlone(now) && withinCancellations(sync.contactAt(), now);
     }
 
+    /** The controllers that are to take the reports of a part, as the leader sees them. */
+    private Set<String> owners(double now) {
+        return hearing.owners(members.live(now), now);
+    }
+
+    /** Tells the log who is silent, and gives the lead to somebody whom the workers reach. */
+    private void lookAtOthers(double now) {
+        Set<String> live = members.live(now);
+        heardOf.stream().filter(node -> !live.contains(node)).forEach(node ->
+                LOG.info("{} has been silent for {} s: its workers go to {}", node, Math.round(members.silentFor(node, now)), live));
+        live.stream().filter(node -> !heardOf.contains(node)).forEach(node -> LOG.info("{} takes part", node));
+        heardOf = live;
+        owners(now);
+        if (hearing.deaf(settings.node(), now)) {
+            // Others reach them all: whoever leads next sends its orders directly.
+            leadership.abdicate("no worker reaches this node, and others do", settings.deployment().workers().leaseS());
+        }
+    }
+
     /** What a part owner passes on. */
     private void relayedTo(RelayMessages.Batch batch, Consumer<Reply> answer) {
         double now = loop.now();
@@ -493,8 +515,12 @@
         batch.kept().forEach(leader::remembered);
         batch.heard().forEach(leader::heard);
         List<RelayMessages.Verdict> verdicts = new ArrayList<>();
-        batch.beats().forEach(beat -> verdicts.add(leader.relayed(beat, batch.node())));
-        answer.accept(new Reply(200, RelayMessages.answer(leadership.token(), now - sync.contactAt(), members.live(now), verdicts), 0));
+        Set<String> owners = owners(now);
+        batch.beats().forEach(beat -> {
+            hearing.report(beat.machine(), Parts.owner(beat.machine(), owners), batch.node(), now);
+            verdicts.add(leader.relayed(beat, batch.node()));
+        });
+        answer.accept(new Reply(200, RelayMessages.answer(leadership.token(), now - sync.contactAt(), owners, verdicts), 0));
     }
 
     /** What operators see of this node. */
@@ -503,6 +529,17 @@
                 .put("leader", leadership.leader()).put("leading", leadership.leading()).put("epoch", leadership.token())
                 .put("stateContactS", Math.round(100 * (loop.now() - sync.contactAt())) / 100.0);
         if (leader != null) {
+            double now = loop.now();
+            ArrayNode controllers = node.putArray("controllers");
+            settings.members().forEach(member -> {
+                double silent = members.silentFor(member.node(), now);
+                ObjectNode line = controllers.addObject().put("node", member.node()).put("zone", member.zone())
+                        .put("state", !members.live(now).contains(member.node()) ? "silent" : hearing.deaf(member.node(), now)
+                                ? "hears no workers" : "takes part");
+                if (Double.isFinite(silent)) {
+                    line.put("heardAgoS", Math.round(10 * silent) / 10.0);
+                }
+            });
             leader.describe(node);
         }
         return node;
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -15,6 +15,7 @@
 import io.pepperfield.fleet.Order;
 import io.pepperfield.fleet.Report;
 import io.pepperfield.fleet.Workers;
+import io.pepperfield.http.Json;
 import io.pepperfield.jobs.Catalog;
 import io.pepperfield.jobs.Job;
 import io.pepperfield.jobs.JobMessages;
@@ -115,7 +116,7 @@
                 restore(record, now);
             }
         }
-        replica.each(Keys.SHARED, (key, data) -> shared.restore(key, data, jobs));
+        catalog.shared().forEach((key, ids) -> shared.restore(key, ids, jobs));
         if (types.known()) {
             typesHeard();
         }
@@ -128,8 +129,8 @@
             job.end(record.end());
         }
         boolean live = false;
-        for (var chunk : record.chunks()) {
-            for (RunRecord line : RunRecord.read(chunk)) {
+        for (byte[] chunk : record.chunks()) {
+            for (RunRecord line : RunRecord.read(Json.read(chunk))) {
                 job.restore(line.task(), line.attempt(), line.state() == RunRecord.State.LIVE);
                 if (line.state() == RunRecord.State.DONE) {
                     job.markDone(line.task());
--- a/src/main/java/io/pepperfield/node/Sizer.java
+++ b/src/main/java/io/pepperfield/node/Sizer.java
@@ -80,9 +80,9 @@
                 double ranS = attempt.running() ? now - attempt.runningSince() : 0;
                 double remaining = Predictor.remaining(runTime, ranS) - intervalS;
                 if (remaining > 0) {
-                    work.add(new Steering.Work(job.spec, remaining, attempt.machine.pool()));
+                    work.add(new Steering.Work(job.spec, remaining, attempt.machine.pool(), 1));
                 }
-                demand.add(job, ranS, now);
+                demand.add(job, ranS, now, 1);
             }
         }
         for (Job job : books.jobs().values()) {
@@ -93,10 +93,12 @@
             }
             double runTime = runTimes.computeIfAbsent(job, j -> runTime(j, now));
             // Tasks beyond the team's limit cannot run next; machines for them would stand idle.
-            for (int i = 0; i < waiting && left.getOrDefault(job.spec.team(), 0.0) >= job.spec.cpus(); i++) {
-                left.merge(job.spec.team(), -job.spec.cpus(), Double::sum);
-                work.add(new Steering.Work(job.spec, runTime, null));
-                demand.add(job, 0, now);
+            double most = left.getOrDefault(job.spec.team(), 0.0) / job.spec.cpus();
+            int counted = (int) Math.min(waiting, Math.max(0, most));
+            if (counted > 0) {
+                left.merge(job.spec.team(), -counted * job.spec.cpus(), Double::sum);
+                work.add(new Steering.Work(job.spec, runTime, null, counted));
+                demand.add(job, 0, now, counted);
             }
         }
         ordinaryDemand.add(now, demand.ordinary);
@@ -156,21 +158,22 @@
          * Work that can wait counts by the part that it would fill of the time left for it: until its class should be
          * complete, with a reserve, and no longer than a charging unit, by which WIRE counts machines.
          */
-        void add(Job of, double ranS, double now) {
+        void add(Job of, double ranS, double now, int tasks) {
             JobSpec job = of.spec;
+            double cpus = tasks * job.cpus();
             if (!job.spot()) {
-                ordinary += job.cpus();
+                ordinary += cpus;
                 return;
             }
-            all += job.cpus();
+            all += cpus;
             // A wait longer than any boot is met by renting when the work comes, and is no reason to keep machines for it.
             if (books.aims().wait(job.workload()) > intervalS) {
                 double left = Predictor.remaining(classTimes.expected(job.workload(), job.expectedS()), ranS);
                 double age = now - of.submittedAt;
                 double time = Math.min(unitS, AIM_RESERVE * books.aims().finish(job.workload(), age + left) - age);
-                patient += job.cpus() * Steering.weight(left, time);
+                patient += cpus * Steering.weight(left, time);
             } else {
-                eager += job.cpus();
+                eager += cpus;
             }
         }
     }
--- /dev/null
+++ b/src/main/java/io/pepperfield/peer/Hearing.java
@@ -0,0 +1,103 @@
+package io.pepperfield.peer;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * The leader's view of whether each controller hears the workers of its part. One that other controllers reach and its
+ * workers do not would have them sent home to it again and again, each time with a pause of seconds and no orders.
+ */
+public final class Hearing {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Hearing.class);
+    /** So many strays of one part at once are no accident of theirs. */
+    private static final int SEVERAL = 3;
+    /** Periods until a controller's workers have found it: a period at another one, then home, with its patience between. */
+    private static final double PERIODS = 3;
+    /** Each new failure doubles the time without a part, up to so many leases. */
+    private static final int LONGEST = 8;
+
+    private static final class Owner {
+        double ownsSince = Double.NaN;
+        double heardAt = Double.NEGATIVE_INFINITY;
+        double deafUntil = Double.NEGATIVE_INFINITY;
+        double penalty;
+        final Map<String, Double> strays = new HashMap<>();
+    }
+
+    private final double reportS;
+    private final double leaseS;
+    private final Map<String, Owner> owners = new HashMap<>();
+
+    public Hearing(double reportS, double leaseS) {
+        this.reportS = reportS;
+        this.leaseS = leaseS;
+    }
+
+    /** A report of a machine in that owner's part came through a controller. */
+    public void report(String machine, String owner, String through, double now) {
+        if (owner.isEmpty()) {
+            return;
+        }
+        Owner its = owners.computeIfAbsent(owner, o -> new Owner());
+        if (owner.equals(through)) {
+            its.heardAt = now;
+            its.strays.remove(machine);
+        } else {
+            its.strays.put(machine, now);
+        }
+    }
+
+    /** Of the live controllers those that are to have a part; all of them where none would be left. */
+    public Set<String> owners(Set<String> live, double now) {
+        Set<String> hearing = new TreeSet<>();
+        for (String node : live) {
+            Owner owner = owners.computeIfAbsent(node, o -> new Owner());
+            if (owner.deafUntil > now) {
+                continue;
+            }
+            if (Double.isNaN(owner.ownsSince)) {
+                owner.ownsSince = now;
+            }
+            if (isDeaf(owner, now)) {
+                owner.penalty = Math.min(LONGEST, Math.max(1, 2 * owner.penalty)) ;
+                owner.deafUntil = now + owner.penalty * leaseS;
+                owner.ownsSince = Double.NaN;
+                LOG.warn("{} hears no worker of its part while others do: they take it for {} s", node, Math.round(owner.penalty * leaseS));
+                owner.strays.clear();
+            } else {
+                if (owner.heardAt > owner.ownsSince && now - owner.ownsSince > LONGEST * leaseS) {
+                    owner.penalty = 0;
+                }
+                hearing.add(node);
+            }
+        }
+        owners.forEach((node, owner) -> {
+            if (!live.contains(node)) {
+                // It begins anew when it is back: its workers need their time to find it.
+                owner.ownsSince = Double.NaN;
+                owner.strays.clear();
+            }
+        });
+        return hearing.isEmpty() ? live : hearing;
+    }
+
+    /** Whether that controller is without a part for not hearing its workers. */
+    public boolean deaf(String node, double now) {
+        Owner owner = owners.get(node);
+        return owner != null && owner.deafUntil > now;
+    }
+
+    private boolean isDeaf(Owner owner, double now) {
+        if (now - Math.max(owner.ownsSince, owner.heardAt) <= PERIODS * reportS) {
+            return false;
+        }
+        owner.strays.values().removeIf(at -> now - at > PERIODS * reportS);
+        return owner.strays.size() >= SEVERAL;
+    }
+}
--- a/src/main/java/io/pepperfield/peer/Members.java
+++ b/src/main/java/io/pepperfield/peer/Members.java
@@ -44,6 +44,12 @@
         return true;
     }
 
+    /** Seconds since its last message, infinite where none has come. */
+    public double silentFor(String node, double now) {
+        Member member = members.get(node);
+        return member == null ? Double.POSITIVE_INFINITY : now - member.heardAt;
+    }
+
     /** This node and those whose messages came of late. */
     public Set<String> live(double now) {
         Set<String> live = new TreeSet<>(Set.of(self));
--- a/src/main/java/io/pepperfield/peer/RelayMessages.java
+++ b/src/main/java/io/pepperfield/peer/RelayMessages.java
@@ -19,7 +19,13 @@
 
     /** One report as a part owner passes it on. */
     public sealed interface Beat {
-        record Whole(Report report) implements Beat { }
+        String machine();
+
+        record Whole(Report report) implements Beat {
+            @Override public String machine() {
+                return report.machine();
+            }
+        }
 
         /** Differs from the one of serial {@code base} only in its serial and token. */
         record Same(String machine, long tenure, long base, long serial, long token) implements Beat { }
--- a/src/main/java/io/pepperfield/predict/PeerTimes.java
+++ b/src/main/java/io/pepperfield/predict/PeerTimes.java
@@ -9,14 +9,23 @@
 /** Run times of a job's finished tasks, and those of equal input size apart where sizes exist. */
 public final class PeerTimes {
 
+    private static final int KEPT = 256;
+
     private final DoubleArrayList finished = new DoubleArrayList();
+    private int count;
     private final Double2ObjectMap<DoubleArrayList> bySize = new Double2ObjectOpenHashMap<>();
     private final OnlineGradient gradient = new OnlineGradient();
     /** Asked for each task in each step: looked for again only after news; NaN while it is not known. */
     private double median = Double.NaN;
 
     public void finished(double seconds, OptionalDouble size) {
-        finished.add(seconds);
+        if (finished.size() < KEPT) {
+            finished.add(seconds);
+        } else {
+            // The middle of the last few hundred says as much, and an array of 100,000 tasks is not sorted anew for each.
+            finished.set(count % KEPT, seconds);
+        }
+        count++;
         median = Double.NaN;
         if (size.isPresent()) {
             bySize.computeIfAbsent(size.getAsDouble(), s -> new DoubleArrayList()).add(seconds);
@@ -24,7 +33,7 @@
     }
 
     public int count() {
-        return finished.size();
+        return count;
     }
 
     public double median() {
--- a/src/main/java/io/pepperfield/steering/Steering.java
+++ b/src/main/java/io/pepperfield/steering/Steering.java
@@ -29,8 +29,8 @@
         }
     }
 
-    /** A task expected to be active at the next interval; {@code on} null while it waits. */
-    public record Work(JobSpec job, double remainingS, Pool on) { }
+    /** Tasks, so many alike, expected to be active at the next interval; {@code on} null while they wait. */
+    public record Work(JobSpec job, double remainingS, Pool on, int count) { }
 
     /** CPUs that are expected to be asked for: by work that needs ordinary machines, and by work that does not. */
     public record Expected(double ordinaryCpus, double anyCpus) { }
@@ -52,9 +52,18 @@
             }
         }
         for (Work task : work) {
-            Offer offer = task.on() == null ? choose(offers, task.job(), shares) : null;
-            if (offer != null) {
-                load(offer, task, loads, shares);
+            int left = task.on() == null ? task.count() : 0;
+            while (left > 0) {
+                Offer offer = choose(offers, task.job(), shares);
+                if (offer == null) {
+                    break;
+                }
+                // As many as the room that stands takes; what is beyond that goes where the rest of it goes as well.
+                double share = Math.min(1, offer.share(task.job()));
+                double room = offer.present() - shares.getOrDefault(offer.pool(), 0.0);
+                int some = share > 0 && room >= share ? (int) Math.max(1, Math.min(left, room / share)) : left;
+                load(offer, new Work(task.job(), task.remainingS(), null, some), loads, shares);
+                left -= some;
             }
         }
         Map<Pool, Integer> targets = new TreeMap<>();
@@ -73,8 +82,8 @@
 
     private static void load(Offer offer, Work task, Map<Pool, List<Upcoming>> loads, Map<Pool, Double> shares) {
         double share = Math.min(1, offer.share(task.job()));
-        loads.get(offer.pool()).add(new Upcoming(task.remainingS(), share));
-        shares.merge(offer.pool(), share, Double::sum);
+        loads.get(offer.pool()).add(new Upcoming(task.remainingS(), share, task.count()));
+        shares.merge(offer.pool(), task.count() * share, Double::sum);
     }
 
     /**
--- a/src/test/java/io/pepperfield/jobs/SharedRecordsTest.java
+++ b/src/test/java/io/pepperfield/jobs/SharedRecordsTest.java
@@ -78,7 +78,7 @@
         assertEquals(0, catalog.get("run-000000").chunks().size());
         assertEquals(1, catalog.get("run-000001").chunks().size());
         SharedRecords next = new SharedRecords(9);
-        next.restore(key, Json.read("{\"run-000001\":[[0,1,1,\"m2\",1]]}".getBytes()), jobs);
+        next.restore(key, catalog.shared().get(key), jobs);
         assertEquals(key, next.keyOf(jobs.get("run-000001"), false));
         assertEquals(Keys.SHARED + "9-1", next.keyOf(jobs.get("run-000002"), false));
     }
--- a/src/test/java/io/pepperfield/peer/PartsTest.java
+++ b/src/test/java/io/pepperfield/peer/PartsTest.java
@@ -52,6 +52,43 @@
         assertEquals(text, RelayMessages.raw(text.getBytes(StandardCharsets.UTF_8)).rawValue());
     }
 
+    /** Reports of 30 machines, each at its part's owner unless that one is out of their reach. */
+    private static Set<String> reports(Hearing hearing, double from, double until, String cut) {
+        Set<String> owners = FIVE;
+        for (double now = from; now < until; now += 0.5) {
+            owners = hearing.owners(FIVE, now);
+            for (int i = 0; i < 30; i++) {
+                String owner = Parts.owner(machine(i), owners);
+                hearing.report(machine(i), owner, owner.equals(cut) ? "worker-4" : owner, now);
+            }
+        }
+        return owners;
+    }
+
+    @Test void aControllerThatItsWorkersDoNotReachLosesItsPartAndDoesNotSwing() {
+        Hearing hearing = new Hearing(2, 12);
+        assertEquals(FIVE, reports(hearing, 0, 20, "nobody"));
+        assertEquals(FIVE, reports(hearing, 20, 25, "worker-3"), "a period or two may pass without");
+        assertEquals(FOUR, reports(hearing, 25, 28, "worker-3"));
+        assertEquals(FOUR, reports(hearing, 28, 37, "worker-3"));
+        // Tried again after a lease, and again after two: each try costs its workers time.
+        int owned = 0;
+        for (double now = 37; now < 157; now++) {
+            owned += reports(hearing, now, now + 1, "worker-3").contains("worker-3") ? 1 : 0;
+        }
+        assertTrue(owned > 0 && owned < 30, "owned for " + owned + " of 120 s");
+        assertEquals(FIVE, reports(hearing, 157, 300, "nobody"));
+    }
+
+    @Test void aControllerThatIsBackHasTimeToBeFound() {
+        Hearing hearing = new Hearing(2, 12);
+        reports(hearing, 0, 20, "nobody");
+        hearing.owners(FOUR, 21);
+        // Its workers are where they were, for a period each.
+        assertEquals(FIVE, reports(hearing, 30, 35, "worker-3"));
+        assertEquals(FIVE, reports(hearing, 35, 80, "nobody"));
+    }
+
     @Test void aLateMessageOfAnEarlierProcessIsNotTheNewOnes() {
         Members members = new Members("worker-0", 2);
         assertTrue(members.heard("worker-1", "first", 7, 10));
--- a/src/test/java/io/pepperfield/steering/ResizeTest.java
+++ b/src/test/java/io/pepperfield/steering/ResizeTest.java
@@ -26,13 +26,17 @@
     /** machines COUNTxREMAINING/SLOTS ... with u = 60 and a fifth of it for the last machine. */
     private static List<String> play(String[] words) {
         List<Resize.Upcoming> tasks = new ArrayList<>();
+        List<Resize.Upcoming> grouped = new ArrayList<>();
         for (int i = 1; i < words.length; i++) {
             String[] part = words[i].split("[x/]");
             double remaining = part[1].equals("ever") ? Double.POSITIVE_INFINITY : Double.parseDouble(part[1]);
+            grouped.add(new Resize.Upcoming(remaining, 1 / Double.parseDouble(part[2]), Integer.parseInt(part[0])));
             for (int n = 0; n < Integer.parseInt(part[0]); n++) {
                 tasks.add(new Resize.Upcoming(remaining, 1 / Double.parseDouble(part[2])));
             }
         }
-        return List.of(String.valueOf(Resize.machines(tasks, 60, 0.2)));
+        int machines = Resize.machines(tasks, 60, 0.2);
+        assertEquals(machines, Resize.machines(grouped, 60, 0.2), "alike tasks in one entry count as they do one by one");
+        return List.of(String.valueOf(machines));
     }
 }
