--- a/src/main/java/io/pepperfield/cloud/Renting.java
+++ b/src/main/java/io/pepperfield/cloud/Renting.java
@@ -161,7 +161,8 @@
             if (result instanceof Cloud.Rented.Machines machines) {
                 got = machines.names().size();
                 hire.hosts.addAll(machines.names());
-                machines.names().forEach(host -> expect(hire, host));
+                // From now on, as it may have waited for its turn at the cloud: it has not booted for longer.
+                machines.names().forEach(host -> fleet.expect(host, hire.pool.type(), hire.zone, hire.pool.spot(), loop.now(), loop.now()));
             }
             if (got < hire.count) {
                 refusedUntil.put(hire.pool + "@" + hire.zone, loop.now() + refusalS);
--- a/src/main/java/io/pepperfield/node/Boots.java
+++ b/src/main/java/io/pepperfield/node/Boots.java
@@ -4,12 +4,13 @@
 import io.pepperfield.fleet.Fleet;
 import io.pepperfield.fleet.Machine;
 import io.pepperfield.predict.BootTimes;
-import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -24,13 +25,16 @@
 
     private final Types types;
     private final BootTimes times;
+    private final double unitS;
     /** By type and zone, as of the last look: it is asked for with each awaited machine. */
     private final Map<String, Map<String, Double>> expected = new HashMap<>();
+    private final Set<String> bootSeen = new HashSet<>();
     private final Set<String> late = new HashSet<>();
 
     Boots(Types types, double unitS) {
         this.types = types;
         this.times = new BootTimes(2 * unitS);
+        this.unitS = unitS;
     }
 
     private static String place(String type, String zone) {
@@ -39,21 +43,29 @@
 
     /** A machine that this leader has rented reports for the first time. */
     void up(Machine machine, double at) {
-        times.seen(place(machine.type(), machine.zone()), at - machine.rentedAt(), at);
+        times.seen(place(machine.type(), machine.zone()), new BootTimes.Peer(machine.rentedAt(), at - machine.rentedAt()), at);
+        bootSeen.add(machine.name);
     }
 
     /** Looks at what is awaited; to be called a few times in a report period. */
     void look(Fleet fleet, double now) {
-        Map<String, DoubleArrayList> awaited = new HashMap<>();
+        Map<String, List<Double>> awaited = new HashMap<>();
+        Map<String, List<Double>> unseen = new HashMap<>();
+        bootSeen.removeIf(name -> fleet.get(name) == null);
         for (Machine machine : fleet.machines()) {
-            if (!machine.up() && !machine.releasing()) {
-                awaited.computeIfAbsent(place(machine.type(), machine.zone()), p -> new DoubleArrayList()).add(now - machine.rentedAt());
+            String place = place(machine.type(), machine.zone());
+            // One that an earlier leader waited for in vain may have been up and be silent now: that is no boot.
+            if (!machine.up() && !machine.releasing() && !longBooted(machine)) {
+                awaited.computeIfAbsent(place, p -> new ArrayList<>()).add(machine.rentedAt());
+            } else if (machine.up() && !bootSeen.contains(machine.name)) {
+                unseen.computeIfAbsent(place, p -> new ArrayList<>()).add(machine.rentedAt());
             }
         }
         for (MachineType type : types.all()) {
             for (String zone : type.zones()) {
                 String place = place(type.name(), zone);
-                double boot = times.expected(place, type.bootS(), awaited.getOrDefault(place, new DoubleArrayList()), now);
+                double boot = times.expected(place, type.bootS(), awaited.getOrDefault(place, List.of()),
+                        unseen.getOrDefault(place, List.of()), now);
                 expected.computeIfAbsent(type.name(), t -> new HashMap<>()).put(zone, boot);
                 if (late(type, zone) ? late.add(place) : late.remove(place)) {
                     LOG.info("{} boots in {} s, {} s as stated{}", place, Math.round(boot), Math.round(type.bootS()),
@@ -94,6 +106,6 @@
     private double patience(Machine machine, double part) {
         MachineType type = types.get(machine.type());
         // Of a machine whose type nobody knows nothing can be expected either; a charge's unit it may stand.
-        return type == null ? times.recentS() / 2 : part * expected(type, machine.zone());
+        return type == null ? unitS : part * expected(type, machine.zone());
     }
 }
--- a/src/main/java/io/pepperfield/predict/BootTimes.java
+++ b/src/main/java/io/pepperfield/predict/BootTimes.java
@@ -1,20 +1,20 @@
 package io.pepperfield.predict;
 
 import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
-import it.unimi.dsi.fastutil.doubles.DoubleList;
 
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
- * How long machines of a type take to boot in a zone: a median among peers, as WIRE has for tasks. Those that are still
- * awaited although they are late count with the time they have taken so far, so that a zone that has become slow is known
- * for it before the first of its machines comes up.
+ * How long machines of a type take to boot in a zone: a median among peers, as WIRE has for tasks. Those that are late count
+ * with the time they have taken so far, among all that were rented since the first of them: so a zone that has become slow
+ * is known for it before its first machine comes up, and a few stragglers of a fleet that is up make no zone slow.
  */
 public final class BootTimes {
 
-    private static final int KEPT = 16;
+    private static final int KEPT = 256;
     /** With fewer the nominal time says more. */
     private static final int ENOUGH = 3;
     /** The platform's usual spread: beyond it a machine is late. */
@@ -22,7 +22,10 @@
     /** A zone that is slower than that cannot be told from one in which nothing comes up. */
     private static final double SLOWEST = 4;
 
-    private record Boot(double at, double seconds) { }
+    /** A machine by its rental; {@code bootS} is 0 where it is up and its boot was not seen. */
+    public record Peer(double rentedAt, double bootS) { }
+
+    private record Boot(Peer peer, double at) { }
 
     private final Map<String, ArrayDeque<Boot>> seen = new HashMap<>();
     private final double recentS;
@@ -32,13 +35,9 @@
         this.recentS = recentS;
     }
 
-    public double recentS() {
-        return recentS;
-    }
-
-    public void seen(String place, double seconds, double now) {
+    public void seen(String place, Peer peer, double now) {
         ArrayDeque<Boot> boots = seen.computeIfAbsent(place, p -> new ArrayDeque<>());
-        boots.addLast(new Boot(now, seconds));
+        boots.addLast(new Boot(peer, now));
         if (boots.size() > KEPT) {
             boots.removeFirst();
         }
@@ -48,20 +47,21 @@
      * What a boot is expected to take, at least the nominal time: machines that were up at once for a while must not lead to
      * returns that the next boots, which take their time again, make dear.
      *
-     * @param awaitedS how long those have taken that are not up yet
+     * @param awaited machines that are not up yet, by their rental
+     * @param unseen  rentals of machines that are up and whose boots were not seen, as after a change of leader
      */
-    public double expected(String place, double nominalS, DoubleList awaitedS, double now) {
+    public double expected(String place, double nominalS, List<Double> awaited, List<Double> unseen, double now) {
+        double since = awaited.stream().filter(at -> now - at > LATE * nominalS).min(Double::compare).orElse(Double.NEGATIVE_INFINITY);
         DoubleArrayList times = new DoubleArrayList();
         for (Boot boot : seen.getOrDefault(place, new ArrayDeque<>())) {
-            if (now - boot.at <= recentS) {
-                times.add(boot.seconds);
+            if (now - boot.at <= recentS && boot.peer.rentedAt >= since) {
+                times.add(boot.peer.bootS);
             }
         }
-        awaitedS.forEach(age -> {
-            if (age > LATE * nominalS) {
-                times.add(age);
-            }
-        });
+        if (since > Double.NEGATIVE_INFINITY) {
+            unseen.stream().filter(at -> at >= since).forEach(at -> times.add(nominalS));
+            awaited.stream().filter(at -> now - at > LATE * nominalS).forEach(at -> times.add(now - at));
+        }
         return times.size() < ENOUGH ? nominalS : Math.min(SLOWEST * nominalS, Math.max(nominalS, Medians.of(times)));
     }
 
--- a/src/test/java/io/pepperfield/node/WatchTest.java
+++ b/src/test/java/io/pepperfield/node/WatchTest.java
@@ -128,6 +128,14 @@
         }
         assertEquals(List.of("never"), new ArrayList<>(released));
         assertTrue(boots.late(types.get("box"), "west"));
+        // A leader that begins now has seen no boot at all: what is up speaks for the east, where a few stragglers are no news.
+        Boots next = new Boots(types, 60);
+        for (int i = 0; i < 3; i++) {
+            fleet.expect("straggler" + i, "box", "east", false, 0, now);
+        }
+        next.look(fleet, now);
+        assertEquals(5, next.expected(types.get("box"), "east"));
+        assertTrue(next.late(types.get("box"), "west"));
         // When the trouble ends, what comes in time is believed again.
         for (int i = 0; i < 6; i++) {
             fleet.gone("west" + i);
