--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -49,6 +49,8 @@
         void share(double requests, double leadersWrites, double usersWrites);
     }
 
+    /** Where users ask about jobs. */
+    static final String JOBS = "/api/jobs/";
     /** Where workers report. */
     static final String BEAT = "/agent/beat";
 
@@ -308,8 +310,8 @@
             only("POST", call, answer, () -> users.submit(call.body(), timed("submit", began, answer)));
         } else if (path.equals("/api/nodes")) {
             only("GET", call, answer, () -> answer.accept(Reply.json(200, overview())));
-        } else if (path.startsWith("/api/jobs/")) {
-            String rest = path.substring("/api/jobs/".length());
+        } else if (path.startsWith(JOBS)) {
+            String rest = path.substring(JOBS.length());
             boolean cancel = rest.endsWith("/cancel");
             String id = cancel ? rest.substring(0, rest.length() - "/cancel".length()) : rest;
             if (!JobMessages.validId(id)) {
--- a/src/main/java/io/pepperfield/node/Service.java
+++ b/src/main/java/io/pepperfield/node/Service.java
@@ -7,8 +7,11 @@
 import io.pepperfield.config.Settings;
 import io.pepperfield.config.Shortage;
 import io.pepperfield.fleet.HttpWorkers;
+import io.pepperfield.http.Admission;
+import io.pepperfield.http.Call;
 import io.pepperfield.http.HttpClient;
 import io.pepperfield.http.HttpServer;
+import io.pepperfield.http.Reply;
 import io.pepperfield.peer.Peers;
 import io.pepperfield.peer.Relay;
 import io.pepperfield.store.HttpStateService;
@@ -16,6 +19,7 @@
 import org.slf4j.LoggerFactory;
 
 import java.util.List;
+import java.util.function.Consumer;
 
 /** One controller process: a network thread, the owner, and the slices wired to both. */
 public final class Service {
@@ -49,7 +53,9 @@
         Controller controller = new Controller(owner, settings, state, cloud, workers, peers, relay, state::share);
         owner.handlers(controller::flush, controller::failed);
         int sockets = settings.deployment().quota().sockets();
-        users = new HttpServer(network, sockets * 7 / 10, (call, answer) -> owner.post(() -> controller.handle(call, answer)))
+        // Questions may hold an eighth of the sockets at once; each is answered in about a tenth of a second.
+        users = new HttpServer(network, sockets * 7 / 10, new Admission(Controller.JOBS, sockets / 8,
+                (call, answer) -> owner.post(() -> handle(controller, call, answer))))
                 .limit(Controller.BEAT, sockets * 6 / 10);
         others = new HttpServer(network, sockets / 10, 4 * HttpServer.MOST_BYTES, (call, answer) -> owner.post(() -> peers.handle(call, answer)));
         int port = users.start(settings.bind().host(), settings.bind().port());
@@ -59,6 +65,16 @@
         return port;
     }
 
+    private static void handle(Controller controller, Call call, Consumer<Reply> answer) {
+        try {
+            controller.handle(call, answer);
+        } catch (RuntimeException e) {
+            // Without an answer the client would wait in vain, and its place among the questions be lost.
+            answer.accept(Reply.error(500, "an internal error"));
+            throw e;
+        }
+    }
+
     /** Works on the calling thread until stopped. */
     public void run() {
         owner.run();
