--- a/src/main/java/io/pepperfield/jobs/Once.java
+++ b/src/main/java/io/pepperfield/jobs/Once.java
@@ -1,6 +1,7 @@
 package io.pepperfield.jobs;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.node.Loop;
 import io.pepperfield.store.StateService;
 import io.pepperfield.store.StateService.Change;
 import io.pepperfield.store.StateService.Guard;
@@ -9,34 +10,62 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import java.util.function.Consumer;
 
-/** Creates keys that must not exist yet, many in one transaction; used by any node for submissions and cancellations. */
+/**
+ * Creates keys that must not exist yet, many in one transaction; used by any node for submissions and cancellations. No more
+ * wait than can be written while their users wait: a longer queue would be worked off for users who have given up and asked
+ * again, and nobody would be answered in time any more.
+ */
 final class Once {
 
     enum Result { CREATED, EXISTS, UNAVAILABLE }
 
-    private record Wish(String key, JsonNode data, Consumer<Result> done) { }
+    private record Wish(String key, JsonNode data, double until, List<Consumer<Result>> asked) {
 
+        void done(Result result) {
+            asked.forEach(one -> one.accept(result));
+        }
+    }
+
+    /** Users wait 5 s for an answer; what has waited so long is told to come back. */
+    static final double PATIENCE_S = 3;
+
+    private final Loop loop;
     private final StateService state;
     private final Urgency urgency;
+    private final int mostWaiting;
     private final int mostChanges;
     private final int mostBytes;
     private final ArrayDeque<Wish> wishes = new ArrayDeque<>();
+    private final Map<String, Wish> waiting = new HashMap<>();
     private boolean writing;
 
-    Once(StateService state, Urgency urgency, int mostChanges, int mostBytes) {
+    /** @param changesPerS how many keys can be created in a second */
+    Once(Loop loop, StateService state, Urgency urgency, int mostChanges, int mostBytes, double changesPerS) {
+        this.loop = loop;
         this.state = state;
         this.urgency = urgency;
+        this.mostWaiting = (int) Math.ceil(PATIENCE_S * changesPerS);
         this.mostChanges = mostChanges;
         this.mostBytes = mostBytes;
     }
 
     void create(String key, JsonNode data, Consumer<Result> done) {
-        wishes.add(new Wish(key, data, done));
+        Wish same = waiting.get(key);
+        if (same != null) {
+            // Asked again while the first request waits: one answer for both.
+            same.asked.add(done);
+        } else if (waiting.size() >= mostWaiting) {
+            done.accept(Result.UNAVAILABLE);
+        } else {
+            Wish wish = new Wish(key, data, loop.now() + PATIENCE_S, new ArrayList<>(List.of(done)));
+            waiting.put(key, wish);
+            wishes.add(wish);
+        }
     }
 
     /** To be called at the end of each batch of commands, so that one transaction carries what came together. */
@@ -45,40 +74,50 @@
             return;
         }
         List<Wish> batch = new ArrayList<>();
-        List<Wish> twice = new ArrayList<>();
-        Set<String> keys = new HashSet<>();
         int bytes = 0;
         while (!wishes.isEmpty() && batch.size() < mostChanges && bytes < mostBytes) {
             Wish wish = wishes.poll();
-            if (keys.add(wish.key)) {
+            waiting.remove(wish.key);
+            if (wish.until < loop.now()) {
+                wish.done(Result.UNAVAILABLE);
+            } else {
                 batch.add(wish);
                 bytes += wish.data.toString().length() + 2 * wish.key.length();
-            } else {
-                // Two requests for one job in one batch: the second is answered by what the first leads to.
-                twice.add(wish);
             }
         }
-        wishes.addAll(twice);
+        if (batch.isEmpty()) {
+            return;
+        }
         writing = true;
         List<Guard> guards = batch.stream().map(w -> new Guard(w.key, 0)).toList();
         List<Change> changes = batch.stream().map(w -> Change.set(w.key, w.data)).toList();
         state.txn(urgency, guards, changes, result -> {
             writing = false;
             if (result instanceof TxnResult.Committed) {
-                batch.forEach(w -> w.done.accept(Result.CREATED));
+                batch.forEach(w -> w.done(Result.CREATED));
             } else if (result instanceof TxnResult.Conflict conflict && batch.stream().anyMatch(w -> conflict.failed().contains(w.key))) {
                 for (Wish wish : batch) {
                     if (conflict.failed().contains(wish.key)) {
-                        wish.done.accept(Result.EXISTS);
+                        wish.done(Result.EXISTS);
                     } else {
-                        wishes.addFirst(wish);
+                        again(wish);
                     }
                 }
             } else {
                 // Also when nobody answered: the user comes back, and finds it accepted if it took effect after all.
-                batch.forEach(w -> w.done.accept(Result.UNAVAILABLE));
+                batch.forEach(w -> w.done(Result.UNAVAILABLE));
             }
             flush();
         });
     }
+
+    /** Was in a transaction that failed for another key's sake; joined by what asked for the same meanwhile. */
+    private void again(Wish wish) {
+        Wish later = waiting.put(wish.key, wish);
+        if (later != null) {
+            wishes.remove(later);
+            wish.asked.addAll(later.asked);
+        }
+        wishes.addFirst(wish);
+    }
 }
--- a/src/main/java/io/pepperfield/jobs/UserRequests.java
+++ b/src/main/java/io/pepperfield/jobs/UserRequests.java
@@ -36,7 +36,7 @@
     private final int mostValueBytes;
 
     public UserRequests(Loop loop, Catalog catalog, Sync sync, StateService state, Feasibility feasibility, int mostChanges,
-                        double valueKb) {
+                        double valueKb, double changesPerS) {
         this.loop = loop;
         this.catalog = catalog;
         this.sync = sync;
@@ -44,8 +44,8 @@
         this.mostValueBytes = (int) (valueKb * 1024 * 0.9);
         // A run record takes up to about 60 bytes a task; half of a value leaves room for long machine names.
         this.chunk = Math.max(1, (int) (valueKb * 1024 / 120));
-        this.submissions = new Once(state, StateService.Urgency.JOB, mostChanges, 40 * 1024);
-        this.cancellations = new Once(state, StateService.Urgency.END, mostChanges, 40 * 1024);
+        this.submissions = new Once(loop, state, StateService.Urgency.JOB, mostChanges, 40 * 1024, changesPerS);
+        this.cancellations = new Once(loop, state, StateService.Urgency.END, mostChanges, 40 * 1024, changesPerS);
     }
 
     public void flush() {
--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -54,6 +54,9 @@
     /** Where workers report. */
     static final String BEAT = "/agent/beat";
 
+    /** Of the state service's changes, for what comes from users to this node. */
+    private static final double USERS_PART = 0.25;
+
     private final Loop loop;
     private final Settings settings;
     private final Cloud cloud;
@@ -88,6 +91,8 @@
     private boolean askedTypes;
     private double typesAt = Double.NEGATIVE_INFINITY;
     private double summaryAt;
+    /** Controllers that users may have come to, as far as this one knows. */
+    private int takingPart;
 
     public Controller(Loop loop, Settings settings, StateService state, Cloud cloud, Workers workers, Peers peers, Relay relay,
                       Rates rates) {
@@ -100,6 +105,7 @@
         this.relay = relay;
         this.partOrders = new PartOrders(workers, peers, settings);
         this.types = new Types(settings);
+        this.takingPart = settings.deployment().size();
         this.reportS = settings.deployment().workers().reportS();
         // Three words are missed before a part is taken from its owner.
         this.members = new Members(settings.node(), 0.75 * reportS);
@@ -137,7 +143,7 @@
                 return leadership.guard();
             }
         }, limits.txnOps(), reportS / 10, 2 * reportS);
-        this.users = new UserRequests(loop, catalog, sync, state, types, limits.txnOps(), limits.valueKb());
+        this.users = new UserRequests(loop, catalog, sync, state, types, limits.txnOps(), limits.valueKb(), USERS_PART * limits.writeRps());
     }
 
     public void start() {
@@ -148,13 +154,15 @@
 
     /**
      * The leader writes most. Submissions and cancellations come to all nodes, but seldom to all at once: each may use a
-     * quarter of the changes for them, and where that is too much together, the service's own refusal is the limit.
+     * quarter of the changes for them, a single one left twice as many, and where that is too much together, the service's
+     * own refusal is the limit.
      */
     private void share(boolean leading) {
         Settings.State limits = settings.deployment().state();
         int others = settings.deployment().size() - 1;
+        double users = Math.min(2 * USERS_PART, Math.max(USERS_PART, 3 * USERS_PART / takingPart));
         double part = others == 0 ? 0.95 : leading ? 0.45 : 0.5 / others;
-        rates.share(limits.rps() * part, leading ? limits.writeRps() * 0.75 : 0, limits.writeRps() * 0.25);
+        rates.share(limits.rps() * part, leading ? limits.writeRps() * 0.75 : 0, limits.writeRps() * users);
     }
 
     private void changed(String key, JsonNode data, long stamp) {
@@ -199,6 +207,11 @@
     private void tick() {
         loop.after(tickS, this::tick);
         sleptThrough();
+        int live = leader != null ? members.live(loop.now()).size() : relay.linked(loop.now()) ? relay.live().size() : settings.deployment().size();
+        if (live != takingPart) {
+            takingPart = live;
+            share(leadership.leading());
+        }
         if (sync.loaded()) {
             leadership.replicaLoaded();
         }
