--- a/src/test/java/io/pepperfield/node/DispatcherTest.java
+++ b/src/test/java/io/pepperfield/node/DispatcherTest.java
@@ -22,6 +22,8 @@
 import java.util.Map;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Starting and stopping in one pass over real books. */
 class DispatcherTest implements Loop, Fleet.Listener, Dispatcher.Starter {
@@ -34,6 +36,7 @@
     private final Dispatcher dispatcher = new Dispatcher(new Books(this, settings, new Aims(settings.deployment().objectives()), types,
             fleet, ledger, jobs, null, new Boots(types, 60), new Latencies()), this);
     private final List<String> said = new ArrayList<>();
+    private double now = 0.5;
 
     private static Settings settings() {
         Map<String, Settings.Team> teams = new LinkedHashMap<>();
@@ -85,8 +88,38 @@
         assertEquals(List.of("stop run-000001/0"), said);
     }
 
+    /** A swarm that waits too long must not have the fleet to itself: one of it comes first, then what is guaranteed. */
+    @Test void ofAClassThatHasWaitedTooLongOneJobComesFirst() {
+        types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
+        report("m1", 1);
+        for (int i = 1; i <= 5; i++) {
+            job("run-00000" + i, "swarm", "red", Rank.BEST_EFFORT, "img", 1);
+        }
+        Job gate = job("run-000009", "gate", "blue", Rank.PRODUCTION, "img", 1);
+        jobs.put(gate.spec.id(), new Job(gate.spec, 95));
+        now = 100;
+        report("m1", 2);
+        dispatcher.flush();
+        assertEquals(List.of("start run-000001/0 on m1", "start run-000009/0 on m1"), said);
+    }
+
+    /** What a job does that fails everywhere says nothing of its machines; what fails here and succeeds elsewhere does. */
+    @Test void onlyFailuresOfJobsThatSucceedElsewhereMakeAMachineFaulty() {
+        for (int i = 1; i <= 2; i++) {
+            Job job = job("run-00000" + i, "batch", "blue", Rank.STANDARD, "img", 3);
+            report("m1", 10 * i);
+            start(job, 0, fleet.get("m1"));
+            report("m1", 10 * i + 1, new Report.Line(new TaskRef(job.spec.id(), 0), 1, Report.State.ENDED, Report.Cause.ERROR));
+        }
+        assertFalse(fleet.get("m1").faulty());
+        jobs.get("run-000001").markDone(1);
+        assertFalse(fleet.get("m1").faulty());
+        jobs.get("run-000002").markDone(1);
+        assertTrue(fleet.get("m1").faulty());
+    }
+
     @Override public double now() {
-        return 0.5;
+        return now;
     }
 
     @Override public long wallMs() {
--- a/src/test/java/io/pepperfield/store/WriterTest.java
+++ b/src/test/java/io/pepperfield/store/WriterTest.java
@@ -102,6 +102,19 @@
         assertEquals(true, written.stream().anyMatch(keys -> keys.contains("completed")), written.toString());
     }
 
+    @Test void intentsOfTheLowestRankAreGatheredForAMoment() {
+        mark("swarm", Haste.LATER);
+        mark("swarm", Haste.LATER);
+        writer.flush();
+        assertEquals(List.of(), written);
+        mark("start", Haste.INTENT);
+        writer.flush();
+        mark("swarm", Haste.LATER);
+        now += 1;
+        answered();
+        assertEquals(List.of(List.of("start"), List.of("swarm")), written);
+    }
+
     @Test void anIntentTakesAlongWhatItsChunkHasGathered() {
         mark("chunk", Haste.PATIENT);
         writer.flush();
