--- a/src/main/java/io/pepperfield/http/Reply.java
+++ b/src/main/java/io/pepperfield/http/Reply.java
@@ -30,6 +30,10 @@
 
     /** The service cannot take this now: said at once, with the time to come back. */
     public static Reply later(String why) {
-        return new Reply(503, Json.write(Json.object().put("error", why)), 1);
+        return later(why, 1);
+    }
+
+    public static Reply later(String why, int afterS) {
+        return new Reply(503, Json.write(Json.object().put("error", why)), afterS);
     }
 }
--- a/src/main/java/io/pepperfield/jobs/Once.java
+++ b/src/main/java/io/pepperfield/jobs/Once.java
@@ -22,7 +22,7 @@
  */
 final class Once {
 
-    enum Result { CREATED, EXISTS, UNAVAILABLE }
+    enum Result { CREATED, EXISTS, UNAVAILABLE, TOO_MANY }
 
     private record Wish(String key, JsonNode data, double until, List<Consumer<Result>> asked) {
 
@@ -60,7 +60,7 @@
             // Asked again while the first request waits: one answer for both.
             same.asked.add(done);
         } else if (waiting.size() >= mostWaiting) {
-            done.accept(Result.UNAVAILABLE);
+            done.accept(Result.TOO_MANY);
         } else {
             Wish wish = new Wish(key, data, loop.now() + PATIENCE_S, new ArrayList<>(List.of(done)));
             waiting.put(key, wish);
@@ -79,7 +79,7 @@
             Wish wish = wishes.poll();
             waiting.remove(wish.key);
             if (wish.until < loop.now()) {
-                wish.done(Result.UNAVAILABLE);
+                wish.done(Result.TOO_MANY);
             } else {
                 batch.add(wish);
                 bytes += wish.data.toString().length() + 2 * wish.key.length();
--- a/src/main/java/io/pepperfield/jobs/UserRequests.java
+++ b/src/main/java/io/pepperfield/jobs/UserRequests.java
@@ -92,10 +92,16 @@
                 case CREATED -> answer.accept(Reply.json(201, JobMessages.brief(id, Status.PENDING)));
                 case EXISTS -> query(id, answer);
                 case UNAVAILABLE -> answer.accept(Reply.later(NO_STATE));
+                case TOO_MANY -> answer.accept(tooMany());
             }
         });
     }
 
+    /** By then what waits now has been written; to come back sooner would only add to the crowd. */
+    private static Reply tooMany() {
+        return Reply.later("more is submitted than can be written", (int) Math.ceil(Once.PATIENCE_S));
+    }
+
     /** A known id gets 200 whatever its body says: the job was accepted, perhaps by another node and a moment ago. */
     private void unlessKnown(String id, Reply refusal, Consumer<Reply> answer) {
         sync.confirm(current -> {
@@ -127,6 +133,7 @@
                     case CREATED -> answer.accept(Reply.json(200, JobMessages.brief(id, Status.CANCELLED)));
                     case EXISTS -> ended(id, answer);
                     case UNAVAILABLE -> answer.accept(Reply.later(NO_STATE));
+                    case TOO_MANY -> answer.accept(tooMany());
                 }
             });
         } else {
--- a/src/test/java/io/pepperfield/jobs/OnceTest.java
+++ b/src/test/java/io/pepperfield/jobs/OnceTest.java
@@ -36,8 +36,8 @@
         now = 4;
         said.clear();
         underWay.accept(new TxnResult.Committed(1));
-        assertEquals(List.of("a CREATED", "b0 UNAVAILABLE", "b1 UNAVAILABLE", "b2 UNAVAILABLE", "b3 UNAVAILABLE", "b4 UNAVAILABLE",
-                "b5 UNAVAILABLE"), said);
+        assertEquals(List.of("a CREATED", "b0 TOO_MANY", "b1 TOO_MANY", "b2 TOO_MANY", "b3 TOO_MANY", "b4 TOO_MANY",
+                "b5 TOO_MANY"), said);
         ask("b7");
         assertEquals(List.of(List.of("a"), List.of("b7")), written);
     }
