--- a/src/main/java/io/pepperfield/node/Sizer.java
+++ b/src/main/java/io/pepperfield/node/Sizer.java
@@ -28,7 +28,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Sizer.class);
 
     /** Part of the time for which an aim allows that is planned with; the rest is for booting and bad luck. */
-    private static final double AIM_RESERVE = 0.7;
+    private static final double AIM_RESERVE = 0.5;
 
     private final Books books;
     private final ClassTimes classTimes = new ClassTimes();
