--- a/src/main/java/io/pepperfield/jobs/Catalog.java
+++ b/src/main/java/io/pepperfield/jobs/Catalog.java
@@ -1,6 +1,7 @@
 package io.pepperfield.jobs;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.http.Json;
 import io.pepperfield.store.Keys;
 import it.unimi.dsi.fastutil.ints.Int2ObjectMap;
@@ -19,18 +20,20 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Catalog.class);
 
-    /** One durable run record, with how many of its tasks are done and how many may be alive. */
-    private record Chunk(byte[] json, int done, int running) {
+    /** One durable run record, with how many of its tasks are done, may be alive, or failed where they were last tried. */
+    private record Chunk(byte[] json, int done, int running, int failed) {
 
         static Chunk of(JsonNode data) {
             int done = 0;
             int running = 0;
+            int failed = 0;
             for (JsonNode line : data) {
                 RunRecord.State state = RunRecord.stateOf(line);
                 done += state == RunRecord.State.DONE ? 1 : 0;
                 running += state == RunRecord.State.LIVE ? 1 : 0;
+                failed += state == RunRecord.State.FAILED ? 1 : 0;
             }
-            return new Chunk(Json.write(data), done, running);
+            return new Chunk(Json.write(data), done, running, failed);
         }
     }
 
@@ -42,6 +45,7 @@
         private final Int2ObjectMap<Chunk> chunks = new Int2ObjectOpenHashMap<>();
         private int done;
         private int running;
+        private int failed;
 
         private Record(JobSpec spec) {
             this.spec = spec;
@@ -65,13 +69,16 @@
             Chunk old = chunk == null ? chunks.remove(number) : chunks.put(number, chunk);
             done += (chunk == null ? 0 : chunk.done) - (old == null ? 0 : old.done);
             running += (chunk == null ? 0 : chunk.running) - (old == null ? 0 : old.running);
+            failed += (chunk == null ? 0 : chunk.failed) - (old == null ? 0 : old.failed);
         }
 
         public JsonNode answer() {
             if (end != null) {
                 return JobMessages.state(spec.id(), end, end == Status.DONE ? spec.tasks() : done, 0);
             }
-            return JobMessages.state(spec.id(), running > 0 ? Status.RUNNING : Status.PENDING, done, running);
+            ObjectNode state = JobMessages.state(spec.id(), running > 0 ? Status.RUNNING : Status.PENDING, done, running);
+            // Why a job that was submitted with a mistake does not get on.
+            return failed > 0 ? state.put("failed", failed) : state;
         }
     }
 
--- a/src/main/java/io/pepperfield/jobs/UserRequests.java
+++ b/src/main/java/io/pepperfield/jobs/UserRequests.java
@@ -34,13 +34,17 @@
     private final Once cancellations;
     private final int chunk;
     private final int mostValueBytes;
+    private final int mostStrangers;
+    /** Questions about jobs that this node knows nothing of, waiting for their confirmation. */
+    private int strangers;
 
     public UserRequests(Loop loop, Catalog catalog, Sync sync, StateService state, Feasibility feasibility, int mostChanges,
-                        double valueKb, double changesPerS) {
+                        double valueKb, double changesPerS, int mostStrangers) {
         this.loop = loop;
         this.catalog = catalog;
         this.sync = sync;
         this.feasibility = feasibility;
+        this.mostStrangers = mostStrangers;
         this.mostValueBytes = (int) (valueKb * 1024 * 0.9);
         // A run record takes up to about 60 bytes a task; half of a value leaves room for long machine names.
         this.chunk = Math.max(1, (int) (valueKb * 1024 / 120));
@@ -120,7 +124,18 @@
             answer.accept(Reply.json(200, record.answer()));
             return;
         }
-        unlessKnown(id, Reply.error(404, "no such job"), answer);
+        if (record != null) {
+            unlessKnown(id, Reply.error(404, "no such job"), answer);
+        } else if (strangers >= mostStrangers) {
+            // Questions about jobs that nobody submitted must leave room for those about jobs that somebody did.
+            answer.accept(Reply.later("too many questions about unknown jobs"));
+        } else {
+            strangers++;
+            unlessKnown(id, Reply.error(404, "no such job"), reply -> {
+                strangers--;
+                answer.accept(reply);
+            });
+        }
     }
 
     public void cancel(String id, Consumer<Reply> answer) {
--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -143,7 +143,13 @@
                 return leadership.guard();
             }
         }, limits.txnOps(), reportS / 10, 2 * reportS);
-        this.users = new UserRequests(loop, catalog, sync, state, types, limits.txnOps(), limits.valueKb(), USERS_PART * limits.writeRps());
+        this.users = new UserRequests(loop, catalog, sync, state, types, limits.txnOps(), limits.valueKb(), USERS_PART * limits.writeRps(),
+                questionsAtOnce(settings) / 2);
+    }
+
+    /** Questions may hold an eighth of the sockets at once; each is answered in about a tenth of a second. */
+    static int questionsAtOnce(Settings settings) {
+        return settings.deployment().quota().sockets() / 8;
     }
 
     public void start() {
--- a/src/main/java/io/pepperfield/node/Service.java
+++ b/src/main/java/io/pepperfield/node/Service.java
@@ -53,8 +53,7 @@
         Controller controller = new Controller(owner, settings, state, cloud, workers, peers, relay, state::share);
         owner.handlers(controller::flush, controller::failed);
         int sockets = settings.deployment().quota().sockets();
-        // Questions may hold an eighth of the sockets at once; each is answered in about a tenth of a second.
-        users = new HttpServer(network, sockets * 7 / 10, new Admission(Controller.JOBS, sockets / 8,
+        users = new HttpServer(network, sockets * 7 / 10, new Admission(Controller.JOBS, Controller.questionsAtOnce(settings),
                 (call, answer) -> owner.post(() -> handle(controller, call, answer))))
                 .limit(Controller.BEAT, sockets * 6 / 10);
         others = new HttpServer(network, sockets / 10, 4 * HttpServer.MOST_BYTES, (call, answer) -> owner.post(() -> peers.handle(call, answer)));
--- a/src/test/java/io/pepperfield/node/SimulationTest.java
+++ b/src/test/java/io/pepperfield/node/SimulationTest.java
@@ -262,6 +262,14 @@
         assertEquals(List.of(), region.unfinished());
     }
 
+    @Test void questionsAboutUnknownJobsLeaveRoomForTheOthers() {
+        Region region = region(27, 4, 1);
+        region.world.run(30);
+        // 1,000 sockets: 125 questions at once, of which 62 about jobs that nobody submitted.
+        assertEquals(List.of(62, 38), region.floodOfUnknown(1, 100));
+        assertEquals(200, region.answer(1, "GET", "/api/jobs/run-000001").status());
+    }
+
     @Test void manyTimesAsManyQuestionsWhileAControllerIsSilentAreAllAnswered() {
         Region region = region(26, 20, 1);
         region.world.run(35);
--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -676,6 +676,16 @@
         return answer(node, method, path, null);
     }
 
+    /** So many questions at once about jobs that nobody submitted: how many got 404, and how many were told to come back. */
+    public List<Integer> floodOfUnknown(int node, int questions) {
+        int[] got = new int[600];
+        for (int i = 0; i < questions; i++) {
+            nodes.get(node).request("GET", "/api/jobs/run-9" + (10_000 + i), null, reply -> got[reply.status()]++);
+        }
+        world.run(world.now() + 2);
+        return List.of(got[404], got[503]);
+    }
+
     /** What a node answers to the report of an idle machine of that zone, of which there is one. */
     public Reply report(int node, String zone) {
         return answer(node, "POST", "/agent/beat", Json.write(Json.object().put("host", "made-up-" + zone).put("addr", "10.9.0.1:1")
