--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -14,7 +14,6 @@
 import io.pepperfield.http.Reply;
 import io.pepperfield.jobs.Catalog;
 import io.pepperfield.jobs.JobMessages;
-import io.pepperfield.jobs.Status;
 import io.pepperfield.jobs.UserRequests;
 import io.pepperfield.leadership.Leadership;
 import io.pepperfield.peer.Hearing;
@@ -225,6 +224,7 @@
         if (leader != null) {
             leader.tick();
         }
+        // The tick before may have given the lead away.
         if (leader != null) {
             lookAtOthers(loop.now());
         }
--- a/src/main/java/io/pepperfield/node/Sizer.java
+++ b/src/main/java/io/pepperfield/node/Sizer.java
@@ -208,19 +208,16 @@
                 perZone.merge(machine.zone(), 1, Integer::sum);
             }
         }
-        List<String> zones = books.types().get(pool.type()).zones().stream().filter(z -> books.renting().open(pool, z)).sorted().toList();
-        if (zones.isEmpty()) {
+        List<String> open = books.types().get(pool.type()).zones().stream().filter(z -> books.renting().open(pool, z)).sorted().toList();
+        if (open.isEmpty()) {
             return;
         }
-        List<String> prompt = zones.stream().filter(z -> !books.boots().late(books.types().get(pool.type()), z)).toList();
-        if (!prompt.isEmpty()) {
-            // Where machines come late or not at all, what waits has nowhere to go.
-            zones = prompt;
-        }
-        List<String> from = zones;
+        // Where machines come late or not at all, what waits has nowhere to go: such zones only if there is no other.
+        List<String> prompt = open.stream().filter(z -> !books.boots().late(books.types().get(pool.type()), z)).toList();
+        List<String> zones = prompt.isEmpty() ? open : prompt;
         Map<String, Integer> shares = new LinkedHashMap<>();
         for (int i = 0; i < count; i++) {
-            String zone = from.stream().min(Comparator.comparingInt(z -> perZone.getOrDefault(z, 0))).orElseThrow();
+            String zone = zones.stream().min(Comparator.comparingInt(z -> perZone.getOrDefault(z, 0))).orElseThrow();
             perZone.merge(zone, 1, Integer::sum);
             shares.merge(zone, 1, Integer::sum);
         }
--- a/src/test/java/io/pepperfield/standin/WorkerStandIn.java
+++ b/src/test/java/io/pepperfield/standin/WorkerStandIn.java
@@ -8,7 +8,6 @@
 import io.pepperfield.http.Reply;
 import io.pepperfield.http.Sender;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
