--- a/src/main/java/io/pepperfield/predict/BootTimes.java
+++ b/src/main/java/io/pepperfield/predict/BootTimes.java
@@ -15,8 +15,8 @@
 public final class BootTimes {
 
     private static final int KEPT = 256;
-    /** With fewer the nominal time says more. */
-    private static final int ENOUGH = 3;
+    /** The nominal time counts like so many boots: where hardly any were rented, a few that died are no slow zone. */
+    private static final int STATED = 5;
     /** The platform's usual spread: beyond it a machine is late. */
     private static final double LATE = 1.5;
     /** A zone that is slower than that cannot be told from one in which nothing comes up. */
@@ -53,6 +53,9 @@
     public double expected(String place, double nominalS, List<Double> awaited, List<Double> unseen, double now) {
         double since = awaited.stream().filter(at -> now - at > LATE * nominalS).min(Double::compare).orElse(Double.NEGATIVE_INFINITY);
         DoubleArrayList times = new DoubleArrayList();
+        for (int i = 0; i < STATED; i++) {
+            times.add(nominalS);
+        }
         for (Boot boot : seen.getOrDefault(place, new ArrayDeque<>())) {
             if (now - boot.at <= recentS && boot.peer.rentedAt >= since) {
                 times.add(boot.peer.bootS);
@@ -62,7 +65,7 @@
             unseen.stream().filter(at -> at >= since).forEach(at -> times.add(nominalS));
             awaited.stream().filter(at -> now - at > LATE * nominalS).forEach(at -> times.add(now - at));
         }
-        return times.size() < ENOUGH ? nominalS : Math.min(SLOWEST * nominalS, Math.max(nominalS, Medians.of(times)));
+        return Math.min(SLOWEST * nominalS, Math.max(nominalS, Medians.of(times)));
     }
 
     /** Whether machines come so much later than usual that other zones are worth a try. */
