--- a/src/main/java/io/pepperfield/node/Boots.java
+++ b/src/main/java/io/pepperfield/node/Boots.java
@@ -43,7 +43,7 @@
 
     /** A machine that this leader has rented reports for the first time. */
     void up(Machine machine, double at) {
-        times.seen(place(machine.type(), machine.zone()), new BootTimes.Peer(machine.rentedAt(), at - machine.rentedAt()), at);
+        times.seen(place(machine.type(), machine.zone()), machine.rentedAt(), at);
         bootSeen.add(machine.name);
     }
 
--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -388,16 +388,8 @@
                 answer.accept(Reply.error(503, "not in touch with the state service"));
             } else if (leader == null) {
                 keepAlive(report, answer);
-            } else if (!sentHome(report, owners(now), answer)) {
-                List<Order> orders = leader.report(report, "");
-                hearing.report(report.machine(), Parts.owner(report.machine(), owners(now)), settings.node(), now);
-                if (orders == null) {
-                    warnings.once(report.machine(), "sends a late copy of a report, or has been returned");
-                } else {
-                    relay.remember(report, call.body(), sync.contactAt());
-                }
-                answer.accept(orders == null ? Reply.error(503, "an old report")
-                        : Reply.json(200, Order.reply(leadership.token(), orders)));
+            } else {
+                ownReport(report, call.body(), now, answer);
             }
         } else if (relay.linked(now)) {
             if (!sentHome(report, relay.live(), answer)) {
@@ -415,6 +407,22 @@
         }
     }
 
+    /** The leader takes a worker's report itself. */
+    private void ownReport(Report report, byte[] raw, double now, Consumer<Reply> answer) {
+        Set<String> owners = owners(now);
+        if (sentHome(report, owners, answer)) {
+            return;
+        }
+        List<Order> orders = leader.report(report, "");
+        hearing.report(report.machine(), Parts.owner(report.machine(), owners), settings.node(), now);
+        if (orders == null) {
+            warnings.once(report.machine(), "sends a late copy of a report, or has been returned");
+        } else {
+            relay.remember(report, raw, sync.contactAt());
+        }
+        answer.accept(orders == null ? Reply.error(503, "an old report") : Reply.json(200, Order.reply(leadership.token(), orders)));
+    }
+
     /**
      * Sends a machine of another part to its owner; only after a report period, since its owner may have just ended, and
      * to be sent to and fro costs more of its lease than a detour through this node.
--- a/src/main/java/io/pepperfield/predict/BootTimes.java
+++ b/src/main/java/io/pepperfield/predict/BootTimes.java
@@ -22,10 +22,7 @@
     /** A zone that is slower than that cannot be told from one in which nothing comes up. */
     private static final double SLOWEST = 4;
 
-    /** A machine by its rental; {@code bootS} is 0 where it is up and its boot was not seen. */
-    public record Peer(double rentedAt, double bootS) { }
-
-    private record Boot(Peer peer, double at) { }
+    private record Boot(double rentedAt, double upAt) { }
 
     private final Map<String, ArrayDeque<Boot>> seen = new HashMap<>();
     private final double recentS;
@@ -35,9 +32,9 @@
         this.recentS = recentS;
     }
 
-    public void seen(String place, Peer peer, double now) {
+    public void seen(String place, double rentedAt, double upAt) {
         ArrayDeque<Boot> boots = seen.computeIfAbsent(place, p -> new ArrayDeque<>());
-        boots.addLast(new Boot(peer, now));
+        boots.addLast(new Boot(rentedAt, upAt));
         if (boots.size() > KEPT) {
             boots.removeFirst();
         }
@@ -57,8 +54,8 @@
             times.add(nominalS);
         }
         for (Boot boot : seen.getOrDefault(place, new ArrayDeque<>())) {
-            if (now - boot.at <= recentS && boot.peer.rentedAt >= since) {
-                times.add(boot.peer.bootS);
+            if (now - boot.upAt <= recentS && boot.rentedAt >= since) {
+                times.add(boot.upAt - boot.rentedAt);
             }
         }
         if (since > Double.NEGATIVE_INFINITY) {
--- a/src/test/java/io/pepperfield/store/WriterTest.java
+++ b/src/test/java/io/pepperfield/store/WriterTest.java
@@ -1,58 +1,20 @@
 package io.pepperfield.store;
 
 import io.pepperfield.http.Json;
-import io.pepperfield.node.Loop;
+import io.pepperfield.standin.Transactions;
 import io.pepperfield.store.Writer.Haste;
 import org.junit.jupiter.api.Test;
 
-import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 /** In which order the leader's changes go, two in a transaction here. */
 class WriterTest {
 
-    private final List<List<String>> written = new ArrayList<>();
-    private Consumer<StateService.TxnResult> underWay;
-    private double now;
-
-    private final Loop loop = new Loop() {
-        @Override public double now() {
-            return now;
-        }
-
-        @Override public long wallMs() {
-            return 0;
-        }
-
-        @Override public void post(Runnable command) {
-            command.run();
-        }
-
-        @Override public void after(double seconds, Runnable command) { }
-    };
-
-    private final StateService state = new StateService() {
-        @Override public void txn(Urgency urgency, List<Guard> guards, List<Change> changes, Consumer<TxnResult> done) {
-            written.add(changes.stream().map(Change::key).toList());
-            underWay = done;
-        }
-
-        @Override public void range(String after, Consumer<ReadResult> done) { }
-
-        @Override public void follow(long since, double holdS, Consumer<ReadResult> done) { }
-
-        @Override public void grant(double ttlS, Consumer<GrantResult> done) { }
-
-        @Override public void touch(long id, Consumer<GrantResult> done) { }
-
-        @Override public void endGrant(long id) { }
-    };
-
+    private final Transactions state = new Transactions();
     private final Replica replica = new Replica((key, data, stamp) -> { });
-    private final Writer writer = new Writer(loop, state, replica, new Sync(loop, state, replica, 1, 1), new Writer.Lead() {
+    private final Writer writer = new Writer(state, state, replica, new Sync(state, state, replica, 1, 1), new Writer.Lead() {
         @Override public boolean confirmed() {
             return true;
         }
@@ -67,7 +29,7 @@
     }
 
     private void answered() {
-        underWay.accept(new StateService.TxnResult.Committed(written.size()));
+        state.underWay.accept(new StateService.TxnResult.Committed(state.written.size()));
     }
 
     @Test void intentsThenEndsThenWhatHasGathered() {
@@ -77,12 +39,12 @@
         mark("start 2", Haste.INTENT);
         writer.flush();
         answered();
-        assertEquals(List.of(List.of("start 1", "start 2"), List.of("end")), written);
+        assertEquals(List.of(List.of("start 1", "start 2"), List.of("end")), state.written);
         answered();
-        now = 2;
+        state.now = 2;
         mark("start 3", Haste.INTENT);
         writer.flush();
-        assertEquals(List.of("start 3", "completed"), written.get(2));
+        assertEquals(List.of("start 3", "completed"), state.written.get(2));
     }
 
     @Test void whatKeepsComingHoldsNothingBackForEver() {
@@ -93,34 +55,34 @@
         }
         writer.flush();
         for (int i = 4; i < 12; i++) {
-            now += 1;
+            state.now += 1;
             mark("start " + i, Haste.INTENT);
             mark("again " + i, Haste.INTENT);
             answered();
         }
-        assertEquals(true, written.stream().anyMatch(keys -> keys.contains("end")), written.toString());
-        assertEquals(true, written.stream().anyMatch(keys -> keys.contains("completed")), written.toString());
+        assertEquals(true, state.written.stream().anyMatch(keys -> keys.contains("end")), state.written.toString());
+        assertEquals(true, state.written.stream().anyMatch(keys -> keys.contains("completed")), state.written.toString());
     }
 
     @Test void intentsOfTheLowestRankAreGatheredForAMoment() {
         mark("swarm", Haste.LATER);
         mark("swarm", Haste.LATER);
         writer.flush();
-        assertEquals(List.of(), written);
+        assertEquals(List.of(), state.written);
         mark("start", Haste.INTENT);
         writer.flush();
         mark("swarm", Haste.LATER);
-        now += 1;
+        state.now += 1;
         answered();
-        assertEquals(List.of(List.of("start"), List.of("swarm")), written);
+        assertEquals(List.of(List.of("start"), List.of("swarm")), state.written);
     }
 
     @Test void anIntentTakesAlongWhatItsChunkHasGathered() {
         mark("chunk", Haste.PATIENT);
         writer.flush();
-        assertEquals(List.of(), written);
+        assertEquals(List.of(), state.written);
         mark("chunk", Haste.INTENT);
         writer.flush();
-        assertEquals(List.of(List.of("chunk")), written);
+        assertEquals(List.of(List.of("chunk")), state.written);
     }
 }
