--- a/src/main/java/io/pepperfield/cli/Check.java
+++ b/src/main/java/io/pepperfield/cli/Check.java
@@ -2,22 +2,32 @@
 
 import io.pepperfield.config.Settings;
 import io.pepperfield.config.SettingsException;
+import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
-import java.util.concurrent.Callable;
-
-@Command(name = "check", mixinStandardHelpOptions = true, description = "Checks settings files and says what they hold.")
+@Command(
+        name = "check",
+        mixinStandardHelpOptions = true,
+        description = "Checks settings files and says what they hold.")
 final class Check implements Callable<Integer> {
 
-    @Mixin
-    private SettingsFiles files;
+    @Mixin private SettingsFiles files;
 
-    @Override public Integer call() {
+    @Override
+    public Integer call() {
         try {
             Settings settings = files.read();
-            System.out.println("good: " + settings.node() + " in " + settings.zone() + ", " + (settings.members().size() + 1)
-                    + " controllers, " + settings.deployment().teams().size() + " teams");
+            System.out.println(
+                    "good: "
+                            + settings.node()
+                            + " in "
+                            + settings.zone()
+                            + ", "
+                            + (settings.members().size() + 1)
+                            + " controllers, "
+                            + settings.deployment().teams().size()
+                            + " teams");
             return 0;
         } catch (SettingsException e) {
             System.err.println("pepperfield: " + e.getMessage());
--- a/src/main/java/io/pepperfield/cli/Main.java
+++ b/src/main/java/io/pepperfield/cli/Main.java
@@ -4,15 +4,26 @@
 import picocli.CommandLine.Command;
 
 /** The program: a controller, and the commands of its users. */
-@Command(name = "pepperfield", mixinStandardHelpOptions = true, version = "pepperfield 0.1.0",
+@Command(
+        name = "pepperfield",
+        mixinStandardHelpOptions = true,
+        version = "pepperfield 0.1.0",
         description = "A cluster scheduler that rents machines by predicted load.",
-        subcommands = {Serve.class, Check.class, Submit.class, Show.class, Cancel.class, Nodes.class, Rehearse.class})
+        subcommands = {
+            Serve.class,
+            Check.class,
+            Submit.class,
+            Show.class,
+            Cancel.class,
+            Nodes.class,
+            Rehearse.class
+        })
 public final class Main implements Runnable {
 
-    @CommandLine.Spec
-    private CommandLine.Model.CommandSpec spec;
+    @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
-    @Override public void run() {
+    @Override
+    public void run() {
         throw new CommandLine.ParameterException(spec.commandLine(), "Want a command");
     }
 
@@ -23,7 +34,8 @@
         System.setProperty("org.slf4j.simpleLogger.log.io.netty", "error");
         System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
         System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
-        // A process of a few hundred MB: no buffer arenas, and no look at the network's hardware for a process id.
+        // A process of a few hundred MB: no buffer arenas, and no look at the network's hardware
+        // for a process id.
         System.setProperty("io.netty.allocator.type", "unpooled");
         System.setProperty("io.netty.noPreferDirect", "true");
         System.setProperty("io.netty.leakDetection.level", "disabled");
--- a/src/main/java/io/pepperfield/cli/Nodes.java
+++ b/src/main/java/io/pepperfield/cli/Nodes.java
@@ -1,18 +1,20 @@
 package io.pepperfield.cli;
 
+import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
-import java.util.concurrent.Callable;
-
-@Command(name = "nodes", mixinStandardHelpOptions = true,
-        description = "Shows what a controller knows: the leader, and on the leader machines, teams and what waits for what.")
+@Command(
+        name = "nodes",
+        mixinStandardHelpOptions = true,
+        description =
+                "Shows what a controller knows: the leader, and on the leader machines, teams and what waits for what.")
 final class Nodes implements Callable<Integer> {
 
-    @Mixin
-    private Remote remote;
+    @Mixin private Remote remote;
 
-    @Override public Integer call() {
+    @Override
+    public Integer call() {
         return remote.call("GET", "/api/nodes", null);
     }
 }
--- a/src/main/java/io/pepperfield/cli/Rehearse.java
+++ b/src/main/java/io/pepperfield/cli/Rehearse.java
@@ -9,19 +9,22 @@
 import io.pepperfield.http.HttpClient;
 import io.pepperfield.http.Outcome;
 import io.pepperfield.node.Service;
-import picocli.CommandLine.Command;
-
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.jar.JarFile;
+import picocli.CommandLine.Command;
 
-/** Run by the build: loads what a controller needs, so that the class-data archive written at the exit holds it. */
+/**
+ * Run by the build: loads what a controller needs, so that the class-data archive written at the
+ * exit holds it.
+ */
 @Command(name = "rehearse", hidden = true)
 final class Rehearse implements Callable<Integer> {
 
-    private static final String SETTINGS = """
+    private static final String SETTINGS =
+            """
             node = "rehearsal"
             zone = "none"
             bind = "127.0.0.1:0"
@@ -49,7 +52,8 @@
             sockets = 256
             """;
 
-    @Override public Integer call() throws Exception {
+    @Override
+    public Integer call() throws Exception {
         Settings settings = SettingsReader.parse("rehearsal", SETTINGS, Operators.DEFAULTS);
         Service service = new Service(settings);
         int port = service.start();
@@ -57,10 +61,23 @@
         owner.start();
         EventLoopGroup network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         HttpClient client = new HttpClient(network, 1 << 20);
-        for (String path : new String[] {"/up", "/api/nodes", "/api/jobs/run-000001", "/agent/beat"}) {
+        for (String path :
+                new String[] {"/up", "/api/nodes", "/api/jobs/run-000001", "/agent/beat"}) {
             CompletableFuture<Outcome> done = new CompletableFuture<>();
-            byte[] body = path.startsWith("/agent") ? "{\"host\":\"a\",\"shards\":[1.5,true]}".getBytes(StandardCharsets.UTF_8) : null;
-            client.send("127.0.0.1", port, 1, body == null ? "GET" : "POST", path, body, 2000, done::complete);
+            byte[] body =
+                    path.startsWith("/agent")
+                            ? "{\"host\":\"a\",\"shards\":[1.5,true]}"
+                                    .getBytes(StandardCharsets.UTF_8)
+                            : null;
+            client.send(
+                    "127.0.0.1",
+                    port,
+                    1,
+                    body == null ? "GET" : "POST",
+                    path,
+                    body,
+                    2000,
+                    done::complete);
             done.join();
         }
         service.stop();
@@ -71,10 +88,16 @@
     }
 
     private static void loadOwnClasses() throws Exception {
-        Path jar = Path.of(Rehearse.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+        Path jar =
+                Path.of(Rehearse.class.getProtectionDomain().getCodeSource().getLocation().toURI());
         try (JarFile file = new JarFile(jar.toFile())) {
-            for (String name : file.stream().map(e -> e.getName()).filter(n -> n.endsWith(".class")).toList()) {
-                Class.forName(name.substring(0, name.length() - ".class".length()).replace('/', '.'));
+            for (String name :
+                    file.stream()
+                            .map(e -> e.getName())
+                            .filter(n -> n.endsWith(".class"))
+                            .toList()) {
+                Class.forName(
+                        name.substring(0, name.length() - ".class".length()).replace('/', '.'));
             }
         }
     }
--- a/src/main/java/io/pepperfield/cli/Remote.java
+++ b/src/main/java/io/pepperfield/cli/Remote.java
@@ -9,22 +9,25 @@
 import io.pepperfield.http.HttpClient;
 import io.pepperfield.http.Outcome;
 import io.pepperfield.jobs.JobMessages;
-import picocli.CommandLine.Model.CommandSpec;
-import picocli.CommandLine.Option;
-import picocli.CommandLine.ParameterException;
-import picocli.CommandLine.Spec;
-
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
 
 /** The public interface from outside: the first controller that answers is asked. */
 final class Remote {
 
     private static final long DEADLINE_MS = 5000;
 
-    @Option(names = "--server", split = ",", paramLabel = "HOST:PORT", defaultValue = "${env:PEPPERFIELD_SERVER:-127.0.0.1:8080}",
+    @Option(
+            names = "--server",
+            split = ",",
+            paramLabel = "HOST:PORT",
+            defaultValue = "${env:PEPPERFIELD_SERVER:-127.0.0.1:8080}",
             description = "Controllers to ask, in turn (default: ${DEFAULT-VALUE}).")
     private List<String> servers;
 
@@ -34,7 +37,8 @@
     /** Asks about one job; what is no job's id is a mistake on the command line. */
     int callJob(String method, String job, String action, byte[] body) {
         if (!JobMessages.validId(job)) {
-            throw new ParameterException(command.commandLine(), job + ": want an id such as run-000412");
+            throw new ParameterException(
+                    command.commandLine(), job + ": want an id such as run-000412");
         }
         return call(method, "/api/jobs/" + job + action, body);
     }
@@ -52,7 +56,15 @@
             String trouble = "";
             for (String server : servers) {
                 CompletableFuture<Outcome> outcome = new CompletableFuture<>();
-                client.send(server.substring(0, server.lastIndexOf(':')), port(server), 1, method, path, body, DEADLINE_MS, outcome::complete);
+                client.send(
+                        server.substring(0, server.lastIndexOf(':')),
+                        port(server),
+                        1,
+                        method,
+                        path,
+                        body,
+                        DEADLINE_MS,
+                        outcome::complete);
                 if (outcome.join() instanceof Outcome.Answered answer) {
                     return print(answer);
                 }
@@ -78,11 +90,17 @@
         JsonNode json = answer.json();
         boolean fine = answer.status() / 100 == 2;
         if (!fine) {
-            System.err.println("pepperfield: " + answer.status() + (json.has("error") ? ": " + json.path("error").asText() : ""));
+            System.err.println(
+                    "pepperfield: "
+                            + answer.status()
+                            + (json.has("error") ? ": " + json.path("error").asText() : ""));
             return 1;
         }
         try {
-            System.out.println(new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT).writeValueAsString(json));
+            System.out.println(
+                    new ObjectMapper()
+                            .enable(SerializationFeature.INDENT_OUTPUT)
+                            .writeValueAsString(json));
         } catch (IOException e) {
             throw new IllegalStateException("a tree cannot fail to be written", e);
         }
--- a/src/main/java/io/pepperfield/cli/Serve.java
+++ b/src/main/java/io/pepperfield/cli/Serve.java
@@ -3,18 +3,20 @@
 import io.pepperfield.config.Settings;
 import io.pepperfield.config.SettingsException;
 import io.pepperfield.node.Service;
+import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
-import java.util.concurrent.Callable;
-
-@Command(name = "serve", mixinStandardHelpOptions = true, description = "Runs a controller until it is killed.")
+@Command(
+        name = "serve",
+        mixinStandardHelpOptions = true,
+        description = "Runs a controller until it is killed.")
 final class Serve implements Callable<Integer> {
 
-    @Mixin
-    private SettingsFiles files;
+    @Mixin private SettingsFiles files;
 
-    @Override public Integer call() throws InterruptedException {
+    @Override
+    public Integer call() throws InterruptedException {
         Settings settings;
         try {
             settings = files.read();
@@ -26,8 +28,15 @@
         try {
             service.start();
         } catch (Exception e) {
-            // Netty throws what the socket threw, unchecked: an address in use is the operator's to mend, not a crash.
-            System.err.println("pepperfield: cannot listen on " + settings.bind() + " and " + settings.peerListen() + ": " + e.getMessage());
+            // Netty throws what the socket threw, unchecked: an address in use is the operator's to
+            // mend, not a crash.
+            System.err.println(
+                    "pepperfield: cannot listen on "
+                            + settings.bind()
+                            + " and "
+                            + settings.peerListen()
+                            + ": "
+                            + e.getMessage());
             return 1;
         }
         service.run();
--- a/src/main/java/io/pepperfield/cli/SettingsFiles.java
+++ b/src/main/java/io/pepperfield/cli/SettingsFiles.java
@@ -5,20 +5,27 @@
 import io.pepperfield.config.Settings;
 import io.pepperfield.config.SettingsException;
 import io.pepperfield.config.SettingsReader;
-import picocli.CommandLine.Option;
-
 import java.nio.file.Path;
+import picocli.CommandLine.Option;
 
 /** Where the settings are: the platform's TOML, and operators' XML if there is any. */
 final class SettingsFiles {
 
-    @Option(names = "--config", required = true, paramLabel = "FILE", description = "The platform's settings (TOML).")
+    @Option(
+            names = "--config",
+            required = true,
+            paramLabel = "FILE",
+            description = "The platform's settings (TOML).")
     private Path config;
 
-    @Option(names = "--operators", paramLabel = "FILE", description = "Operators' own settings (XML).")
+    @Option(
+            names = "--operators",
+            paramLabel = "FILE",
+            description = "Operators' own settings (XML).")
     private Path operators;
 
     Settings read() throws SettingsException {
-        return SettingsReader.read(config, operators == null ? Operators.DEFAULTS : OperatorsReader.read(operators));
+        return SettingsReader.read(
+                config, operators == null ? Operators.DEFAULTS : OperatorsReader.read(operators));
     }
 }
--- a/src/main/java/io/pepperfield/cli/Show.java
+++ b/src/main/java/io/pepperfield/cli/Show.java
@@ -1,21 +1,20 @@
 package io.pepperfield.cli;
 
+import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Parameters;
 
-import java.util.concurrent.Callable;
-
 @Command(name = "status", mixinStandardHelpOptions = true, description = "Shows a job's state.")
 final class Show implements Callable<Integer> {
 
-    @Mixin
-    private Remote remote;
+    @Mixin private Remote remote;
 
     @Parameters(paramLabel = "JOB", description = "The job's id, such as run-000412.")
     private String job;
 
-    @Override public Integer call() {
+    @Override
+    public Integer call() {
         return remote.callJob("GET", job, "", null);
     }
 }
--- a/src/main/java/io/pepperfield/cli/Submit.java
+++ b/src/main/java/io/pepperfield/cli/Submit.java
@@ -1,24 +1,26 @@
 package io.pepperfield.cli;
 
-import picocli.CommandLine.Command;
-import picocli.CommandLine.Mixin;
-import picocli.CommandLine.Parameters;
-
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Parameters;
 
-@Command(name = "submit", mixinStandardHelpOptions = true, description = "Submits a job described in a JSON file (- for standard input).")
+@Command(
+        name = "submit",
+        mixinStandardHelpOptions = true,
+        description = "Submits a job described in a JSON file (- for standard input).")
 final class Submit implements Callable<Integer> {
 
-    @Mixin
-    private Remote remote;
+    @Mixin private Remote remote;
 
     @Parameters(paramLabel = "FILE", description = "The job.")
     private String file;
 
-    @Override public Integer call() {
+    @Override
+    public Integer call() {
         byte[] body;
         try {
             body = file.equals("-") ? System.in.readAllBytes() : Files.readAllBytes(Path.of(file));
--- a/src/main/java/io/pepperfield/cloud/Cloud.java
+++ b/src/main/java/io/pepperfield/cloud/Cloud.java
@@ -6,21 +6,34 @@
 /** The cloud as the slices see it; every callback runs on the owner. */
 public interface Cloud {
 
-    record Listed(String name, String address, String type, String zone, boolean spot, String status, double ageS) { }
+    record Listed(
+            String name,
+            String address,
+            String type,
+            String zone,
+            boolean spot,
+            String status,
+            double ageS) {}
 
     sealed interface Rented {
-        record Machines(List<String> names) implements Rented { }
+        record Machines(List<String> names) implements Rented {}
 
-        record NoCapacity() implements Rented { }
+        record NoCapacity() implements Rented {}
 
         /** Not carried out, or nobody knows: the same request may be sent again. */
-        record Failed(String why) implements Rented { }
+        record Failed(String why) implements Rented {}
     }
 
     /** Null where there was no proper answer. */
     void types(Consumer<List<MachineType>> done);
 
-    void rent(String request, String type, String zone, boolean spot, int count, Consumer<Rented> done);
+    void rent(
+            String request,
+            String type,
+            String zone,
+            boolean spot,
+            int count,
+            Consumer<Rented> done);
 
     /** True only when the cloud has answered that they are gone. */
     void release(List<String> names, Consumer<Boolean> done);
--- a/src/main/java/io/pepperfield/cloud/TypesRecord.java
+++ b/src/main/java/io/pepperfield/cloud/TypesRecord.java
@@ -4,23 +4,32 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.http.Json;
-
 import java.util.ArrayList;
 import java.util.List;
 
 /**
- * The durable list of machine types, with the prices as they were: a controller that is started while the cloud's
- * interface is down can still tell what can never run, and need not turn every submission away.
+ * The durable list of machine types, with the prices as they were: a controller that is started
+ * while the cloud's interface is down can still tell what can never run, and need not turn every
+ * submission away.
  */
 public final class TypesRecord {
 
-    private TypesRecord() { }
+    private TypesRecord() {}
 
     public static JsonNode write(Iterable<MachineType> types) {
         ArrayNode all = Json.array();
         for (MachineType t : types) {
-            ObjectNode node = all.addObject().put("n", t.name()).put("c", t.cpus()).put("g", t.gpus()).put("m", t.memGb())
-                    .put("d", t.cacheGb()).put("f", t.fetchGbPerS()).put("p", t.price()).put("s", t.spotPrice()).put("b", t.bootS());
+            ObjectNode node =
+                    all.addObject()
+                            .put("n", t.name())
+                            .put("c", t.cpus())
+                            .put("g", t.gpus())
+                            .put("m", t.memGb())
+                            .put("d", t.cacheGb())
+                            .put("f", t.fetchGbPerS())
+                            .put("p", t.price())
+                            .put("s", t.spotPrice())
+                            .put("b", t.bootS());
             ArrayNode zones = node.putArray("z");
             t.zones().forEach(zones::add);
         }
@@ -32,9 +41,18 @@
         for (JsonNode n : data) {
             List<String> zones = new ArrayList<>();
             n.path("z").forEach(zone -> zones.add(zone.asText()));
-            types.add(new MachineType(n.path("n").asText(), n.path("c").asDouble(), n.path("g").asDouble(), n.path("m").asDouble(),
-                    n.path("d").asDouble(), n.path("f").asDouble(), n.path("p").asDouble(), n.path("s").asDouble(),
-                    n.path("b").asDouble(), zones));
+            types.add(
+                    new MachineType(
+                            n.path("n").asText(),
+                            n.path("c").asDouble(),
+                            n.path("g").asDouble(),
+                            n.path("m").asDouble(),
+                            n.path("d").asDouble(),
+                            n.path("f").asDouble(),
+                            n.path("p").asDouble(),
+                            n.path("s").asDouble(),
+                            n.path("b").asDouble(),
+                            zones));
         }
         return types;
     }
--- a/src/main/java/io/pepperfield/config/Aims.java
+++ b/src/main/java/io/pepperfield/config/Aims.java
@@ -2,12 +2,14 @@
 
 import io.pepperfield.config.Settings.Objective;
 import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
-
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-/** What is expected of each class of jobs, sorted out once: it is asked for with each task in each step. */
+/**
+ * What is expected of each class of jobs, sorted out once: it is asked for with each task in each
+ * step.
+ */
 public final class Aims {
 
     private final Map<String, Double> waits = new HashMap<>();
@@ -24,7 +26,10 @@
         finishes.values().forEach(list -> list.sort(null));
     }
 
-    /** The next time after its submission by which a job of the class should be complete, or infinity. */
+    /**
+     * The next time after its submission by which a job of the class should be complete, or
+     * infinity.
+     */
     public double finish(String workload, double afterS) {
         DoubleArrayList list = finishes.get(workload);
         for (int i = 0; list != null && i < list.size(); i++) {
--- a/src/main/java/io/pepperfield/config/Operators.java
+++ b/src/main/java/io/pepperfield/config/Operators.java
@@ -1,17 +1,25 @@
 package io.pepperfield.config;
 
 /**
- * Operators' own settings, read from XML. Each is a ratio or a count with a default that needs no file.
+ * Operators' own settings, read from XML. Each is a ratio or a count with a default that needs no
+ * file.
  *
- * @param chargeS       WIRE's charging unit u, in seconds
- * @param restartShare  share of u that a machine's restart cost may reach when it is returned
- * @param partlyShare   share of u that a task must still have for a partly filled last machine to count
- * @param headroom      quantile of the demand seen of late for which machines are kept, for work that must not wait
- * @param steady        the same quantile for work that has no aim on its wait
- * @param silentAtOnce  how many silent machines may be under release at the same time
+ * @param chargeS WIRE's charging unit u, in seconds
+ * @param restartShare share of u that a machine's restart cost may reach when it is returned
+ * @param partlyShare share of u that a task must still have for a partly filled last machine to
+ *     count
+ * @param headroom quantile of the demand seen of late for which machines are kept, for work that
+ *     must not wait
+ * @param steady the same quantile for work that has no aim on its wait
+ * @param silentAtOnce how many silent machines may be under release at the same time
  */
-public record Operators(double chargeS, double restartShare, double partlyShare, double headroom, double steady,
-                        int silentAtOnce) {
+public record Operators(
+        double chargeS,
+        double restartShare,
+        double partlyShare,
+        double headroom,
+        double steady,
+        int silentAtOnce) {
 
     public static final Operators DEFAULTS = new Operators(60, 0.2, 0.2, 0.8, 0.5, 3);
 }
--- a/src/main/java/io/pepperfield/config/OperatorsReader.java
+++ b/src/main/java/io/pepperfield/config/OperatorsReader.java
@@ -1,15 +1,5 @@
 package io.pepperfield.config;
 
-import org.w3c.dom.Element;
-import org.w3c.dom.Node;
-import org.xml.sax.ErrorHandler;
-import org.xml.sax.SAXException;
-import org.xml.sax.SAXParseException;
-
-import javax.xml.XMLConstants;
-import javax.xml.parsers.DocumentBuilder;
-import javax.xml.parsers.DocumentBuilderFactory;
-import javax.xml.parsers.ParserConfigurationException;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -18,16 +8,30 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import javax.xml.XMLConstants;
+import javax.xml.parsers.DocumentBuilder;
+import javax.xml.parsers.DocumentBuilderFactory;
+import javax.xml.parsers.ParserConfigurationException;
+import org.w3c.dom.Element;
+import org.w3c.dom.Node;
+import org.xml.sax.ErrorHandler;
+import org.xml.sax.SAXException;
+import org.xml.sax.SAXParseException;
 
 /**
- * Reads operators' XML: {@code <pepperfield><charge-s>60</charge-s>...</pepperfield>}. Unlike the platform's TOML an
- * unknown element is a fault, since here it can only be a slip of the person who wrote it.
+ * Reads operators' XML: {@code <pepperfield><charge-s>60</charge-s>...</pepperfield>}. Unlike the
+ * platform's TOML an unknown element is a fault, since here it can only be a slip of the person who
+ * wrote it.
  */
 public final class OperatorsReader {
 
     private enum Field {
-        CHARGE_S("charge-s", 1, 86400), RESTART_SHARE("restart-share", 0, 1), PARTLY_SHARE("partly-share", 0, 1),
-        HEADROOM("headroom", 0, 1), STEADY("steady", 0, 1), SILENT_AT_ONCE("silent-at-once", 1, 1000);
+        CHARGE_S("charge-s", 1, 86400),
+        RESTART_SHARE("restart-share", 0, 1),
+        PARTLY_SHARE("partly-share", 0, 1),
+        HEADROOM("headroom", 0, 1),
+        STEADY("steady", 0, 1),
+        SILENT_AT_ONCE("silent-at-once", 1, 1000);
 
         final String element;
         final double least;
@@ -40,13 +44,15 @@
         }
     }
 
-    private OperatorsReader() { }
+    private OperatorsReader() {}
 
     public static Operators read(Path file) throws SettingsException {
         try {
             return parse(file.toString(), Files.readAllBytes(file));
         } catch (IOException e) {
-            throw new SettingsException(file.toString(), List.of("cannot be read (" + e.getClass().getSimpleName() + ")"));
+            throw new SettingsException(
+                    file.toString(),
+                    List.of("cannot be read (" + e.getClass().getSimpleName() + ")"));
         }
     }
 
@@ -66,12 +72,14 @@
             throw new SettingsException(name, faults);
         }
         Operators defaults = Operators.DEFAULTS;
-        return new Operators(values.getOrDefault(Field.CHARGE_S, defaults.chargeS()),
+        return new Operators(
+                values.getOrDefault(Field.CHARGE_S, defaults.chargeS()),
                 values.getOrDefault(Field.RESTART_SHARE, defaults.restartShare()),
                 values.getOrDefault(Field.PARTLY_SHARE, defaults.partlyShare()),
                 values.getOrDefault(Field.HEADROOM, defaults.headroom()),
                 values.getOrDefault(Field.STEADY, defaults.steady()),
-                values.getOrDefault(Field.SILENT_AT_ONCE, (double) defaults.silentAtOnce()).intValue());
+                values.getOrDefault(Field.SILENT_AT_ONCE, (double) defaults.silentAtOnce())
+                        .intValue());
     }
 
     private static void take(Element element, Map<Field, Double> values, List<String> faults) {
@@ -88,7 +96,15 @@
                 value = Double.NaN;
             }
             if (!(value >= field.least && value <= field.most)) {
-                faults.add("<" + tag + "> = \"" + text + "\": want a number from " + field.least + " to " + field.most);
+                faults.add(
+                        "<"
+                                + tag
+                                + "> = \""
+                                + text
+                                + "\": want a number from "
+                                + field.least
+                                + " to "
+                                + field.most);
             } else if (values.put(field, value) != null) {
                 faults.add("<" + tag + "> is there twice");
             }
@@ -107,7 +123,9 @@
             builder.setErrorHandler(new Strict());
             return builder.parse(new ByteArrayInputStream(xml)).getDocumentElement();
         } catch (SAXParseException e) {
-            throw new SettingsException(name, List.of("is not XML in line " + e.getLineNumber() + ": " + e.getMessage()));
+            throw new SettingsException(
+                    name,
+                    List.of("is not XML in line " + e.getLineNumber() + ": " + e.getMessage()));
         } catch (SAXException | IOException | ParserConfigurationException e) {
             throw new SettingsException(name, List.of("is not XML: " + e.getMessage()));
         }
@@ -115,13 +133,16 @@
 
     /** The parser's own handler prints to standard error before it throws; this one only throws. */
     private static final class Strict implements ErrorHandler {
-        @Override public void warning(SAXParseException e) { }
+        @Override
+        public void warning(SAXParseException e) {}
 
-        @Override public void error(SAXParseException e) throws SAXException {
+        @Override
+        public void error(SAXParseException e) throws SAXException {
             throw e;
         }
 
-        @Override public void fatalError(SAXParseException e) throws SAXException {
+        @Override
+        public void fatalError(SAXParseException e) throws SAXException {
             throw e;
         }
     }
--- a/src/main/java/io/pepperfield/config/SettingsException.java
+++ b/src/main/java/io/pepperfield/config/SettingsException.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 
-/** A settings file that cannot be used; the message is one line that names every wrong field with its value. */
+/**
+ * A settings file that cannot be used; the message is one line that names every wrong field with
+ * its value.
+ */
 public final class SettingsException extends Exception {
 
     public SettingsException(String file, List<String> faults) {
--- a/src/main/java/io/pepperfield/config/SettingsReader.java
+++ b/src/main/java/io/pepperfield/config/SettingsReader.java
@@ -8,7 +8,6 @@
 import io.pepperfield.config.Settings.Member;
 import io.pepperfield.config.Settings.Objective;
 import io.pepperfield.config.Settings.Team;
-
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -18,30 +17,42 @@
 import java.util.Map;
 import java.util.function.Function;
 
-/** Reads the platform's TOML, checks it whole and reports every fault at once. Unknown fields are ignored. */
+/**
+ * Reads the platform's TOML, checks it whole and reports every fault at once. Unknown fields are
+ * ignored.
+ */
 public final class SettingsReader {
 
     private final List<String> faults = new ArrayList<>();
 
-    private SettingsReader() { }
+    private SettingsReader() {}
 
     public static Settings read(Path file, Operators operators) throws SettingsException {
         String text;
         try {
             text = Files.readString(file);
         } catch (IOException e) {
-            throw new SettingsException(file.toString(), List.of("cannot be read (" + e.getClass().getSimpleName() + ")"));
+            throw new SettingsException(
+                    file.toString(),
+                    List.of("cannot be read (" + e.getClass().getSimpleName() + ")"));
         }
         return parse(file.toString(), text, operators);
     }
 
-    public static Settings parse(String name, String text, Operators operators) throws SettingsException {
+    public static Settings parse(String name, String text, Operators operators)
+            throws SettingsException {
         JsonNode root;
         try {
             root = new TomlMapper().readTree(text);
         } catch (JsonProcessingException e) {
             String where = e.getLocation() == null ? "" : " in line " + e.getLocation().getLineNr();
-            throw new SettingsException(name, List.of("is not TOML" + where + ": " + e.getOriginalMessage().lines().findFirst().orElse("")));
+            throw new SettingsException(
+                    name,
+                    List.of(
+                            "is not TOML"
+                                    + where
+                                    + ": "
+                                    + e.getOriginalMessage().lines().findFirst().orElse("")));
         }
         SettingsReader reader = new SettingsReader();
         Settings settings = reader.settings(root, operators);
@@ -56,8 +67,16 @@
         String zone = text(root, "", "zone");
         Address bind = address(root, "", "bind");
         Address peer = address(root, "", "peer_listen");
-        List<Member> members = each(root, "", "members", m -> new Member(text(m, "members.", "node"),
-                text(m, "members.", "zone"), address(m, "members.", "addr")));
+        List<Member> members =
+                each(
+                        root,
+                        "",
+                        "members",
+                        m ->
+                                new Member(
+                                        text(m, "members.", "node"),
+                                        text(m, "members.", "zone"),
+                                        address(m, "members.", "addr")));
         for (Member member : members) {
             if (member.node().equals(node)) {
                 faults.add("members.node = \"" + node + "\" is this node itself");
@@ -76,44 +95,94 @@
             }
         }
         Map<String, Team> teams = new LinkedHashMap<>();
-        for (Team team : each(d, "deployment.", "teams", t -> new Team(text(t, "deployment.teams.", "name"),
-                number(t, "deployment.teams.", "cpus", 0, 1e9), limit(t, "cpus_max"),
-                optional(t, "deployment.teams.", "gpus", 0, 1e9), limit(t, "gpus_max")))) {
+        for (Team team :
+                each(
+                        d,
+                        "deployment.",
+                        "teams",
+                        t ->
+                                new Team(
+                                        text(t, "deployment.teams.", "name"),
+                                        number(t, "deployment.teams.", "cpus", 0, 1e9),
+                                        limit(t, "cpus_max"),
+                                        optional(t, "deployment.teams.", "gpus", 0, 1e9),
+                                        limit(t, "gpus_max")))) {
             if (teams.put(team.name(), team) != null) {
                 faults.add("deployment.teams.name = \"" + team.name() + "\" is there twice");
             }
         }
-        List<Objective> objectives = each(d, "deployment.", "objectives", o -> new Objective(
-                text(o, "deployment.objectives.", "kind"), o.path("class").asText(""),
-                optional(o, "deployment.objectives.", "within_s", 0, 1e9), optional(o, "deployment.objectives.", "share", 0, 1),
-                optional(o, "deployment.objectives.", "times", 0, 1e9)));
+        List<Objective> objectives =
+                each(
+                        d,
+                        "deployment.",
+                        "objectives",
+                        o ->
+                                new Objective(
+                                        text(o, "deployment.objectives.", "kind"),
+                                        o.path("class").asText(""),
+                                        optional(o, "deployment.objectives.", "within_s", 0, 1e9),
+                                        optional(o, "deployment.objectives.", "share", 0, 1),
+                                        optional(o, "deployment.objectives.", "times", 0, 1e9)));
         JsonNode w = table(d, "deployment.", "workers");
-        Settings.Workers workers = new Settings.Workers(number(w, "deployment.workers.", "report_s", 0.05, 3600),
-                number(w, "deployment.workers.", "lease_s", 0.2, 36000), number(w, "deployment.workers.", "cancel_s", 0.2, 36000));
+        Settings.Workers workers =
+                new Settings.Workers(
+                        number(w, "deployment.workers.", "report_s", 0.05, 3600),
+                        number(w, "deployment.workers.", "lease_s", 0.2, 36000),
+                        number(w, "deployment.workers.", "cancel_s", 0.2, 36000));
         if (workers.leaseS() < workers.reportS()) {
-            faults.add("deployment.workers.lease_s = " + workers.leaseS() + ": want at least report_s");
+            faults.add(
+                    "deployment.workers.lease_s = "
+                            + workers.leaseS()
+                            + ": want at least report_s");
         }
         JsonNode s = table(d, "deployment.", "state");
-        // Limits that will hold from some moment on, without notice: what is written from now on has to keep them already.
-        JsonNode next = s.path("next").isMissingNode() ? MissingNode.getInstance() : table(s, "deployment.state.", "next");
-        Settings.State limits = new Settings.State(lower(s, next, "rps", 1, 1e9), lower(s, next, "write_rps", 1, 1e9),
-                lower(s, next, "value_kb", 1, 1e6), (int) lower(s, next, "txn_ops", 2, 1e6));
+        // Limits that will hold from some moment on, without notice: what is written from now on
+        // has to keep them already.
+        JsonNode next =
+                s.path("next").isMissingNode()
+                        ? MissingNode.getInstance()
+                        : table(s, "deployment.state.", "next");
+        Settings.State limits =
+                new Settings.State(
+                        lower(s, next, "rps", 1, 1e9),
+                        lower(s, next, "write_rps", 1, 1e9),
+                        lower(s, next, "value_kb", 1, 1e6),
+                        (int) lower(s, next, "txn_ops", 2, 1e6));
         JsonNode c = table(d, "deployment.", "cloud");
-        Settings.Cloud rents = new Settings.Cloud(number(c, "deployment.cloud.", "rps", 0.01, 1e9),
-                number(c, "deployment.cloud.", "list_lag_s", 0, 36000));
+        Settings.Cloud rents =
+                new Settings.Cloud(
+                        number(c, "deployment.cloud.", "rps", 0.01, 1e9),
+                        number(c, "deployment.cloud.", "list_lag_s", 0, 36000));
         JsonNode q = table(d, "deployment.", "quota");
-        Settings.Quota quota = new Settings.Quota(number(q, "deployment.quota.", "core_share", 0.001, 1e6),
-                number(q, "deployment.quota.", "mem_mb", 16, 1e9), (int) number(q, "deployment.quota.", "sockets", 16, 1e9));
+        Settings.Quota quota =
+                new Settings.Quota(
+                        number(q, "deployment.quota.", "core_share", 0.001, 1e6),
+                        number(q, "deployment.quota.", "mem_mb", 16, 1e9),
+                        (int) number(q, "deployment.quota.", "sockets", 16, 1e9));
         double clock = optional(d, "deployment.", "clock_error_ms", 0, 1e9);
         int size = (int) number(d, "deployment.", "size", 1, 1000);
-        return new Settings(node, zone, bind, peer, members, cloud, state,
-                new Settings.Deployment(size, zones, clock, teams, objectives, workers, limits, rents, quota), operators);
+        return new Settings(
+                node,
+                zone,
+                bind,
+                peer,
+                members,
+                cloud,
+                state,
+                new Settings.Deployment(
+                        size, zones, clock, teams, objectives, workers, limits, rents, quota),
+                operators);
     }
 
     private JsonNode table(JsonNode in, String prefix, String field) {
         JsonNode value = in.path(field);
         if (!value.isObject()) {
-            faults.add(prefix + field + (value.isMissingNode() ? " is missing" : " = " + value + ": want a table"));
+            faults.add(
+                    prefix
+                            + field
+                            + (value.isMissingNode()
+                                    ? " is missing"
+                                    : " = " + value + ": want a table"));
             return MissingNode.getInstance();
         }
         return value;
@@ -137,7 +206,12 @@
         if (!value.isTextual() || value.textValue().isBlank()) {
             // A table that is missing altogether was reported once; its fields need no line each.
             if (!in.isMissingNode()) {
-                faults.add(prefix + field + (value.isMissingNode() ? " is missing" : " = " + value + ": want a name"));
+                faults.add(
+                        prefix
+                                + field
+                                + (value.isMissingNode()
+                                        ? " is missing"
+                                        : " = " + value + ": want a name"));
             }
             return "";
         }
@@ -167,7 +241,10 @@
         return in.path(field).isMissingNode() ? 0 : number(in, prefix, field, least, most);
     }
 
-    /** A team's limit; 0 or none is no limit, as for guests, of whom every job would be refused by a limit of nothing. */
+    /**
+     * A team's limit; 0 or none is no limit, as for guests, of whom every job would be refused by a
+     * limit of nothing.
+     */
     private double limit(JsonNode team, String field) {
         double limit = optional(team, "deployment.teams.", field, 0, 1e9);
         return limit == 0 ? Double.POSITIVE_INFINITY : limit;
@@ -176,7 +253,9 @@
     /** The lower of what the state service allows now and what it will allow. */
     private double lower(JsonNode state, JsonNode next, String field, double least, double most) {
         double now = number(state, "deployment.state.", field, least, most);
-        return next.path(field).isMissingNode() ? now : Math.min(now, number(next, "deployment.state.next.", field, least, most));
+        return next.path(field).isMissingNode()
+                ? now
+                : Math.min(now, number(next, "deployment.state.next.", field, least, most));
     }
 
     private double number(JsonNode in, String prefix, String field, double least, double most) {
@@ -184,8 +263,17 @@
         double number = value.asDouble(Double.NaN);
         if (!value.isNumber() || !(number >= least && number <= most)) {
             if (!in.isMissingNode()) {
-                faults.add(prefix + field + (value.isMissingNode() ? " is missing"
-                        : " = " + value + ": want a number from " + plain(least) + " to " + plain(most)));
+                faults.add(
+                        prefix
+                                + field
+                                + (value.isMissingNode()
+                                        ? " is missing"
+                                        : " = "
+                                                + value
+                                                + ": want a number from "
+                                                + plain(least)
+                                                + " to "
+                                                + plain(most)));
             }
             return least;
         }
--- a/src/main/java/io/pepperfield/fleet/Attempt.java
+++ b/src/main/java/io/pepperfield/fleet/Attempt.java
@@ -2,14 +2,19 @@
 
 import io.pepperfield.jobs.Job;
 
-/** One start of one task on one machine; possibly alive from its durable intent until proven gone. */
+/**
+ * One start of one task on one machine; possibly alive from its durable intent until proven gone.
+ */
 public final class Attempt {
 
     public enum Phase {
         /** The intent is being made durable; no order has left. */
         INTENDED,
         /** Durable; the order may be on its way, the machine has not shown it. */
-        ORDERED, PULLING, RUNNING, SAVING,
+        ORDERED,
+        PULLING,
+        RUNNING,
+        SAVING,
         /** Ended on its machine, which keeps it in its reports until cleared. */
         ENDED
     }
@@ -23,19 +28,39 @@
     public final double intendedAt;
 
     Phase phase;
-    /** The highest token under which a run order may have left by the direct way, where it may be carried out late. */
+
+    /**
+     * The highest token under which a run order may have left by the direct way, where it may be
+     * carried out late.
+     */
     long directToken;
-    /** From a durable record of an earlier leader, which may have cleared it: it is not ordered again, only seen or gone. */
+
+    /**
+     * From a durable record of an earlier leader, which may have cleared it: it is not ordered
+     * again, only seen or gone.
+     */
     boolean restored;
+
     double runningSince = Double.NaN;
+
     /** This leader has seen it begin, so that the time it runs is known. */
     boolean startSeen;
+
     boolean stopWanted;
     double drainS;
+
     /** What ended it is durable or of no consequence: nothing is lost by clearing it. */
     boolean settled;
 
-    Attempt(Job job, int task, int number, Machine machine, long tenure, Phase phase, long directToken, double intendedAt) {
+    Attempt(
+            Job job,
+            int task,
+            int number,
+            Machine machine,
+            long tenure,
+            Phase phase,
+            long directToken,
+            double intendedAt) {
         this.job = job;
         this.task = task;
         this.number = number;
--- a/src/main/java/io/pepperfield/fleet/Fleet.java
+++ b/src/main/java/io/pepperfield/fleet/Fleet.java
@@ -3,9 +3,6 @@
 import io.pepperfield.fleet.Report.Cause;
 import io.pepperfield.jobs.Job;
 import io.pepperfield.jobs.Status;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -14,10 +11,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
- * The leader's machines and attempts, and the proofs that an attempt is gone. Pure state: reports and times go in,
- * orders and events come out.
+ * The leader's machines and attempts, and the proofs that an attempt is gone. Pure state: reports
+ * and times go in, orders and events come out.
  */
 public final class Fleet {
 
@@ -29,15 +28,19 @@
         void started(Attempt attempt);
 
         /**
-         * Completed; the attempt stays in the machine's reports until it is settled and cleared. The time that it ran is 0 where
-         * its start was not seen: a part of it would make every later prediction too short.
+         * Completed; the attempt stays in the machine's reports until it is settled and cleared.
+         * The time that it ran is 0 where its start was not seen: a part of it would make every
+         * later prediction too short.
          */
         void completed(Attempt attempt, double ranS);
 
         /** Proven gone without being completed; its task may be started again. */
         void gone(Attempt attempt, Cause cause);
 
-        /** Nothing has been known of this machine, or it was up before and its worker has begun a new session. */
+        /**
+         * Nothing has been known of this machine, or it was up before and its worker has begun a
+         * new session.
+         */
         void appeared(Machine machine);
     }
 
@@ -46,12 +49,17 @@
     private final double standInS;
     private long token;
     private final Map<String, Machine> machines = new LinkedHashMap<>();
+
     /** Released with the cloud's word: a late report of one must not bring it back. */
     private final Set<String> released = new HashSet<>();
+
     private boolean newerTokenWanted;
     private boolean startsHeld;
 
-    /** @param standInS for how long after a machine's last report its answers to direct messages show that it can be counted on */
+    /**
+     * @param standInS for how long after a machine's last report its answers to direct messages
+     *     show that it can be counted on
+     */
     public Fleet(Listener listener, long electedToken, double standInS) {
         this.listener = listener;
         this.electedToken = electedToken;
@@ -65,23 +73,32 @@
     }
 
     /**
-     * While true no answer to a report offers a start: the leader has not heard from the state service for so long that others may
-     * have cancelled the job meanwhile.
+     * While true no answer to a report offers a start: the leader has not heard from the state
+     * service for so long that others may have cancelled the job meanwhile.
      */
     public void holdStarts(boolean hold) {
         startsHeld = hold;
     }
 
     /**
-     * Attempts of cancelled jobs that the machine may still begin after the answer to its last report: a run order that left
-     * directly under the token of today may be on its way, and only a newer token settles it.
+     * Attempts of cancelled jobs that the machine may still begin after the answer to its last
+     * report: a run order that left directly under the token of today may be on its way, and only a
+     * newer token settles it.
      */
     public List<Attempt> unsettledCancelled(Machine machine) {
-        return machine.attempts.values().stream().filter(attempt -> attempt.job.end() == Status.CANCELLED
-                && attempt.phase == Attempt.Phase.ORDERED && attempt.directToken >= token).toList();
+        return machine.attempts.values().stream()
+                .filter(
+                        attempt ->
+                                attempt.job.end() == Status.CANCELLED
+                                        && attempt.phase == Attempt.Phase.ORDERED
+                                        && attempt.directToken >= token)
+                .toList();
     }
 
-    /** Something waits for the machines to see a newer token, after which no order under the old one is carried out. */
+    /**
+     * Something waits for the machines to see a newer token, after which no order under the old one
+     * is carried out.
+     */
     public boolean newerTokenWanted() {
         return newerTokenWanted;
     }
@@ -99,7 +116,8 @@
     }
 
     /** A machine that should exist, by a rental, the cloud's list or a durable record. */
-    public Machine expect(String name, String type, String zone, boolean spot, double rentedAt, double now) {
+    public Machine expect(
+            String name, String type, String zone, boolean spot, double rentedAt, double now) {
         Machine machine = machines.computeIfAbsent(name, n -> new Machine(n, now));
         machine.expected = true;
         if (!type.isEmpty() && machine.type().isEmpty()) {
@@ -110,10 +128,23 @@
         return machine;
     }
 
-    /** Takes an attempt from a durable record of an earlier leader: possibly alive, its orders possibly under way. */
-    public Attempt restore(Job job, int task, int number, String machineName, long tenure, double now) {
+    /**
+     * Takes an attempt from a durable record of an earlier leader: possibly alive, its orders
+     * possibly under way.
+     */
+    public Attempt restore(
+            Job job, int task, int number, String machineName, long tenure, double now) {
         Machine machine = expect(machineName, "", "", false, now, now);
-        Attempt attempt = new Attempt(job, task, number, machine, tenure, Attempt.Phase.ORDERED, electedToken - 1, now);
+        Attempt attempt =
+                new Attempt(
+                        job,
+                        task,
+                        number,
+                        machine,
+                        tenure,
+                        Attempt.Phase.ORDERED,
+                        electedToken - 1,
+                        now);
         attempt.restored = true;
         machine.attempts.put(attempt.ref, attempt);
         machine.count(attempt, 1);
@@ -121,11 +152,15 @@
     }
 
     public Attempt intend(Job job, int task, int number, Machine machine, double now) {
-        Attempt attempt = new Attempt(job, task, number, machine, machine.tenure, Attempt.Phase.INTENDED, 0, now);
+        Attempt attempt =
+                new Attempt(
+                        job, task, number, machine, machine.tenure, Attempt.Phase.INTENDED, 0, now);
         Attempt old = machine.attempts.put(attempt.ref, attempt);
         if (old != null) {
-            // A worker refuses a task that it still holds, and to forget the old attempt would lose its late orders.
-            throw new IllegalStateException(attempt.ref + " is intended on " + machine.name + ", which still holds it");
+            // A worker refuses a task that it still holds, and to forget the old attempt would lose
+            // its late orders.
+            throw new IllegalStateException(
+                    attempt.ref + " is intended on " + machine.name + ", which still holds it");
         }
         machine.count(attempt, 1);
         machine.images.remove(job.spec.image());
@@ -138,7 +173,9 @@
         if (attempt.phase != Attempt.Phase.INTENDED) {
             return false;
         }
-        if (attempt.stopWanted || attempt.machine.tenure != attempt.tenure || attempt.machine.releasing) {
+        if (attempt.stopWanted
+                || attempt.machine.tenure != attempt.tenure
+                || attempt.machine.releasing) {
             // Nothing has left for it, so it is certain never to have been alive.
             end(attempt, Cause.STOPPED);
             return false;
@@ -147,7 +184,10 @@
         return true;
     }
 
-    /** To be called before run orders leave by the direct way: from here on they may be carried out late. */
+    /**
+     * To be called before run orders leave by the direct way: from here on they may be carried out
+     * late.
+     */
     public void sendingDirect(List<Attempt> attempts) {
         attempts.forEach(a -> a.directToken = Math.max(a.directToken, token));
     }
@@ -163,12 +203,18 @@
         }
     }
 
-    /** A worker's report by its own message: state is taken if it is news; its answer are the orders, or null for none. */
+    /**
+     * A worker's report by its own message: state is taken if it is news; its answer are the
+     * orders, or null for none.
+     */
     public List<Order> beat(Report report, double now) {
         Machine known = machines.get(report.machine());
-        if (known != null && (report.tenure() < known.beatTenure
-                || report.tenure() == known.beatTenure && report.serial() <= known.beatSerial)) {
-            // A late copy: its sender has given it up, and it says nothing about whether the machine is still there.
+        if (known != null
+                && (report.tenure() < known.beatTenure
+                        || report.tenure() == known.beatTenure
+                                && report.serial() <= known.beatSerial)) {
+            // A late copy: its sender has given it up, and it says nothing about whether the
+            // machine is still there.
             return null;
         }
         boolean anew = known != null && known.up() && report.tenure() > known.tenure;
@@ -188,11 +234,12 @@
     }
 
     /**
-     * Whether answers reach the machine: its report shows what the answer to the one before offered, or a token that it
-     * had not seen then. That reports arrive says nothing of it, and a session that ended although its reports were
-     * answered says the contrary.
+     * Whether answers reach the machine: its report shows what the answer to the one before
+     * offered, or a token that it had not seen then. That reports arrive says nothing of it, and a
+     * session that ended although its reports were answered says the contrary.
      */
-    private static void listen(Machine machine, Report report, boolean anew, long seenBefore, double now) {
+    private static void listen(
+            Machine machine, Report report, boolean anew, long seenBefore, double now) {
         boolean heeded = report.token() > seenBefore;
         boolean missed = anew || report.token() < machine.answeredToken;
         for (Attempt attempt : machine.offered) {
@@ -208,8 +255,8 @@
     }
 
     /**
-     * What a partition owner remembers of a machine whose next report is still to come. It is as old as it is: it proves no
-     * absence, and nothing is answered to it.
+     * What a partition owner remembers of a machine whose next report is still to come. It is as
+     * old as it is: it proves no absence, and nothing is answered to it.
      */
     public void remembered(Report report, double at) {
         Machine known = machines.get(report.machine());
@@ -223,23 +270,41 @@
         }
     }
 
-    /** A report that differs from the one named only in its serial and token, or null where that is not the last one here. */
+    /**
+     * A report that differs from the one named only in its serial and token, or null where that is
+     * not the last one here.
+     */
     public Report repeated(String name, long tenure, long base, long serial, long token) {
         Machine machine = machines.get(name);
         Report last = machine == null ? null : machine.lastBeat;
-        return last == null || last.tenure() != tenure || last.serial() != base ? null
-                : new Report(last.machine(), last.address(), last.type(), last.zone(), last.spot(), tenure, serial, token,
-                last.noticeS(), last.lines());
+        return last == null || last.tenure() != tenure || last.serial() != base
+                ? null
+                : new Report(
+                        last.machine(),
+                        last.address(),
+                        last.type(),
+                        last.zone(),
+                        last.spot(),
+                        tenure,
+                        serial,
+                        token,
+                        last.noticeS(),
+                        last.lines());
     }
 
-    /** A report that came as the answer to direct orders; it renews nothing and proves no absence. */
+    /**
+     * A report that came as the answer to direct orders; it renews nothing and proves no absence.
+     */
     public void heard(Report report, double now) {
         if (machines.containsKey(report.machine())) {
             Machine machine = take(report, false, now);
             if (machine != null) {
-                // A worker whose reports reach nobody loses its tasks with its lease, however well it answers: with nothing but
-                // direct answers from it for long it would be given work again and again, each time in vain.
-                machine.answeredAt = machine.up() ? Math.min(now, machine.reportedAt + standInS) : now;
+                // A worker whose reports reach nobody loses its tasks with its lease, however well
+                // it answers: with nothing but
+                // direct answers from it for long it would be given work again and again, each time
+                // in vain.
+                machine.answeredAt =
+                        machine.up() ? Math.min(now, machine.reportedAt + standInS) : now;
                 machine.deafSince = Double.NaN;
             }
         }
@@ -253,14 +318,17 @@
         machine.kind(report.type(), report.spot());
         machine.zone = report.zone();
         machine.address = report.address();
-        if (report.tenure() < machine.tenure || report.tenure() == machine.tenure && report.serial() <= machine.serial) {
+        if (report.tenure() < machine.tenure
+                || report.tenure() == machine.tenure && report.serial() <= machine.serial) {
             return machine;
         }
         boolean appeared = !machine.up() || report.tenure() > machine.tenure;
         machine.tenure = report.tenure();
         machine.serial = report.serial();
-        // A worker keeps the highest token it has seen. One that has forgotten it is another process on a machine that came
-        // back at once: it would carry out old orders, so that nothing missing from its reports is proven gone for good.
+        // A worker keeps the highest token it has seen. One that has forgotten it is another
+        // process on a machine that came
+        // back at once: it would carry out old orders, so that nothing missing from its reports is
+        // proven gone for good.
         machine.reborn |= report.token() < machine.seenToken;
         machine.seenToken = Math.max(machine.seenToken, report.token());
         machine.heardLeader |= report.token() >= electedToken;
@@ -271,7 +339,9 @@
         Set<TaskRef> shown = new HashSet<>();
         for (Report.Line line : report.lines()) {
             Attempt attempt = machine.attempts.get(line.ref());
-            if (attempt != null && attempt.number == line.attempt() && attempt.tenure == machine.tenure) {
+            if (attempt != null
+                    && attempt.number == line.attempt()
+                    && attempt.tenure == machine.tenure) {
                 shown.add(line.ref());
                 show(attempt, line, now);
             }
@@ -286,9 +356,10 @@
     }
 
     /**
-     * Proof 2: a worker that begins a new session has killed and forgotten all of the one before. Only a report that shows
-     * this leader's token tells so: sessions begin at 1 again on a machine that was back at once, and a late copy from before
-     * that names a higher session than the one in which its tasks run now.
+     * Proof 2: a worker that begins a new session has killed and forgotten all of the one before.
+     * Only a report that shows this leader's token tells so: sessions begin at 1 again on a machine
+     * that was back at once, and a late copy from before that names a higher session than the one
+     * in which its tasks run now.
      */
     private void endEarlierSessions(Machine machine) {
         for (Attempt attempt : List.copyOf(machine.attempts.values())) {
@@ -309,9 +380,14 @@
             case PULLING -> attempt.phase = Attempt.Phase.PULLING;
             case RUNNING, SAVING -> {
                 boolean first = Double.isNaN(attempt.runningSince);
-                // One that an earlier leader has begun may have run for long before it is first seen here.
-                attempt.startSeen |= first && (!attempt.restored || attempt.phase == Attempt.Phase.PULLING);
-                attempt.phase = line.state() == Report.State.RUNNING ? Attempt.Phase.RUNNING : Attempt.Phase.SAVING;
+                // One that an earlier leader has begun may have run for long before it is first
+                // seen here.
+                attempt.startSeen |=
+                        first && (!attempt.restored || attempt.phase == Attempt.Phase.PULLING);
+                attempt.phase =
+                        line.state() == Report.State.RUNNING
+                                ? Attempt.Phase.RUNNING
+                                : Attempt.Phase.SAVING;
                 if (first) {
                     attempt.runningSince = now;
                     listener.started(attempt);
@@ -324,7 +400,8 @@
                     attempt.machine.failedJobs.clear();
                     listener.completed(attempt, attempt.startSeen ? now - attempt.runningSince : 0);
                 } else {
-                    // Proof 1. The machine goes on holding the attempt until cleared, so no late order starts it again.
+                    // Proof 1. The machine goes on holding the attempt until cleared, so no late
+                    // order starts it again.
                     attempt.settled = true;
                     end(attempt, line.cause());
                 }
@@ -333,8 +410,9 @@
     }
 
     /**
-     * Proof 4, for attempts that the machine's own report does not hold: it has seen a newer token than any direct order
-     * for them carried, and what answers to its earlier reports offered is over, since a report answers one at a time.
+     * Proof 4, for attempts that the machine's own report does not hold: it has seen a newer token
+     * than any direct order for them carried, and what answers to its earlier reports offered is
+     * over, since a report answers one at a time.
      */
     private void absent(Machine machine, Set<TaskRef> shown) {
         for (Attempt attempt : List.copyOf(machine.attempts.values())) {
@@ -346,7 +424,9 @@
             }
             if (!attempt.live()) {
                 machine.attempts.remove(attempt.ref, attempt);
-            } else if (attempt.phase != Attempt.Phase.ORDERED || attempt.stopWanted || attempt.restored) {
+            } else if (attempt.phase != Attempt.Phase.ORDERED
+                    || attempt.stopWanted
+                    || attempt.restored) {
                 machine.attempts.remove(attempt.ref, attempt);
                 end(attempt, Cause.OTHER);
             }
@@ -377,7 +457,8 @@
             }
             known.add(attempt.ref);
             if (!attempt.live()) {
-                // A clear makes the worker forget; a direct run under a token it still accepts would start it once more.
+                // A clear makes the worker forget; a direct run under a token it still accepts
+                // would start it once more.
                 if (attempt.settled && machine.seenToken > attempt.directToken) {
                     orders.add(new Order.Clear(attempt.ref, attempt.number));
                 } else if (attempt.settled) {
@@ -385,8 +466,13 @@
                 }
             } else if (attempt.stopWanted) {
                 orders.add(new Order.Stop(attempt.ref, attempt.number, attempt.drainS));
-                newerTokenWanted |= attempt.phase == Attempt.Phase.ORDERED && machine.seenToken <= attempt.directToken;
-            } else if (attempt.phase == Attempt.Phase.ORDERED && !attempt.restored && !machine.releasing && !startsHeld) {
+                newerTokenWanted |=
+                        attempt.phase == Attempt.Phase.ORDERED
+                                && machine.seenToken <= attempt.directToken;
+            } else if (attempt.phase == Attempt.Phase.ORDERED
+                    && !attempt.restored
+                    && !machine.releasing
+                    && !startsHeld) {
                 orders.add(new Order.Run(attempt.ref, attempt.number));
                 machine.offered.add(attempt);
             }
@@ -432,8 +518,12 @@
     public Map<String, Integer> census(double now, double silentS) {
         Map<String, Integer> census = new HashMap<>();
         for (Machine machine : machines.values()) {
-            String state = machine.releasing ? "releasing" : !machine.up() ? "awaited"
-                    : machine.silentFor(now) > silentS ? "silent" : "up";
+            String state =
+                    machine.releasing
+                            ? "releasing"
+                            : !machine.up()
+                                    ? "awaited"
+                                    : machine.silentFor(now) > silentS ? "silent" : "up";
             census.merge(state, 1, Integer::sum);
         }
         return census;
--- a/src/main/java/io/pepperfield/fleet/HttpWorkers.java
+++ b/src/main/java/io/pepperfield/fleet/HttpWorkers.java
@@ -6,7 +6,6 @@
 import io.pepperfield.http.Outcome;
 import io.pepperfield.http.Sender;
 import io.pepperfield.node.Loop;
-
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -24,30 +23,67 @@
         this.deadlineMs = Math.round(reportS * 1000);
     }
 
-    @Override public void orders(String address, long token, long tenure, List<Order> orders, Consumer<Result> done) {
-        send(address, 1, "POST", "/orders", Json.write(Order.message(token, tenure, orders)), deadlineMs,
+    @Override
+    public void orders(
+            String address, long token, long tenure, List<Order> orders, Consumer<Result> done) {
+        send(
+                address,
+                1,
+                "POST",
+                "/orders",
+                Json.write(Order.message(token, tenure, orders)),
+                deadlineMs,
                 outcome -> done.accept(result(outcome)));
     }
 
-    @Override public void forward(String address, long token, long tenure, JsonNode orders, Consumer<byte[]> heard) {
+    @Override
+    public void forward(
+            String address, long token, long tenure, JsonNode orders, Consumer<byte[]> heard) {
         ObjectNode body = Json.object().put("epoch", token).put("tenure", tenure);
         body.set("orders", orders);
-        send(address, 1, "POST", "/orders", Json.write(body), deadlineMs, outcome -> {
-            // What is no report must not get into a message with others'.
-            if (outcome instanceof Outcome.Answered answer && (answer.status() == 200 || answer.status() == 409)
-                    && Report.read(answer.json()) != null) {
-                heard.accept(answer.body());
-            }
-        });
+        send(
+                address,
+                1,
+                "POST",
+                "/orders",
+                Json.write(body),
+                deadlineMs,
+                outcome -> {
+                    // What is no report must not get into a message with others'.
+                    if (outcome instanceof Outcome.Answered answer
+                            && (answer.status() == 200 || answer.status() == 409)
+                            && Report.read(answer.json()) != null) {
+                        heard.accept(answer.body());
+                    }
+                });
     }
 
-    @Override public void probe(String address, Consumer<Report> done) {
-        // On a second connection: the first may be waiting for orders that a hanging machine has not taken up.
-        send(address, 2, "GET", "/status", null, deadlineMs / 2, outcome -> done.accept(
-                outcome instanceof Outcome.Answered answer && answer.status() == 200 ? Report.read(answer.json()) : null));
+    @Override
+    public void probe(String address, Consumer<Report> done) {
+        // On a second connection: the first may be waiting for orders that a hanging machine has
+        // not taken up.
+        send(
+                address,
+                2,
+                "GET",
+                "/status",
+                null,
+                deadlineMs / 2,
+                outcome ->
+                        done.accept(
+                                outcome instanceof Outcome.Answered answer && answer.status() == 200
+                                        ? Report.read(answer.json())
+                                        : null));
     }
 
-    private void send(String address, int connections, String method, String path, byte[] body, long withinMs, Consumer<Outcome> done) {
+    private void send(
+            String address,
+            int connections,
+            String method,
+            String path,
+            byte[] body,
+            long withinMs,
+            Consumer<Outcome> done) {
         int colon = address.lastIndexOf(':');
         int port;
         try {
@@ -56,7 +92,14 @@
             loop.post(() -> done.accept(new Outcome.NotSent("no address")));
             return;
         }
-        client.send(address.substring(0, Math.max(colon, 0)), port, connections, method, path, body, withinMs,
+        client.send(
+                address.substring(0, Math.max(colon, 0)),
+                port,
+                connections,
+                method,
+                path,
+                body,
+                withinMs,
                 outcome -> loop.post(() -> done.accept(outcome)));
     }
 
@@ -64,7 +107,8 @@
         if (outcome instanceof Outcome.NotSent) {
             return new Result.NotSent();
         }
-        if (outcome instanceof Outcome.Answered answer && (answer.status() == 200 || answer.status() == 409)) {
+        if (outcome instanceof Outcome.Answered answer
+                && (answer.status() == 200 || answer.status() == 409)) {
             Report report = Report.read(answer.json());
             if (report != null) {
                 return new Result.Heard(answer.status() == 200, report);
--- a/src/main/java/io/pepperfield/fleet/Ledger.java
+++ b/src/main/java/io/pepperfield/fleet/Ledger.java
@@ -4,7 +4,6 @@
 import it.unimi.dsi.fastutil.ints.Int2ObjectMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectMaps;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
-
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -12,8 +11,8 @@
 import java.util.Map;
 
 /**
- * All attempts that may be alive, by job, with what each team's take of its limit. Kept as attempts come and go, so that a
- * step of the leader costs what it changes and not what there is.
+ * All attempts that may be alive, by job, with what each team's take of its limit. Kept as attempts
+ * come and go, so that a step of the leader costs what it changes and not what there is.
  */
 public final class Ledger {
 
@@ -31,9 +30,12 @@
     private int size;
 
     public void add(Attempt attempt) {
-        Attempt old = byJob.computeIfAbsent(attempt.job, j -> new Int2ObjectOpenHashMap<>()).put(attempt.task, attempt);
+        Attempt old =
+                byJob.computeIfAbsent(attempt.job, j -> new Int2ObjectOpenHashMap<>())
+                        .put(attempt.task, attempt);
         if (old != null) {
-            // One task alive twice is what must never be; the books are not to be trusted any further.
+            // One task alive twice is what must never be; the books are not to be trusted any
+            // further.
             throw new IllegalStateException(attempt.ref + " is already in the books");
         }
         size++;
@@ -62,8 +64,10 @@
         use.gpus = use.attempts == 0 ? 0 : use.gpus + sign * attempt.job.spec.gpus();
         if (attempt.job.spec.service()) {
             use.replicas += sign;
-            use.lastingCpus = use.replicas == 0 ? 0 : use.lastingCpus + sign * attempt.job.spec.cpus();
-            use.lastingGpus = use.replicas == 0 ? 0 : use.lastingGpus + sign * attempt.job.spec.gpus();
+            use.lastingCpus =
+                    use.replicas == 0 ? 0 : use.lastingCpus + sign * attempt.job.spec.cpus();
+            use.lastingGpus =
+                    use.replicas == 0 ? 0 : use.lastingGpus + sign * attempt.job.spec.gpus();
         }
     }
 
--- a/src/main/java/io/pepperfield/fleet/Machine.java
+++ b/src/main/java/io/pepperfield/fleet/Machine.java
@@ -5,7 +5,6 @@
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.placement.Capacity;
 import io.pepperfield.steering.Pool;
-
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -24,40 +23,62 @@
     String address = "";
     String zone = "";
     private String through = "";
+
     /** Has shown the token of this leadership. */
     boolean heardLeader;
+
     private Pool pool = new Pool("", false);
     long tenure;
     long serial = -1;
     long beatTenure;
     long beatSerial = -1;
     long seenToken;
+
     /** Loop time of the last report taken, NaN before the first under this leader. */
     double reportedAt = Double.NaN;
+
     /** Loop time of its last answer to something sent to it. */
     double answeredAt = Double.NEGATIVE_INFINITY;
+
     double probedAt = Double.NEGATIVE_INFINITY;
+
     /** Loop time since which this leader waits for a report. */
     double awaitedSince;
+
     /** Loop time of its rental, as well as it is known. */
     double rentedAt;
+
     double takenAt = Double.NaN;
-    /** Expected by a rental, the cloud's list or a durable intent: not known from a report alone. */
+
+    /**
+     * Expected by a rental, the cloud's list or a durable intent: not known from a report alone.
+     */
     boolean expected;
+
     /** Loop time since which nothing shows that answers and orders reach it, NaN while they do. */
     double deafSince = Double.NaN;
+
     /** Its worker has forgotten what it had seen: only its return settles what was alive on it. */
     boolean reborn;
-    /** The token that the last answer to it carried, and the run orders in that answer: its next report should show them. */
+
+    /**
+     * The token that the last answer to it carried, and the run orders in that answer: its next
+     * report should show them.
+     */
     long answeredToken;
+
     final List<Attempt> offered = new ArrayList<>();
+
     /** The last report taken as a message of its own; what a short one repeats. */
     Report lastBeat;
+
     boolean releasing;
     boolean draining;
     double avoidUntil;
+
     /** Jobs of which a task failed here since one of any job was completed. */
     final Set<Job> failedJobs = new HashSet<>();
+
     final Map<TaskRef, Attempt> attempts = new LinkedHashMap<>();
     final Set<String> images = new LinkedHashSet<>();
     int live;
@@ -65,8 +86,10 @@
     private double cpus;
     private double gpus;
     private double memGb;
+
     /** What replicas take, which end only when their users say so. */
     private double lastingCpus;
+
     private double lastingGpus;
     private double lastingMemGb;
 
@@ -136,11 +159,18 @@
     }
 
     /**
-     * Whether to give it work. A report alone does not tell that a machine is there, since copies come late: one that
-     * nothing else speaks of must first have shown the token of this leadership.
+     * Whether to give it work. A report alone does not tell that a machine is there, since copies
+     * come late: one that nothing else speaks of must first have shown the token of this
+     * leadership.
      */
     public boolean takesWork(double now) {
-        return up() && (expected || heardLeader) && !deaf() && !reborn && !releasing && !draining() && avoidUntil <= now;
+        return up()
+                && (expected || heardLeader)
+                && !deaf()
+                && !reborn
+                && !releasing
+                && !draining()
+                && avoidUntil <= now;
     }
 
     public boolean releasing() {
@@ -172,9 +202,13 @@
         avoidUntil = Math.max(avoidUntil, until);
     }
 
-    /** Tasks of several jobs failed here that succeed elsewhere: what fails everywhere is no fault of the machine. */
+    /**
+     * Tasks of several jobs failed here that succeed elsewhere: what fails everywhere is no fault
+     * of the machine.
+     */
     public boolean faulty() {
-        return failedJobs.size() >= MOST_ERRORS && failedJobs.stream().filter(job -> job.doneCount() > 0).count() >= MOST_ERRORS;
+        return failedJobs.size() >= MOST_ERRORS
+                && failedJobs.stream().filter(job -> job.doneCount() > 0).count() >= MOST_ERRORS;
     }
 
     public boolean reborn() {
@@ -253,6 +287,7 @@
 
     /** Room that it will have at most, however long one waits: beside its replicas. */
     public Capacity beside(MachineType of) {
-        return new Capacity(of.cpus() - lastingCpus, of.gpus() - lastingGpus, of.memGb() - lastingMemGb);
+        return new Capacity(
+                of.cpus() - lastingCpus, of.gpus() - lastingGpus, of.memGb() - lastingMemGb);
     }
 }
--- a/src/main/java/io/pepperfield/fleet/Order.java
+++ b/src/main/java/io/pepperfield/fleet/Order.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.http.Json;
-
 import java.util.List;
 
 /** A command to a worker about one attempt. */
@@ -14,11 +13,11 @@
 
     int attempt();
 
-    record Run(TaskRef ref, int attempt) implements Order { }
+    record Run(TaskRef ref, int attempt) implements Order {}
 
-    record Stop(TaskRef ref, int attempt, double drainS) implements Order { }
+    record Stop(TaskRef ref, int attempt, double drainS) implements Order {}
 
-    record Clear(TaskRef ref, int attempt) implements Order { }
+    record Clear(TaskRef ref, int attempt) implements Order {}
 
     /** Whether among the orders of an answer is one to stop something. */
     static boolean anyStop(JsonNode orders) {
@@ -36,7 +35,9 @@
         ArrayNode all = body.putArray("orders");
         for (Order order : orders) {
             ObjectNode node = all.addObject();
-            node.put("verb", order instanceof Run ? "run" : order instanceof Stop ? "stop" : "clear");
+            node.put(
+                    "verb",
+                    order instanceof Run ? "run" : order instanceof Stop ? "stop" : "clear");
             node.put("shard", order.ref().toString()).put("try", order.attempt());
             if (order instanceof Stop stop) {
                 node.put("drainS", stop.drainS());
--- a/src/main/java/io/pepperfield/fleet/TaskRef.java
+++ b/src/main/java/io/pepperfield/fleet/TaskRef.java
@@ -17,7 +17,8 @@
         return new TaskRef(text.substring(0, slash), Integer.parseInt(text.substring(slash + 1)));
     }
 
-    @Override public String toString() {
+    @Override
+    public String toString() {
         return job + "/" + task;
     }
 }
--- a/src/main/java/io/pepperfield/fleet/Workers.java
+++ b/src/main/java/io/pepperfield/fleet/Workers.java
@@ -1,7 +1,6 @@
 package io.pepperfield.fleet;
 
 import com.fasterxml.jackson.databind.JsonNode;
-
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -9,13 +8,16 @@
 public interface Workers {
 
     sealed interface Result {
-        /** The worker's report after the orders; {@code executed} false where it refused all of them. */
-        record Heard(boolean executed, Report report) implements Result { }
+        /**
+         * The worker's report after the orders; {@code executed} false where it refused all of
+         * them.
+         */
+        record Heard(boolean executed, Report report) implements Result {}
 
-        record NotSent() implements Result { }
+        record NotSent() implements Result {}
 
         /** The orders may be carried out at any later time. */
-        record NoAnswer() implements Result { }
+        record NoAnswer() implements Result {}
     }
 
     /** Asks for the worker's report without ordering anything; null where none comes. */
--- a/src/main/java/io/pepperfield/http/Call.java
+++ b/src/main/java/io/pepperfield/http/Call.java
@@ -1,7 +1,6 @@
 package io.pepperfield.http;
 
 import io.netty.handler.codec.http.QueryStringDecoder;
-
 import java.util.List;
 import java.util.Map;
 
--- a/src/main/java/io/pepperfield/http/HttpClient.java
+++ b/src/main/java/io/pepperfield/http/HttpClient.java
@@ -23,7 +23,6 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -34,8 +33,9 @@
 import java.util.function.Consumer;
 
 /**
- * Pooled HTTP/1.1 client. Every request has a deadline that covers waiting for a connection, since a machine without
- * power gives no error; a connection that missed one is closed, so that a late answer cannot be taken for the next.
+ * Pooled HTTP/1.1 client. Every request has a deadline that covers waiting for a connection, since
+ * a machine without power gives no error; a connection that missed one is closed, so that a late
+ * answer cannot be taken for the next.
  */
 public final class HttpClient implements Sender {
 
@@ -43,15 +43,20 @@
     private final int mostAnswerBytes;
     private final int mostLines;
     private final Map<String, Pool> pools = new HashMap<>();
+
     /** All connections that carry nothing at the moment, the longest idle first. */
     private final Set<Line> idleLines = new LinkedHashSet<>();
+
     private int open;
 
     public HttpClient(EventLoopGroup loops, int mostAnswerBytes) {
         this(loops, mostAnswerBytes, Integer.MAX_VALUE);
     }
 
-    /** @param mostLines connections to all addresses together; beyond them the longest idle one gives way, or the request */
+    /**
+     * @param mostLines connections to all addresses together; beyond them the longest idle one
+     *     gives way, or the request
+     */
     public HttpClient(EventLoopGroup loops, int mostAnswerBytes, int mostLines) {
         this.loop = loops.next();
         this.mostAnswerBytes = mostAnswerBytes;
@@ -67,13 +72,25 @@
         return open < mostLines;
     }
 
-    @Override public void send(String host, int port, int connections, String method, String path, byte[] body, long deadlineMs,
-                     Consumer<Outcome> done) {
+    @Override
+    public void send(
+            String host,
+            int port,
+            int connections,
+            String method,
+            String path,
+            byte[] body,
+            long deadlineMs,
+            Consumer<Outcome> done) {
         Exchange exchange = new Exchange(method, path, body, done);
-        loop.execute(() -> {
-            exchange.timer = loop.schedule(() -> exchange.expire(), deadlineMs, TimeUnit.MILLISECONDS);
-            pools.computeIfAbsent(host + ":" + port, k -> new Pool(k, host, port)).submit(exchange, connections);
-        });
+        loop.execute(
+                () -> {
+                    exchange.timer =
+                            loop.schedule(
+                                    () -> exchange.expire(), deadlineMs, TimeUnit.MILLISECONDS);
+                    pools.computeIfAbsent(host + ":" + port, k -> new Pool(k, host, port))
+                            .submit(exchange, connections);
+                });
     }
 
     private final class Exchange {
@@ -177,29 +194,49 @@
             open++;
             connecting++;
             Line[] made = new Line[1];
-            Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                    .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 2000)
-                    .handler(new ChannelInitializer<SocketChannel>() {
-                        @Override protected void initChannel(SocketChannel channel) {
-                            made[0] = new Line(Pool.this, channel);
-                            channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(mostAnswerBytes),
-                                    new Answers(Pool.this, made[0]));
-                        }
-                    });
-            bootstrap.connect(host, port).addListener((ChannelFuture future) -> {
-                connecting--;
-                if (future.isSuccess()) {
-                    next(made[0]);
-                } else {
-                    lines--;
-                    open--;
-                    // The others in the queue waited for this very connection; to let them hang would cost a deadline each.
-                    ArrayDeque<Exchange> failed = new ArrayDeque<>(waiting);
-                    waiting.clear();
-                    failed.forEach(e -> e.fail("connect: " + future.cause().getClass().getSimpleName()));
-                    discardIfUnused();
-                }
-            });
+            Bootstrap bootstrap =
+                    new Bootstrap()
+                            .group(loop)
+                            .channel(NioSocketChannel.class)
+                            .option(ChannelOption.TCP_NODELAY, true)
+                            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 2000)
+                            .handler(
+                                    new ChannelInitializer<SocketChannel>() {
+                                        @Override
+                                        protected void initChannel(SocketChannel channel) {
+                                            made[0] = new Line(Pool.this, channel);
+                                            channel.pipeline()
+                                                    .addLast(
+                                                            new HttpClientCodec(),
+                                                            new HttpObjectAggregator(
+                                                                    mostAnswerBytes),
+                                                            new Answers(Pool.this, made[0]));
+                                        }
+                                    });
+            bootstrap
+                    .connect(host, port)
+                    .addListener(
+                            (ChannelFuture future) -> {
+                                connecting--;
+                                if (future.isSuccess()) {
+                                    next(made[0]);
+                                } else {
+                                    lines--;
+                                    open--;
+                                    // The others in the queue waited for this very connection; to
+                                    // let them hang would cost a deadline each.
+                                    ArrayDeque<Exchange> failed = new ArrayDeque<>(waiting);
+                                    waiting.clear();
+                                    failed.forEach(
+                                            e ->
+                                                    e.fail(
+                                                            "connect: "
+                                                                    + future.cause()
+                                                                            .getClass()
+                                                                            .getSimpleName()));
+                                    discardIfUnused();
+                                }
+                            });
         }
 
         void next(Line line) {
@@ -219,11 +256,18 @@
             line.exchange = exchange;
             exchange.line = line;
             exchange.sent = true;
-            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(exchange.method),
-                    exchange.path, exchange.body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(exchange.body));
+            FullHttpRequest request =
+                    new DefaultFullHttpRequest(
+                            HttpVersion.HTTP_1_1,
+                            HttpMethod.valueOf(exchange.method),
+                            exchange.path,
+                            exchange.body == null
+                                    ? Unpooled.EMPTY_BUFFER
+                                    : Unpooled.wrappedBuffer(exchange.body));
             request.headers().set(HttpHeaderNames.HOST, key);
             if (exchange.body != null) {
-                request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+                request.headers()
+                        .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
                 request.headers().set(HttpHeaderNames.CONTENT_LENGTH, exchange.body.length);
             }
             line.channel.writeAndFlush(request);
@@ -265,7 +309,8 @@
             this.line = line;
         }
 
-        @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
             Exchange exchange = line.exchange;
             line.exchange = null;
             if (exchange == null || response.decoderResult().isFailure()) {
@@ -275,7 +320,9 @@
                 ctx.close();
                 return;
             }
-            exchange.finish(new Outcome.Answered(response.status().code(), ByteBufUtil.getBytes(response.content())));
+            exchange.finish(
+                    new Outcome.Answered(
+                            response.status().code(), ByteBufUtil.getBytes(response.content())));
             if (HttpUtil.isKeepAlive(response)) {
                 pool.next(line);
             } else {
@@ -283,11 +330,13 @@
             }
         }
 
-        @Override public void channelInactive(ChannelHandlerContext ctx) {
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
             pool.lost(line);
         }
 
-        @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             ctx.close();
         }
     }
--- a/src/main/java/io/pepperfield/http/HttpServer.java
+++ b/src/main/java/io/pepperfield/http/HttpServer.java
@@ -25,16 +25,18 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** HTTP/1.1 server: whole requests in, one answer each, with limits that keep a bad client from harming the others. */
+/**
+ * HTTP/1.1 server: whole requests in, one answer each, with limits that keep a bad client from
+ * harming the others.
+ */
 public final class HttpServer {
 
     public static final int MOST_BYTES = 64 * 1024;
@@ -62,7 +64,9 @@
         this(loops, mostConnections, MOST_BYTES, handler);
     }
 
-    /** @param mostBytes the longest body that is taken */
+    /**
+     * @param mostBytes the longest body that is taken
+     */
     public HttpServer(EventLoopGroup loops, int mostConnections, int mostBytes, Handler handler) {
         this.loops = loops;
         this.mostConnections = mostConnections;
@@ -70,7 +74,10 @@
         this.handler = handler;
     }
 
-    /** Clients of that path, of which there are many, may hold so many of the connections; the rest is for all others. */
+    /**
+     * Clients of that path, of which there are many, may hold so many of the connections; the rest
+     * is for all others.
+     */
     public HttpServer limit(String path, int most) {
         crowdPath = path;
         mostOfCrowd = most;
@@ -78,21 +85,32 @@
     }
 
     public int start(String host, int port) throws InterruptedException {
-        ServerBootstrap bootstrap = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 256)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override protected void initChannel(SocketChannel channel) {
-                        if (open.size() >= mostConnections) {
-                            // Beyond this the process would run out of sockets for the state service and the workers.
-                            channel.close();
-                            return;
-                        }
-                        Connection connection = new Connection(channel);
-                        channel.pipeline().addLast(connection, new HttpServerCodec(4096, 8192, 8192),
-                                new BoundedAggregator(mostBytes), new Requests(connection));
-                    }
-                });
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(loops)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .option(ChannelOption.SO_BACKLOG, 256)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        if (open.size() >= mostConnections) {
+                                            // Beyond this the process would run out of sockets for
+                                            // the state service and the workers.
+                                            channel.close();
+                                            return;
+                                        }
+                                        Connection connection = new Connection(channel);
+                                        channel.pipeline()
+                                                .addLast(
+                                                        connection,
+                                                        new HttpServerCodec(4096, 8192, 8192),
+                                                        new BoundedAggregator(mostBytes),
+                                                        new Requests(connection));
+                                    }
+                                });
         listening = bootstrap.bind(new InetSocketAddress(host, port)).sync().channel();
         listening.eventLoop().scheduleWithFixedDelay(this::sweep, 1, 1, TimeUnit.SECONDS);
         return ((InetSocketAddress) listening.localAddress()).getPort();
@@ -104,19 +122,28 @@
         }
     }
 
-    /** One coarse timer for all connections: ends those that drip a request in or have been idle for minutes. */
+    /**
+     * One coarse timer for all connections: ends those that drip a request in or have been idle for
+     * minutes.
+     */
     private void sweep() {
         long now = System.nanoTime();
         for (Connection connection : open.toArray(new Connection[0])) {
             boolean dripping = connection.receiving && now - connection.since > RECEIVE_NANOS;
-            boolean idle = !connection.receiving && !connection.answering && now - connection.since > IDLE_NANOS;
+            boolean idle =
+                    !connection.receiving
+                            && !connection.answering
+                            && now - connection.since > IDLE_NANOS;
             if (dripping || idle) {
                 connection.channel.close();
             }
         }
     }
 
-    /** Sees the raw bytes first, so that a half-sent request line counts as a request being received. */
+    /**
+     * Sees the raw bytes first, so that a half-sent request line counts as a request being
+     * received.
+     */
     private final class Connection extends ChannelInboundHandlerAdapter {
         final Channel channel;
         boolean receiving;
@@ -128,11 +155,13 @@
             this.channel = channel;
         }
 
-        @Override public void handlerAdded(ChannelHandlerContext ctx) {
+        @Override
+        public void handlerAdded(ChannelHandlerContext ctx) {
             open.add(this);
         }
 
-        @Override public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
             if (!receiving && !answering) {
                 receiving = true;
                 since = System.nanoTime();
@@ -140,7 +169,8 @@
             ctx.fireChannelRead(bytes);
         }
 
-        @Override public void channelInactive(ChannelHandlerContext ctx) {
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
             open.remove(this);
             crowd -= ofCrowd ? 1 : 0;
             // Said again only after a clear let-up, or each refusal near the limit would be a line.
@@ -150,14 +180,22 @@
         }
     }
 
-    /** Answers 400 where the library would answer 413: the protocol knows one kind of malformed request. */
+    /**
+     * Answers 400 where the library would answer 413: the protocol knows one kind of malformed
+     * request.
+     */
     private static final class BoundedAggregator extends HttpObjectAggregator {
         BoundedAggregator(int mostBytes) {
             super(mostBytes);
         }
 
-        @Override protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-            write(ctx, Reply.error(400, "the body is longer than " + maxContentLength() / 1024 + " KiB"), false);
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
+            write(
+                    ctx,
+                    Reply.error(
+                            400, "the body is longer than " + maxContentLength() / 1024 + " KiB"),
+                    false);
         }
     }
 
@@ -168,29 +206,44 @@
             this.connection = connection;
         }
 
-        @Override protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             connection.receiving = false;
             if (connection.answering) {
-                // A second request before the first answer is pipelining, which the protocol rules out.
+                // A second request before the first answer is pipelining, which the protocol rules
+                // out.
                 ctx.close();
                 return;
             }
             connection.answering = true;
             boolean keep = HttpUtil.isKeepAlive(request);
-            Consumer<Reply> answer = reply -> ctx.channel().eventLoop().execute(() -> {
-                connection.answering = false;
-                connection.since = System.nanoTime();
-                // Near its limit the crowd's connections end with each answer: more clients than sockets find their turn so.
-                boolean full = connection.ofCrowd && crowd > mostOfCrowd * 9 / 10;
-                write(ctx, reply, keep && !reply.close() && !full);
-            });
+            Consumer<Reply> answer =
+                    reply ->
+                            ctx.channel()
+                                    .eventLoop()
+                                    .execute(
+                                            () -> {
+                                                connection.answering = false;
+                                                connection.since = System.nanoTime();
+                                                // Near its limit the crowd's connections end with
+                                                // each answer: more clients than sockets find their
+                                                // turn so.
+                                                boolean full =
+                                                        connection.ofCrowd
+                                                                && crowd > mostOfCrowd * 9 / 10;
+                                                write(ctx, reply, keep && !reply.close() && !full);
+                                            });
             if (request.decoderResult().isFailure()) {
                 write(ctx, Reply.error(400, "malformed request"), false);
                 return;
             }
             Call call;
             try {
-                call = Call.of(request.method().name(), request.uri(), ByteBufUtil.getBytes(request.content()));
+                call =
+                        Call.of(
+                                request.method().name(),
+                                request.uri(),
+                                ByteBufUtil.getBytes(request.content()));
             } catch (IllegalArgumentException e) {
                 answer.accept(Reply.error(400, "malformed address"));
                 return;
@@ -199,7 +252,10 @@
                 if (crowd >= mostOfCrowd) {
                     if (!crowded) {
                         crowded = true;
-                        LOG.warn("{} connections of {} are as many as this controller can carry: others are refused", crowd, crowdPath);
+                        LOG.warn(
+                                "{} connections of {} are as many as this controller can carry: others are refused",
+                                crowd,
+                                crowdPath);
                     }
                     // When one node alone has all workers, its users must still find a connection.
                     answer.accept(Reply.later("too many connections").closing());
@@ -211,7 +267,8 @@
             handler.handle(call, answer);
         }
 
-        @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             // A reset or broken connection concerns nobody else.
             ctx.close();
         }
@@ -219,8 +276,9 @@
 
     private static void write(ChannelHandlerContext ctx, Reply reply, boolean keep) {
         ByteBuf body = Unpooled.wrappedBuffer(reply.body());
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(reply.status()), body);
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status()), body);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         if (body.isReadable()) {
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
--- a/src/main/java/io/pepperfield/http/Outcome.java
+++ b/src/main/java/io/pepperfield/http/Outcome.java
@@ -12,8 +12,8 @@
     }
 
     /** No byte of it left: it was certainly not carried out. */
-    record NotSent(String why) implements Outcome { }
+    record NotSent(String why) implements Outcome {}
 
     /** It left and nothing came back: it may have been carried out, or may be at any later time. */
-    record NoAnswer(String why) implements Outcome { }
+    record NoAnswer(String why) implements Outcome {}
 }
--- a/src/main/java/io/pepperfield/http/Reply.java
+++ b/src/main/java/io/pepperfield/http/Reply.java
@@ -2,7 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 
-/** One answer; {@code retryAfterS} above 0 tells the client when to come back, {@code close} ends the connection with it. */
+/**
+ * One answer; {@code retryAfterS} above 0 tells the client when to come back, {@code close} ends
+ * the connection with it.
+ */
 public record Reply(int status, byte[] body, int retryAfterS, boolean close) {
 
     private static final byte[] NOTHING = new byte[0];
--- a/src/main/java/io/pepperfield/http/Sender.java
+++ b/src/main/java/io/pepperfield/http/Sender.java
@@ -6,6 +6,13 @@
 public interface Sender {
 
     /** At most {@code connections} are open to that address; the callback may run on any thread. */
-    void send(String host, int port, int connections, String method, String path, byte[] body, long deadlineMs,
-              Consumer<Outcome> done);
+    void send(
+            String host,
+            int port,
+            int connections,
+            String method,
+            String path,
+            byte[] body,
+            long deadlineMs,
+            Consumer<Outcome> done);
 }
--- a/src/main/java/io/pepperfield/jobs/Catalog.java
+++ b/src/main/java/io/pepperfield/jobs/Catalog.java
@@ -6,9 +6,6 @@
 import io.pepperfield.store.Keys;
 import it.unimi.dsi.fastutil.ints.Int2ObjectMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -21,13 +18,21 @@
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** All jobs that were ever accepted, as the replica has them; every node answers its users from here. */
+/**
+ * All jobs that were ever accepted, as the replica has them; every node answers its users from
+ * here.
+ */
 public final class Catalog {
 
     private static final Logger LOG = LoggerFactory.getLogger(Catalog.class);
 
-    /** One durable run record, with how many of its tasks are done, may be alive, or failed where they were last tried. */
+    /**
+     * One durable run record, with how many of its tasks are done, may be alive, or failed where
+     * they were last tried.
+     */
     private record Chunk(byte[] json, int done, int running, int failed) {
 
         static Chunk of(JsonNode data) {
@@ -49,11 +54,14 @@
         private final JobSpec spec;
         private Status end;
         private double openAsOf;
+
         /** As written: trees of an array of 100,000 tasks would take a third of the heap. */
         private final Int2ObjectMap<Chunk> chunks = new Int2ObjectOpenHashMap<>();
+
         private int done;
         private int running;
         private int failed;
+
         /** Jobs that it needs and that are not known to be done. */
         private final Set<String> awaited = new LinkedHashSet<>();
 
@@ -89,7 +97,10 @@
             return chunks.values().stream().map(Chunk::json).toList();
         }
 
-        /** Counted with each change, for that chunk alone: neither news nor a question costs a look at the whole array. */
+        /**
+         * Counted with each change, for that chunk alone: neither news nor a question costs a look
+         * at the whole array.
+         */
         private void put(int number, Chunk chunk) {
             Chunk old = chunk == null ? chunks.remove(number) : chunks.put(number, chunk);
             done += (chunk == null ? 0 : chunk.done) - (old == null ? 0 : old.done);
@@ -99,9 +110,15 @@
 
         public JsonNode answer() {
             if (end != null) {
-                return JobMessages.state(spec.id(), end, end == Status.DONE ? spec.tasks() : done, 0);
+                return JobMessages.state(
+                        spec.id(), end, end == Status.DONE ? spec.tasks() : done, 0);
             }
-            ObjectNode state = JobMessages.state(spec.id(), running > 0 ? Status.RUNNING : Status.PENDING, done, running);
+            ObjectNode state =
+                    JobMessages.state(
+                            spec.id(),
+                            running > 0 ? Status.RUNNING : Status.PENDING,
+                            done,
+                            running);
             if (!awaited.isEmpty()) {
                 awaited.forEach(state.putArray("waitsFor")::add);
             }
@@ -113,40 +130,58 @@
     private final Map<String, Record> records = new HashMap<>();
     private final Map<String, Status> endsBeforeJobs = new HashMap<>();
     private final Map<String, List<String>> inShared = new HashMap<>();
+
     /** Of each job that is not over, those that need it. */
     private final Map<String, List<Record>> dependants = new HashMap<>();
+
     /** Jobs that the last news concern beside the one that they are about. */
     private final Set<String> affected = new LinkedHashSet<>();
+
     /** Cancelled jobs of which a durable line calls a task alive. */
     private final Set<Record> cancelledAlive = new HashSet<>();
+
     /** Those tasks by machine; null where news has come since it was made. */
     private Map<String, List<CancelledAttempt>> cancelledOn;
+
     private final DoubleSupplier knownUpTo;
 
     /** An attempt of a cancelled job that may be alive on its machine by the durable lines. */
-    public record CancelledAttempt(String task, int number, double openAsOf) { }
+    public record CancelledAttempt(String task, int number, double openAsOf) {}
 
-    /** @param knownUpTo a time up to which all changes are known here */
+    /**
+     * @param knownUpTo a time up to which all changes are known here
+     */
     public Catalog(DoubleSupplier knownUpTo) {
         this.knownUpTo = knownUpTo;
     }
 
-    /** A time as of which none of the cancelled jobs was cancelled that may have attempts on the machine beside those settled. */
+    /**
+     * A time as of which none of the cancelled jobs was cancelled that may have attempts on the
+     * machine beside those settled.
+     */
     public double openAsOf(String machine, Predicate<CancelledAttempt> settled) {
         if (cancelledOn == null) {
             cancelledOn = new HashMap<>();
             cancelledAlive.forEach(this::byMachine);
         }
-        return cancelledOn.getOrDefault(machine, List.of()).stream().filter(settled.negate()).mapToDouble(CancelledAttempt::openAsOf)
-                .min().orElse(Double.POSITIVE_INFINITY);
+        return cancelledOn.getOrDefault(machine, List.of()).stream()
+                .filter(settled.negate())
+                .mapToDouble(CancelledAttempt::openAsOf)
+                .min()
+                .orElse(Double.POSITIVE_INFINITY);
     }
 
     private void byMachine(Record record) {
         for (byte[] chunk : record.chunks()) {
             for (RunRecord line : RunRecord.read(Json.read(chunk))) {
                 if (line.state() == RunRecord.State.LIVE) {
-                    cancelledOn.computeIfAbsent(line.machine(), m -> new ArrayList<>())
-                            .add(new CancelledAttempt(record.spec.id() + "/" + line.task(), line.attempt(), record.openAsOf));
+                    cancelledOn
+                            .computeIfAbsent(line.machine(), m -> new ArrayList<>())
+                            .add(
+                                    new CancelledAttempt(
+                                            record.spec.id() + "/" + line.task(),
+                                            line.attempt(),
+                                            record.openAsOf));
                 }
             }
         }
@@ -178,7 +213,10 @@
         return records.values();
     }
 
-    /** The replica's news; keys of other slices are not for here. Accepted jobs and final states never go away. */
+    /**
+     * The replica's news; keys of other slices are not for here. Accepted jobs and final states
+     * never go away.
+     */
     public void changed(String key, JsonNode data) {
         if (data == null) {
             return;
@@ -206,15 +244,21 @@
                 LOG.error("{} was {} and is called {} in the state service", id, record.end, end);
             }
         } else if (key.startsWith(Keys.SHARED)) {
-            // What is left out now is over with nothing alive: its old lines must not come to life under the next leader.
-            inShared.getOrDefault(key, List.of()).stream().filter(id -> !data.has(id)).forEach(id -> lines(id, 0, null));
+            // What is left out now is over with nothing alive: its old lines must not come to life
+            // under the next leader.
+            inShared.getOrDefault(key, List.of()).stream()
+                    .filter(id -> !data.has(id))
+                    .forEach(id -> lines(id, 0, null));
             List<String> ids = new ArrayList<>();
             data.fieldNames().forEachRemaining(ids::add);
             inShared.put(key, ids);
             ids.forEach(id -> lines(id, 0, data.get(id)));
         } else if (key.startsWith(Keys.RUN)) {
             int slash = key.lastIndexOf('/');
-            lines(key.substring(Keys.RUN.length(), slash), Integer.parseInt(key.substring(slash + 1)), data);
+            lines(
+                    key.substring(Keys.RUN.length(), slash),
+                    Integer.parseInt(key.substring(slash + 1)),
+                    data);
         }
     }
 
@@ -237,9 +281,10 @@
     }
 
     /**
-     * A job is cancelled if its own final state says so or that of any job that it needs, directly or through others. Both are
-     * written once, and what waits cannot be done; so this holds on every node from the moment at which it knows the one final
-     * state, and nothing has to be written for the jobs after it. Without recursion, since chains may be long.
+     * A job is cancelled if its own final state says so or that of any job that it needs, directly
+     * or through others. Both are written once, and what waits cannot be done; so this holds on
+     * every node from the moment at which it knows the one final state, and nothing has to be
+     * written for the jobs after it. Without recursion, since chains may be long.
      */
     private void end(Record first, Status end) {
         first.end = end;
--- a/src/main/java/io/pepperfield/jobs/CreateIfAbsent.java
+++ b/src/main/java/io/pepperfield/jobs/CreateIfAbsent.java
@@ -8,7 +8,6 @@
 import io.pepperfield.store.StateService.Guard;
 import io.pepperfield.store.StateService.TxnResult;
 import io.pepperfield.store.StateService.Urgency;
-
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -17,13 +16,19 @@
 import java.util.function.Consumer;
 
 /**
- * Creates keys that must not exist yet, many in one transaction; used by any node for submissions and cancellations. No more
- * wait than can be written while their users wait: a longer queue would be worked off for users who have given up and asked
- * again, and nobody would be answered in time any more.
+ * Creates keys that must not exist yet, many in one transaction; used by any node for submissions
+ * and cancellations. No more wait than can be written while their users wait: a longer queue would
+ * be worked off for users who have given up and asked again, and nobody would be answered in time
+ * any more.
  */
 final class CreateIfAbsent {
 
-    enum Result { CREATED, EXISTS, UNAVAILABLE, TOO_MANY }
+    enum Result {
+        CREATED,
+        EXISTS,
+        UNAVAILABLE,
+        TOO_MANY
+    }
 
     private record Wish(String key, JsonNode data, double until, List<Consumer<Result>> asked) {
 
@@ -45,8 +50,16 @@
     private final Map<String, Wish> waiting = new HashMap<>();
     private boolean writing;
 
-    /** @param changesPerS how many keys can be created in a second */
-    CreateIfAbsent(Loop loop, StateService state, Urgency urgency, int mostChanges, int mostBytes, double changesPerS) {
+    /**
+     * @param changesPerS how many keys can be created in a second
+     */
+    CreateIfAbsent(
+            Loop loop,
+            StateService state,
+            Urgency urgency,
+            int mostChanges,
+            int mostBytes,
+            double changesPerS) {
         this.loop = loop;
         this.state = state;
         this.urgency = urgency;
@@ -63,13 +76,17 @@
         } else if (waiting.size() >= mostWaiting) {
             done.accept(Result.TOO_MANY);
         } else {
-            Wish wish = new Wish(key, data, loop.now() + PATIENCE_S, new ArrayList<>(List.of(done)));
+            Wish wish =
+                    new Wish(key, data, loop.now() + PATIENCE_S, new ArrayList<>(List.of(done)));
             waiting.put(key, wish);
             wishes.add(wish);
         }
     }
 
-    /** To be called at the end of each batch of commands, so that one transaction carries what came together. */
+    /**
+     * To be called at the end of each batch of commands, so that one transaction carries what came
+     * together.
+     */
     void flush() {
         if (writing || wishes.isEmpty()) {
             return;
@@ -78,7 +95,8 @@
         int bytes = 0;
         while (!wishes.isEmpty() && batch.size() < mostChanges) {
             Wish wish = wishes.peek();
-            // As sent: counted in letters, names of another script would have the service refuse everybody in the transaction.
+            // As sent: counted in letters, names of another script would have the service refuse
+            // everybody in the transaction.
             int size = Json.write(wish.data).length + 2 * wish.key.length();
             if (!batch.isEmpty() && bytes + size > mostBytes) {
                 break;
@@ -98,27 +116,36 @@
         writing = true;
         List<Guard> guards = batch.stream().map(w -> new Guard(w.key, 0)).toList();
         List<Change> changes = batch.stream().map(w -> Change.set(w.key, w.data)).toList();
-        state.txn(urgency, guards, changes, result -> {
-            writing = false;
-            if (result instanceof TxnResult.Committed) {
-                batch.forEach(w -> w.done(Result.CREATED));
-            } else if (result instanceof TxnResult.Conflict conflict && batch.stream().anyMatch(w -> conflict.failed().contains(w.key))) {
-                for (Wish wish : batch) {
-                    if (conflict.failed().contains(wish.key)) {
-                        wish.done(Result.EXISTS);
+        state.txn(
+                urgency,
+                guards,
+                changes,
+                result -> {
+                    writing = false;
+                    if (result instanceof TxnResult.Committed) {
+                        batch.forEach(w -> w.done(Result.CREATED));
+                    } else if (result instanceof TxnResult.Conflict conflict
+                            && batch.stream().anyMatch(w -> conflict.failed().contains(w.key))) {
+                        for (Wish wish : batch) {
+                            if (conflict.failed().contains(wish.key)) {
+                                wish.done(Result.EXISTS);
+                            } else {
+                                again(wish);
+                            }
+                        }
                     } else {
-                        again(wish);
+                        // Also when nobody answered: the user comes back, and finds it accepted if
+                        // it took effect after all.
+                        batch.forEach(w -> w.done(Result.UNAVAILABLE));
                     }
-                }
-            } else {
-                // Also when nobody answered: the user comes back, and finds it accepted if it took effect after all.
-                batch.forEach(w -> w.done(Result.UNAVAILABLE));
-            }
-            flush();
-        });
+                    flush();
+                });
     }
 
-    /** Was in a transaction that failed for another key's sake; joined by what asked for the same meanwhile. */
+    /**
+     * Was in a transaction that failed for another key's sake; joined by what asked for the same
+     * meanwhile.
+     */
     private void again(Wish wish) {
         Wish later = waiting.put(wish.key, wish);
         if (later != null) {
--- a/src/main/java/io/pepperfield/jobs/Job.java
+++ b/src/main/java/io/pepperfield/jobs/Job.java
@@ -3,7 +3,6 @@
 import io.pepperfield.predict.PeerTimes;
 import it.unimi.dsi.fastutil.ints.Int2IntMap;
 import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap;
-
 import java.util.BitSet;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -12,30 +11,49 @@
 /** The leader's working state of one accepted job. */
 public final class Job {
 
-    /** One machine on which tasks fail may be faulty; that two are, and nothing else is known of the job, is less likely. */
+    /**
+     * One machine on which tasks fail may be faulty; that two are, and nothing else is known of the
+     * job, is less likely.
+     */
     private static final int SUSPECT = 2;
+
     private static final int REMEMBERED = 8;
 
     public final JobSpec spec;
+
     /** Run times of this job's tasks: what WIRE predicts from. */
     public final PeerTimes times = new PeerTimes();
+
     /** When this leader's clock says it was submitted, or its last prerequisite was done. */
     private double readyAt;
-    /** It needs jobs that are not done yet: until then it holds nothing and stands in nobody's way. */
+
+    /**
+     * It needs jobs that are not done yet: until then it holds nothing and stands in nobody's way.
+     */
     private boolean awaiting;
+
     /** Its description with the highest rank of all jobs that need it. */
     private JobSpec placed;
+
     private final BitSet waiting;
     private final BitSet done;
+
     /** Tasks of which the last attempt failed. */
     private final BitSet failed = new BitSet();
+
     private final Int2IntMap attempts = new Int2IntOpenHashMap();
     private Status end;
     private double openAsOf;
-    /** Machines on which a task failed since one of the job was last completed, the last few of them, and until when to avoid them. */
+
+    /**
+     * Machines on which a task failed since one of the job was last completed, the last few of
+     * them, and until when to avoid them.
+     */
     private final LinkedHashMap<String, Double> failedOn = new LinkedHashMap<>();
+
     /** Tasks that durable records call failed, from before this leader. */
     private int failedBefore;
+
     private double notBefore;
 
     public Job(JobSpec spec, double submittedAt) {
@@ -52,7 +70,9 @@
         return end;
     }
 
-    /** @param asOf a time at which it had not ended yet */
+    /**
+     * @param asOf a time at which it had not ended yet
+     */
     public void end(Status status, double asOf) {
         end = status;
         openAsOf = asOf;
@@ -93,7 +113,10 @@
         return placed;
     }
 
-    /** A job of that rank needs it: it may be treated as having the same. True where that is higher than before. */
+    /**
+     * A job of that rank needs it: it may be treated as having the same. True where that is higher
+     * than before.
+     */
     public boolean raise(JobSpec.Rank rank) {
         boolean higher = rank.compareTo(placed.rank()) < 0;
         if (higher) {
@@ -149,7 +172,10 @@
         waiting.clear(task);
     }
 
-    /** The task's attempt is proven gone; it waits again unless it is done or nobody wants it any more. */
+    /**
+     * The task's attempt is proven gone; it waits again unless it is done or nobody wants it any
+     * more.
+     */
     public void requeue(int task) {
         if (end == null && !done.get(task)) {
             waiting.set(task);
@@ -170,16 +196,17 @@
     }
 
     /**
-     * Where it failed of late: the next try goes elsewhere. Not for ever, or a job of which no task can be completed would wait
-     * beside the only machines that fit it.
+     * Where it failed of late: the next try goes elsewhere. Not for ever, or a job of which no task
+     * can be completed would wait beside the only machines that fit it.
      */
     public Set<String> avoided(double now) {
         Set<String> avoided = new HashSet<>();
-        failedOn.forEach((machine, until) -> {
-            if (until > now) {
-                avoided.add(machine);
-            }
-        });
+        failedOn.forEach(
+                (machine, until) -> {
+                    if (until > now) {
+                        avoided.add(machine);
+                    }
+                });
         return avoided;
     }
 
@@ -192,7 +219,13 @@
             failedOn.remove(failedOn.keySet().iterator().next());
         }
         if (suspect()) {
-            notBefore = now + Math.min(longestPauseS, firstPauseS * Math.pow(2, failedOn.size() + failedBefore - SUSPECT));
+            notBefore =
+                    now
+                            + Math.min(
+                                    longestPauseS,
+                                    firstPauseS
+                                            * Math.pow(
+                                                    2, failedOn.size() + failedBefore - SUSPECT));
         }
         return suspect() && !before;
     }
@@ -202,7 +235,10 @@
         failedBefore = Math.min(REMEMBERED, failedBefore + 1);
     }
 
-    /** What can be completed was not submitted with a mistake, whatever its bad machines have made of it. */
+    /**
+     * What can be completed was not submitted with a mistake, whatever its bad machines have made
+     * of it.
+     */
     public void succeeded() {
         failedOn.clear();
         failedBefore = 0;
@@ -210,8 +246,9 @@
     }
 
     /**
-     * Failed on several machines and completed on none since: submitted with a mistake, as far as anyone can tell. Such a job
-     * is tried one task at a time and after growing pauses, and neither rents nor stops anything until a task is completed.
+     * Failed on several machines and completed on none since: submitted with a mistake, as far as
+     * anyone can tell. Such a job is tried one task at a time and after growing pauses, and neither
+     * rents nor stops anything until a task is completed.
      */
     public boolean suspect() {
         return failedOn.size() + failedBefore >= SUSPECT;
--- a/src/main/java/io/pepperfield/jobs/JobMessages.java
+++ b/src/main/java/io/pepperfield/jobs/JobMessages.java
@@ -6,7 +6,6 @@
 import io.pepperfield.http.Json;
 import io.pepperfield.jobs.JobSpec.Rank;
 import io.pepperfield.jobs.JobSpec.Shape;
-
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -14,7 +13,10 @@
 import java.util.Set;
 import java.util.regex.Pattern;
 
-/** The users' messages and the durable form of a job; the only place in this slice that knows field names. */
+/**
+ * The users' messages and the durable form of a job; the only place in this slice that knows field
+ * names.
+ */
 public final class JobMessages {
 
     /** A field is missing or invalid; the message says which. */
@@ -29,7 +31,7 @@
     private static final int LONGEST_NAME = 200;
     private static final double MOST = 1e9;
 
-    private JobMessages() { }
+    private JobMessages() {}
 
     public static boolean validId(String id) {
         return ID.matcher(id).matches();
@@ -49,22 +51,30 @@
         if (id.isEmpty()) {
             throw new Malformed("nameId: want run- and at least six digits");
         }
-        Shape shape = switch (text(body, "shape")) {
-            case "sweep" -> Shape.ARRAY;
-            case "standing" -> Shape.SERVICE;
-            // Not in the users' table of shapes, but among the words of their platform; see docs/QUESTIONS.md.
-            case "gang" -> Shape.GANG;
-            default -> throw new Malformed("shape: want sweep or standing");
-        };
-        Rank rank = switch (text(body, "rank")) {
-            case "production" -> Rank.PRODUCTION;
-            case "urgent" -> Rank.URGENT;
-            case "standard" -> Rank.STANDARD;
-            case "best_effort" -> Rank.BEST_EFFORT;
-            default -> throw new Malformed("rank: want production, urgent, standard or best_effort");
-        };
+        Shape shape =
+                switch (text(body, "shape")) {
+                    case "sweep" -> Shape.ARRAY;
+                    case "standing" -> Shape.SERVICE;
+                    // Not in the users' table of shapes, but among the words of their platform; see
+                    // docs/QUESTIONS.md.
+                    case "gang" -> Shape.GANG;
+                    default -> throw new Malformed("shape: want sweep or standing");
+                };
+        Rank rank =
+                switch (text(body, "rank")) {
+                    case "production" -> Rank.PRODUCTION;
+                    case "urgent" -> Rank.URGENT;
+                    case "standard" -> Rank.STANDARD;
+                    case "best_effort" -> Rank.BEST_EFFORT;
+                    default ->
+                            throw new Malformed(
+                                    "rank: want production, urgent, standard or best_effort");
+                };
         JsonNode tasks = body.path("shards");
-        if (!tasks.isIntegralNumber() || !tasks.canConvertToInt() || tasks.intValue() < 1 || tasks.intValue() > MOST_TASKS) {
+        if (!tasks.isIntegralNumber()
+                || !tasks.canConvertToInt()
+                || tasks.intValue() < 1
+                || tasks.intValue() > MOST_TASKS) {
             throw new Malformed("shards: want a whole number from 1 to " + MOST_TASKS);
         }
         double cpus = number(body, "vcpus");
@@ -72,11 +82,30 @@
             throw new Malformed("vcpus: want more than 0");
         }
         JsonNode due = body.path("dueS");
-        return new JobSpec(id, text(body, "workload"), text(body, "owner"), shape, rank, tasks.intValue(), cpus,
-                number(body, "accelerators"), number(body, "memGb"), text(body, "bundle"), number(body, "pullGb"),
-                names(body, "flavours"), absent(body.path("site")) ? null : text(body, "site"), flag(body, "together"),
-                flag(body, "spread"), flag(body, "reclaimable"), number(body, "expectedS"), number(body, "snapshotEveryS"),
-                number(body, "snapshotS"), absent(due) ? null : (Double) number(body, "dueS"), nowMs, chunk, ids(body, "awaits"));
+        return new JobSpec(
+                id,
+                text(body, "workload"),
+                text(body, "owner"),
+                shape,
+                rank,
+                tasks.intValue(),
+                cpus,
+                number(body, "accelerators"),
+                number(body, "memGb"),
+                text(body, "bundle"),
+                number(body, "pullGb"),
+                names(body, "flavours"),
+                absent(body.path("site")) ? null : text(body, "site"),
+                flag(body, "together"),
+                flag(body, "spread"),
+                flag(body, "reclaimable"),
+                number(body, "expectedS"),
+                number(body, "snapshotEveryS"),
+                number(body, "snapshotS"),
+                absent(due) ? null : (Double) number(body, "dueS"),
+                nowMs,
+                chunk,
+                ids(body, "awaits"));
     }
 
     private static boolean absent(JsonNode value) {
@@ -91,9 +120,14 @@
         return value.textValue();
     }
 
-    /** Half a surrogate pair is no character: who refused to store it would refuse all that is written beside it. */
+    /**
+     * Half a surrogate pair is no character: who refused to store it would refuse all that is
+     * written beside it.
+     */
     private static boolean isName(JsonNode value) {
-        return value.isTextual() && !value.textValue().isBlank() && value.textValue().length() <= LONGEST_NAME
+        return value.isTextual()
+                && !value.textValue().isBlank()
+                && value.textValue().length() <= LONGEST_NAME
                 && StandardCharsets.UTF_8.newEncoder().canEncode(value.textValue());
     }
 
@@ -151,10 +185,23 @@
     }
 
     public static ObjectNode durable(JobSpec job) {
-        ObjectNode node = Json.object().put("w", job.workload()).put("o", job.team()).put("s", job.shape().ordinal())
-                .put("r", job.rank().ordinal()).put("n", job.tasks()).put("c", job.cpus()).put("g", job.gpus())
-                .put("m", job.memGb()).put("i", job.image()).put("ig", job.imageGb()).put("e", job.expectedS())
-                .put("ce", job.checkpointEveryS()).put("cs", job.checkpointS()).put("at", job.acceptedMs()).put("k", job.chunk());
+        ObjectNode node =
+                Json.object()
+                        .put("w", job.workload())
+                        .put("o", job.team())
+                        .put("s", job.shape().ordinal())
+                        .put("r", job.rank().ordinal())
+                        .put("n", job.tasks())
+                        .put("c", job.cpus())
+                        .put("g", job.gpus())
+                        .put("m", job.memGb())
+                        .put("i", job.image())
+                        .put("ig", job.imageGb())
+                        .put("e", job.expectedS())
+                        .put("ce", job.checkpointEveryS())
+                        .put("cs", job.checkpointS())
+                        .put("at", job.acceptedMs())
+                        .put("k", job.chunk());
         if (job.types() != null) {
             ArrayNode types = node.putArray("f");
             job.types().forEach(types::add);
@@ -182,16 +229,38 @@
         }
         List<String> awaits = new ArrayList<>();
         n.path("aw").forEach(other -> awaits.add(other.asText()));
-        return new JobSpec(id, n.path("w").asText(), n.path("o").asText(), Shape.values()[n.path("s").asInt()],
-                Rank.values()[n.path("r").asInt()], n.path("n").asInt(), n.path("c").asDouble(), n.path("g").asDouble(),
-                n.path("m").asDouble(), n.path("i").asText(), n.path("ig").asDouble(), types,
-                n.has("z") ? n.path("z").asText() : null, n.path("t").asBoolean(), n.path("sp").asBoolean(),
-                n.path("re").asBoolean(), n.path("e").asDouble(), n.path("ce").asDouble(), n.path("cs").asDouble(),
-                n.has("d") ? n.path("d").doubleValue() : null, n.path("at").asLong(), n.path("k").asInt(1), awaits);
+        return new JobSpec(
+                id,
+                n.path("w").asText(),
+                n.path("o").asText(),
+                Shape.values()[n.path("s").asInt()],
+                Rank.values()[n.path("r").asInt()],
+                n.path("n").asInt(),
+                n.path("c").asDouble(),
+                n.path("g").asDouble(),
+                n.path("m").asDouble(),
+                n.path("i").asText(),
+                n.path("ig").asDouble(),
+                types,
+                n.has("z") ? n.path("z").asText() : null,
+                n.path("t").asBoolean(),
+                n.path("sp").asBoolean(),
+                n.path("re").asBoolean(),
+                n.path("e").asDouble(),
+                n.path("ce").asDouble(),
+                n.path("cs").asDouble(),
+                n.has("d") ? n.path("d").doubleValue() : null,
+                n.path("at").asLong(),
+                n.path("k").asInt(1),
+                awaits);
     }
 
     public static ObjectNode state(String id, Status status, int done, int running) {
-        return Json.object().put("nameId", id).put("status", status.word()).put("done", done).put("running", running);
+        return Json.object()
+                .put("nameId", id)
+                .put("status", status.word())
+                .put("done", done)
+                .put("running", running);
     }
 
     public static ObjectNode brief(String id, Status status) {
@@ -203,6 +272,8 @@
     }
 
     public static Status end(JsonNode durable) {
-        return durable.path("s").asText().equals(Status.DONE.word()) ? Status.DONE : Status.CANCELLED;
+        return durable.path("s").asText().equals(Status.DONE.word())
+                ? Status.DONE
+                : Status.CANCELLED;
     }
 }
--- a/src/main/java/io/pepperfield/jobs/JobSpec.java
+++ b/src/main/java/io/pepperfield/jobs/JobSpec.java
@@ -5,25 +5,54 @@
 /**
  * What a user asked for.
  *
- * @param types      allowed machine types, or null for any
- * @param zone       the only allowed zone, or null
- * @param oneZone    all tasks in the same zone
- * @param spread     at most half of the tasks, rounded up, in one zone
- * @param spot       may use spot machines
- * @param dueS       deadline after the submission, or null
+ * @param types allowed machine types, or null for any
+ * @param zone the only allowed zone, or null
+ * @param oneZone all tasks in the same zone
+ * @param spread at most half of the tasks, rounded up, in one zone
+ * @param spot may use spot machines
+ * @param dueS deadline after the submission, or null
  * @param acceptedMs time of day of the submission
- * @param chunk      tasks per durable run record
- * @param awaits     jobs that must be done before any task starts, each once
+ * @param chunk tasks per durable run record
+ * @param awaits jobs that must be done before any task starts, each once
  */
-public record JobSpec(String id, String workload, String team, Shape shape, Rank rank, int tasks, double cpus, double gpus,
-                      double memGb, String image, double imageGb, List<String> types, String zone, boolean oneZone,
-                      boolean spread, boolean spot, double expectedS, double checkpointEveryS, double checkpointS,
-                      Double dueS, long acceptedMs, int chunk, List<String> awaits) {
+public record JobSpec(
+        String id,
+        String workload,
+        String team,
+        Shape shape,
+        Rank rank,
+        int tasks,
+        double cpus,
+        double gpus,
+        double memGb,
+        String image,
+        double imageGb,
+        List<String> types,
+        String zone,
+        boolean oneZone,
+        boolean spread,
+        boolean spot,
+        double expectedS,
+        double checkpointEveryS,
+        double checkpointS,
+        Double dueS,
+        long acceptedMs,
+        int chunk,
+        List<String> awaits) {
 
-    public enum Shape { ARRAY, SERVICE, GANG }
+    public enum Shape {
+        ARRAY,
+        SERVICE,
+        GANG
+    }
 
     /** From the highest to the lowest. */
-    public enum Rank { PRODUCTION, URGENT, STANDARD, BEST_EFFORT }
+    public enum Rank {
+        PRODUCTION,
+        URGENT,
+        STANDARD,
+        BEST_EFFORT
+    }
 
     public boolean service() {
         return shape == Shape.SERVICE;
@@ -50,8 +79,30 @@
 
     /** The same job with another rank. */
     public JobSpec ranked(Rank other) {
-        return new JobSpec(id, workload, team, shape, other, tasks, cpus, gpus, memGb, image, imageGb, types, zone, oneZone, spread, spot,
-                expectedS, checkpointEveryS, checkpointS, dueS, acceptedMs, chunk, awaits);
+        return new JobSpec(
+                id,
+                workload,
+                team,
+                shape,
+                other,
+                tasks,
+                cpus,
+                gpus,
+                memGb,
+                image,
+                imageGb,
+                types,
+                zone,
+                oneZone,
+                spread,
+                spot,
+                expectedS,
+                checkpointEveryS,
+                checkpointS,
+                dueS,
+                acceptedMs,
+                chunk,
+                awaits);
     }
 
     public boolean saves() {
@@ -60,6 +111,8 @@
 
     /** Whether a machine of that type, in that zone and of that kind may hold a task. */
     public boolean allows(String type, String inZone, boolean onSpot) {
-        return (spot || !onSpot) && (types == null || types.contains(type)) && (zone == null || zone.equals(inZone));
+        return (spot || !onSpot)
+                && (types == null || types.contains(type))
+                && (zone == null || zone.equals(inZone));
     }
 }
--- a/src/main/java/io/pepperfield/jobs/LinearizableReads.java
+++ b/src/main/java/io/pepperfield/jobs/LinearizableReads.java
@@ -1,35 +1,37 @@
 package io.pepperfield.jobs;
 
 import io.pepperfield.store.Sync;
-
 import java.util.function.Consumer;
 
 /**
  * What a user may be told about a job, the same on every node: reads are linearizable.
  *
- * <p>Invariant: whatever any node had told anybody (accepted, done, cancelled) before a request came in here is known to the
- * reading that answers it.
+ * <p>Invariant: whatever any node had told anybody (accepted, done, cancelled) before a request
+ * came in here is known to the reading that answers it.
  *
- * <p>Proof. (1) What is told is durable before it is told: either the state service has confirmed the transaction that wrote
- * it, or it was read there. A transaction without an answer lets nobody be told anything but to come back; carried out late, it
- * adds what nobody had denied since, or finds its key written and does nothing. (2) The keys of jobs and of final states are
- * written once and never deleted: each later revision holds them too. (3) A reading that does not end at once waits for a
- * question to the state service that left after the request came in. The service is strongly consistent: its answer holds
- * all changes up to a revision that is not older than what had been told by then, and the replica and the catalog have them
- * when the job is looked up, in the same command. An answer that came too late for those who waited is none. (4) A final state
- * needs no question: by (2) no other can follow it, however old this node's knowledge is. (5) A process that began anew knows
- * nothing until it has read all keys, and then (3) holds for it; until then it says only that it cannot tell.
+ * <p>Proof. (1) What is told is durable before it is told: either the state service has confirmed
+ * the transaction that wrote it, or it was read there. A transaction without an answer lets nobody
+ * be told anything but to come back; carried out late, it adds what nobody had denied since, or
+ * finds its key written and does nothing. (2) The keys of jobs and of final states are written once
+ * and never deleted: each later revision holds them too. (3) A reading that does not end at once
+ * waits for a question to the state service that left after the request came in. The service is
+ * strongly consistent: its answer holds all changes up to a revision that is not older than what
+ * had been told by then, and the replica and the catalog have them when the job is looked up, in
+ * the same command. An answer that came too late for those who waited is none. (4) A final state
+ * needs no question: by (2) no other can follow it, however old this node's knowledge is. (5) A
+ * process that began anew knows nothing until it has read all keys, and then (3) holds for it;
+ * until then it says only that it cannot tell.
  */
 final class LinearizableReads {
 
     sealed interface Reading {
-        record Accepted(Catalog.Record job) implements Reading { }
+        record Accepted(Catalog.Record job) implements Reading {}
 
         /** Not accepted by any node before the request came in. */
-        record NeverAccepted() implements Reading { }
+        record NeverAccepted() implements Reading {}
 
         /** The state service has not answered in time. */
-        record Unavailable() implements Reading { }
+        record Unavailable() implements Reading {}
     }
 
     private final Catalog catalog;
@@ -50,13 +52,17 @@
             done.accept(new Reading.Accepted(catalog.get(id)));
             return;
         }
-        sync.confirm(current -> {
-            if (!current && !over(id)) {
-                done.accept(new Reading.Unavailable());
-            } else {
-                done.accept(heardOf(id) ? new Reading.Accepted(catalog.get(id)) : new Reading.NeverAccepted());
-            }
-        });
+        sync.confirm(
+                current -> {
+                    if (!current && !over(id)) {
+                        done.accept(new Reading.Unavailable());
+                    } else {
+                        done.accept(
+                                heardOf(id)
+                                        ? new Reading.Accepted(catalog.get(id))
+                                        : new Reading.NeverAccepted());
+                    }
+                });
     }
 
     /** Whether this node knows the job's final state, which it may tell at any time. */
--- a/src/main/java/io/pepperfield/jobs/RunRecord.java
+++ b/src/main/java/io/pepperfield/jobs/RunRecord.java
@@ -3,19 +3,27 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import io.pepperfield.http.Json;
-
 import java.util.ArrayList;
 import java.util.List;
 
-/** The durable line of one task: its latest attempt, where it may be alive, that it is done, or that it failed. */
+/**
+ * The durable line of one task: its latest attempt, where it may be alive, that it is done, or that
+ * it failed.
+ */
 public record RunRecord(int task, int attempt, State state, String machine, long tenure) {
 
-    public enum State { GONE, LIVE, DONE, FAILED }
+    public enum State {
+        GONE,
+        LIVE,
+        DONE,
+        FAILED
+    }
 
     public static JsonNode write(List<RunRecord> records) {
         ArrayNode all = Json.array();
         for (RunRecord record : records) {
-            ArrayNode line = all.addArray().add(record.task).add(record.attempt).add(record.state.ordinal());
+            ArrayNode line =
+                    all.addArray().add(record.task).add(record.attempt).add(record.state.ordinal());
             if (record.state == State.LIVE) {
                 line.add(record.machine).add(record.tenure);
             }
@@ -30,8 +38,13 @@
     public static List<RunRecord> read(JsonNode data) {
         List<RunRecord> records = new ArrayList<>();
         for (JsonNode line : data) {
-            records.add(new RunRecord(line.path(0).asInt(), line.path(1).asInt(), stateOf(line),
-                    line.path(3).asText(""), line.path(4).asLong()));
+            records.add(
+                    new RunRecord(
+                            line.path(0).asInt(),
+                            line.path(1).asInt(),
+                            stateOf(line),
+                            line.path(3).asText(""),
+                            line.path(4).asLong()));
         }
         return records;
     }
--- a/src/main/java/io/pepperfield/jobs/SharedRecords.java
+++ b/src/main/java/io/pepperfield/jobs/SharedRecords.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.http.Json;
 import io.pepperfield.store.Keys;
-
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.HashMap;
@@ -14,8 +13,9 @@
 import java.util.function.Function;
 
 /**
- * Which small jobs share a durable run record. A swarm of jobs with a task each would otherwise cost a change for each
- * intent, and changes per second are the scarcest resource. A record whose jobs are all over is used again.
+ * Which small jobs share a durable run record. A swarm of jobs with a task each would otherwise
+ * cost a change for each intent, and changes per second are the scarcest resource. A record whose
+ * jobs are all over is used again.
  */
 public final class SharedRecords {
 
@@ -32,8 +32,9 @@
     private int sequence;
 
     /**
-     * @param token     of the leadership: no record's name is ever chosen by two leaders
-     * @param mostTasks of all jobs in a record: an intent is guarded by the final state of its job, and guards are limited
+     * @param token of the leadership: no record's name is ever chosen by two leaders
+     * @param mostTasks of all jobs in a record: an intent is guarded by the final state of its job,
+     *     and guards are limited
      */
     public SharedRecords(long token, int mostTasks) {
         this.token = token;
@@ -43,25 +44,33 @@
     /** A record of an earlier leader with those of its jobs that are not over. */
     public void restore(String key, Collection<String> ids, Map<String, Job> jobs) {
         Map<String, Job> inside = members.computeIfAbsent(key, k -> new LinkedHashMap<>());
-        ids.forEach(id -> {
-            Job job = jobs.get(id);
-            if (job != null) {
-                inside.put(id, job);
-                recordOf.put(id, key);
-            }
-        });
+        ids.forEach(
+                id -> {
+                    Job job = jobs.get(id);
+                    if (job != null) {
+                        inside.put(id, job);
+                        recordOf.put(id, key);
+                    }
+                });
         if (inside.isEmpty()) {
             empty.add(key);
         }
     }
 
-    /** The record that the job shares, or null where it has its own; {@code begun}: it has run records of its own already. */
+    /**
+     * The record that the job shares, or null where it has its own; {@code begun}: it has run
+     * records of its own already.
+     */
     public String keyOf(Job job, boolean begun) {
         String known = recordOf.get(job.spec.id());
-        if (known != null || begun || job.spec.service() || job.spec.tasks() * SMALL > job.spec.chunk()) {
+        if (known != null
+                || begun
+                || job.spec.service()
+                || job.spec.tasks() * SMALL > job.spec.chunk()) {
             return known;
         }
-        if (open.isEmpty() || openTasks + job.spec.tasks() > Math.min(mostTasks, job.spec.chunk())) {
+        if (open.isEmpty()
+                || openTasks + job.spec.tasks() > Math.min(mostTasks, job.spec.chunk())) {
             if (members.containsKey(open) && members.get(open).isEmpty()) {
                 empty.add(open);
             }
@@ -74,10 +83,16 @@
         return open;
     }
 
-    /** The job is over and nothing of it may be alive: its lines are left out from the next writing on. */
+    /**
+     * The job is over and nothing of it may be alive: its lines are left out from the next writing
+     * on.
+     */
     public void over(String id) {
         String key = recordOf.remove(id);
-        if (key != null && members.get(key).remove(id) != null && members.get(key).isEmpty() && !key.equals(open)) {
+        if (key != null
+                && members.get(key).remove(id) != null
+                && members.get(key).isEmpty()
+                && !key.equals(open)) {
             empty.add(key);
         }
     }
--- a/src/main/java/io/pepperfield/jobs/Status.java
+++ b/src/main/java/io/pepperfield/jobs/Status.java
@@ -4,7 +4,10 @@
 
 /** A job's state as its user is told; the last two are final. */
 public enum Status {
-    PENDING, RUNNING, DONE, CANCELLED;
+    PENDING,
+    RUNNING,
+    DONE,
+    CANCELLED;
 
     public boolean ended() {
         return this == DONE || this == CANCELLED;
--- a/src/main/java/io/pepperfield/jobs/UserRequests.java
+++ b/src/main/java/io/pepperfield/jobs/UserRequests.java
@@ -8,10 +8,12 @@
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.StateService;
 import io.pepperfield.store.Sync;
-
 import java.util.function.Consumer;
 
-/** Submissions, queries and cancellations, on any node; what is told about a job is as {@link LinearizableReads} has it. */
+/**
+ * Submissions, queries and cancellations, on any node; what is told about a job is as {@link
+ * LinearizableReads} has it.
+ */
 public final class UserRequests {
 
     /** Whether a job can ever run: null, or why not; throws where that cannot be decided yet. */
@@ -20,7 +22,7 @@
     }
 
     /** The machine types are not known yet. */
-    public static final class Undecided extends Exception { }
+    public static final class Undecided extends Exception {}
 
     private static final String NO_STATE = "the state service does not answer";
     private static final Reply NO_JOB = Reply.error(404, "no such job");
@@ -34,22 +36,39 @@
     private final int mostValueBytes;
     private final int mostStrangers;
     private final Consumer<String> cancelled;
+
     /** Questions about jobs that this node knows nothing of, waiting for their confirmation. */
     private int strangers;
 
-    /** @param cancelled told of each job that has been cancelled through this node, when its user is */
-    public UserRequests(Loop loop, Catalog catalog, Sync sync, StateService state, Feasibility feasibility, int mostChanges,
-                        double valueKb, double changesPerS, int mostStrangers, Consumer<String> cancelled) {
+    /**
+     * @param cancelled told of each job that has been cancelled through this node, when its user is
+     */
+    public UserRequests(
+            Loop loop,
+            Catalog catalog,
+            Sync sync,
+            StateService state,
+            Feasibility feasibility,
+            int mostChanges,
+            double valueKb,
+            double changesPerS,
+            int mostStrangers,
+            Consumer<String> cancelled) {
         this.loop = loop;
         this.reads = new LinearizableReads(catalog, sync);
         this.feasibility = feasibility;
         this.mostStrangers = mostStrangers;
         this.cancelled = cancelled;
         this.mostValueBytes = (int) (valueKb * 1024 * 0.9);
-        // A run record takes up to about 60 bytes a task; half of a value leaves room for long machine names.
+        // A run record takes up to about 60 bytes a task; half of a value leaves room for long
+        // machine names.
         this.chunk = Math.max(1, (int) (valueKb * 1024 / 120));
-        this.submissions = new CreateIfAbsent(loop, state, StateService.Urgency.JOB, mostChanges, 40 * 1024, changesPerS);
-        this.cancellations = new CreateIfAbsent(loop, state, StateService.Urgency.END, mostChanges, 40 * 1024, changesPerS);
+        this.submissions =
+                new CreateIfAbsent(
+                        loop, state, StateService.Urgency.JOB, mostChanges, 40 * 1024, changesPerS);
+        this.cancellations =
+                new CreateIfAbsent(
+                        loop, state, StateService.Urgency.END, mostChanges, 40 * 1024, changesPerS);
     }
 
     public void flush() {
@@ -61,7 +80,12 @@
         JsonNode json = Json.read(body);
         String id = JobMessages.idOf(json);
         if (!json.isObject() || id.isEmpty()) {
-            answer.accept(Reply.error(400, json.isMissingNode() ? "the body is not JSON" : "nameId: want run- and at least six digits"));
+            answer.accept(
+                    Reply.error(
+                            400,
+                            json.isMissingNode()
+                                    ? "the body is not JSON"
+                                    : "nameId: want run- and at least six digits"));
             return;
         }
         if (reads.heardOf(id)) {
@@ -95,39 +119,66 @@
             accept(id, durable, answer);
             return;
         }
-        // What it needs may have been accepted a moment ago by another node; what nobody has accepted by now is refused.
-        reads.read(id, reading -> {
-            String stranger = job.awaits().stream().filter(needed -> !reads.heardOf(needed)).findFirst().orElse(null);
-            if (reading instanceof Reading.Accepted accepted) {
-                answer.accept(Reply.json(200, accepted.job().answer()));
-            } else if (reading instanceof Reading.NeverAccepted && stranger == null) {
-                accept(id, durable, answer);
-            } else {
-                answer.accept(notKnown(reading, Reply.error(422, "awaits: " + stranger + " was never accepted")));
-            }
-        });
+        // What it needs may have been accepted a moment ago by another node; what nobody has
+        // accepted by now is refused.
+        reads.read(
+                id,
+                reading -> {
+                    String stranger =
+                            job.awaits().stream()
+                                    .filter(needed -> !reads.heardOf(needed))
+                                    .findFirst()
+                                    .orElse(null);
+                    if (reading instanceof Reading.Accepted accepted) {
+                        answer.accept(Reply.json(200, accepted.job().answer()));
+                    } else if (reading instanceof Reading.NeverAccepted && stranger == null) {
+                        accept(id, durable, answer);
+                    } else {
+                        answer.accept(
+                                notKnown(
+                                        reading,
+                                        Reply.error(
+                                                422,
+                                                "awaits: " + stranger + " was never accepted")));
+                    }
+                });
     }
 
     private void accept(String id, JsonNode durable, Consumer<Reply> answer) {
-        submissions.create(Keys.JOB + id, durable, result -> {
-            switch (result) {
-                case CREATED -> answer.accept(Reply.json(201, JobMessages.brief(id, Status.PENDING)));
-                case EXISTS -> query(id, answer);
-                case UNAVAILABLE -> answer.accept(Reply.later(NO_STATE));
-                case TOO_MANY -> answer.accept(tooMany());
-            }
-        });
+        submissions.create(
+                Keys.JOB + id,
+                durable,
+                result -> {
+                    switch (result) {
+                        case CREATED ->
+                                answer.accept(
+                                        Reply.json(201, JobMessages.brief(id, Status.PENDING)));
+                        case EXISTS -> query(id, answer);
+                        case UNAVAILABLE -> answer.accept(Reply.later(NO_STATE));
+                        case TOO_MANY -> answer.accept(tooMany());
+                    }
+                });
     }
 
     /** By then what waits now has been written; to come back sooner would only add to the crowd. */
     private static Reply tooMany() {
-        return Reply.later("more is submitted than can be written", (int) Math.ceil(CreateIfAbsent.PATIENCE_S));
+        return Reply.later(
+                "more is submitted than can be written",
+                (int) Math.ceil(CreateIfAbsent.PATIENCE_S));
     }
 
-    /** A known id gets 200 whatever its body says: the job was accepted, perhaps by another node and a moment ago. */
+    /**
+     * A known id gets 200 whatever its body says: the job was accepted, perhaps by another node and
+     * a moment ago.
+     */
     private void unlessKnown(String id, Reply refusal, Consumer<Reply> answer) {
-        reads.read(id, reading -> answer.accept(reading instanceof Reading.Accepted accepted
-                ? Reply.json(200, accepted.job().answer()) : notKnown(reading, refusal)));
+        reads.read(
+                id,
+                reading ->
+                        answer.accept(
+                                reading instanceof Reading.Accepted accepted
+                                        ? Reply.json(200, accepted.job().answer())
+                                        : notKnown(reading, refusal)));
     }
 
     private static Reply notKnown(Reading reading, Reply refusal) {
@@ -138,14 +189,18 @@
         if (reads.heardOf(id)) {
             unlessKnown(id, NO_JOB, answer);
         } else if (strangers >= mostStrangers) {
-            // Questions about jobs that nobody submitted must leave room for those about jobs that somebody did.
+            // Questions about jobs that nobody submitted must leave room for those about jobs that
+            // somebody did.
             answer.accept(Reply.later("too many questions about unknown jobs"));
         } else {
             strangers++;
-            unlessKnown(id, NO_JOB, reply -> {
-                strangers--;
-                answer.accept(reply);
-            });
+            unlessKnown(
+                    id,
+                    NO_JOB,
+                    reply -> {
+                        strangers--;
+                        answer.accept(reply);
+                    });
         }
     }
 
@@ -154,36 +209,51 @@
             end(id, answer);
             return;
         }
-        reads.read(id, reading -> {
-            if (reading instanceof Reading.Accepted) {
-                end(id, answer);
-            } else {
-                answer.accept(notKnown(reading, NO_JOB));
-            }
-        });
+        reads.read(
+                id,
+                reading -> {
+                    if (reading instanceof Reading.Accepted) {
+                        end(id, answer);
+                    } else {
+                        answer.accept(notKnown(reading, NO_JOB));
+                    }
+                });
     }
 
-    /** Whether the job is over already the state service decides, where its end is written once; unless this node knows it. */
+    /**
+     * Whether the job is over already the state service decides, where its end is written once;
+     * unless this node knows it.
+     */
     private void end(String id, Consumer<Reply> answer) {
         if (reads.over(id)) {
             ended(id, answer);
             return;
         }
-        cancellations.create(Keys.END + id, JobMessages.durableEnd(Status.CANCELLED), result -> {
-            switch (result) {
-                case CREATED -> {
-                    cancelled.accept(id);
-                    answer.accept(Reply.json(200, JobMessages.brief(id, Status.CANCELLED)));
-                }
-                case EXISTS -> ended(id, answer);
-                case UNAVAILABLE -> answer.accept(Reply.later(NO_STATE));
-                case TOO_MANY -> answer.accept(tooMany());
-            }
-        });
+        cancellations.create(
+                Keys.END + id,
+                JobMessages.durableEnd(Status.CANCELLED),
+                result -> {
+                    switch (result) {
+                        case CREATED -> {
+                            cancelled.accept(id);
+                            answer.accept(Reply.json(200, JobMessages.brief(id, Status.CANCELLED)));
+                        }
+                        case EXISTS -> ended(id, answer);
+                        case UNAVAILABLE -> answer.accept(Reply.later(NO_STATE));
+                        case TOO_MANY -> answer.accept(tooMany());
+                    }
+                });
     }
 
     private void ended(String id, Consumer<Reply> answer) {
-        reads.read(id, reading -> answer.accept(reading instanceof Reading.Accepted accepted && accepted.job().end() != null
-                ? Reply.json(200, JobMessages.brief(id, accepted.job().end())) : Reply.later(NO_STATE)));
+        reads.read(
+                id,
+                reading ->
+                        answer.accept(
+                                reading instanceof Reading.Accepted accepted
+                                                && accepted.job().end() != null
+                                        ? Reply.json(
+                                                200, JobMessages.brief(id, accepted.job().end()))
+                                        : Reply.later(NO_STATE)));
     }
 }
--- a/src/main/java/io/pepperfield/leadership/Leadership.java
+++ b/src/main/java/io/pepperfield/leadership/Leadership.java
@@ -9,14 +9,13 @@
 import io.pepperfield.store.StateService.Guard;
 import io.pepperfield.store.StateService.TxnResult;
 import io.pepperfield.store.StateService.Urgency;
+import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import java.util.List;
-
 /**
- * Who decides. The key {@code leader} is bound to a grant; the stamp that writing it returned is the token. A write
- * guarded by that stamp proves that its writer still led when it took effect.
+ * Who decides. The key {@code leader} is bound to a grant; the stamp that writing it returned is
+ * the token. A write guarded by that stamp proves that its writer still led when it took effect.
  */
 public final class Leadership {
 
@@ -49,8 +48,10 @@
     private boolean touching;
     private double touchAt;
     private double abstainUntil;
+
     /** The grant of an earlier process of this node that was last asked to be ended. */
     private long orphanEnded;
+
     private boolean doubted;
     private double doubtedAt;
 
@@ -62,7 +63,9 @@
         this.listener = listener;
     }
 
-    /** Leading as far as this node knows: enough to keep leases alive, not to decide anything new. */
+    /**
+     * Leading as far as this node knows: enough to keep leases alive, not to decide anything new.
+     */
     public boolean leading() {
         return token != 0 && !doubted;
     }
@@ -109,8 +112,9 @@
     }
 
     /**
-     * A worker or peer showed a token beyond this node's own: it stops acting until the state service has renewed the
-     * grant, which it does only for the node that still has the key. A made-up token thus stops it for a moment only.
+     * A worker or peer showed a token beyond this node's own: it stops acting until the state
+     * service has renewed the grant, which it does only for the node that still has the key. A
+     * made-up token thus stops it for a moment only.
      */
     public void sawToken(long seen) {
         if (token != 0 && seen > token && !doubted) {
@@ -120,7 +124,9 @@
         }
     }
 
-    /** Called when the replica is known to be loaded, so that a missing key means a missing leader. */
+    /**
+     * Called when the replica is known to be loaded, so that a missing key means a missing leader.
+     */
     public void replicaLoaded() {
         known = true;
     }
@@ -132,7 +138,8 @@
         } else if (known && leader.isEmpty() && !busy && loop.now() >= abstainUntil) {
             stand();
         } else if (known && leader.equals(node) && grant == 0 && orphanEnded != leaderGrant) {
-            // The key names this node, which holds no grant: an earlier process of this node wrote it and has ended, or an
+            // The key names this node, which holds no grant: an earlier process of this node wrote
+            // it and has ended, or an
             // election that this one gave up has been carried out late.
             orphanEnded = leaderGrant;
             LOG.info("ending the grant of this node's earlier process");
@@ -143,34 +150,44 @@
     private void stand() {
         busy = true;
         double sent = loop.now();
-        state.grant(ttlS, granted -> {
-            if (granted.id() == 0) {
-                retry();
-                return;
-            }
-            grant = granted.id();
-            grantUntil = validity(sent);
-            state.txn(Urgency.GRANT, List.of(new Guard(Keys.LEADER, 0)),
-                    List.of(new Change(Keys.LEADER, Json.object().put("node", node).put("grant", grant), grant)), result -> {
-                busy = false;
-                if (result instanceof TxnResult.Committed done) {
-                    leader = node;
-                    leaderGrant = grant;
-                    if (token == 0) {
-                        lead(done.revision());
+        state.grant(
+                ttlS,
+                granted -> {
+                    if (granted.id() == 0) {
+                        retry();
+                        return;
                     }
-                } else if (!(result instanceof TxnResult.Unknown) && token == 0) {
-                    state.endGrant(grant);
-                    grant = 0;
-                    abstainUntil = loop.now() + ttlS / 10;
-                } else if (token == 0) {
-                    // Perhaps elected without knowing it: ending the grant undoes it whenever it takes effect.
-                    state.endGrant(grant);
-                    grant = 0;
-                    abstainUntil = loop.now() + ttlS / 4;
-                }
-            });
-        });
+                    grant = granted.id();
+                    grantUntil = validity(sent);
+                    state.txn(
+                            Urgency.GRANT,
+                            List.of(new Guard(Keys.LEADER, 0)),
+                            List.of(
+                                    new Change(
+                                            Keys.LEADER,
+                                            Json.object().put("node", node).put("grant", grant),
+                                            grant)),
+                            result -> {
+                                busy = false;
+                                if (result instanceof TxnResult.Committed done) {
+                                    leader = node;
+                                    leaderGrant = grant;
+                                    if (token == 0) {
+                                        lead(done.revision());
+                                    }
+                                } else if (!(result instanceof TxnResult.Unknown) && token == 0) {
+                                    state.endGrant(grant);
+                                    grant = 0;
+                                    abstainUntil = loop.now() + ttlS / 10;
+                                } else if (token == 0) {
+                                    // Perhaps elected without knowing it: ending the grant undoes
+                                    // it whenever it takes effect.
+                                    state.endGrant(grant);
+                                    grant = 0;
+                                    abstainUntil = loop.now() + ttlS / 4;
+                                }
+                            });
+                });
     }
 
     private void retry() {
@@ -185,7 +202,10 @@
         listener.elected(token);
     }
 
-    /** Counted from the sending, less clock drift and a margin: the service may have started its clock then. */
+    /**
+     * Counted from the sending, less clock drift and a margin: the service may have started its
+     * clock then.
+     */
     private double validity(double sent) {
         return sent + ttlS * 0.9;
     }
@@ -198,35 +218,47 @@
         touching = true;
         touchAt = sent + ttlS / 4;
         long touched = grant;
-        state.touch(touched, result -> {
-            touching = false;
-            if (grant != touched) {
-                return;
-            }
-            if (result.id() != 0) {
-                grantUntil = Math.max(grantUntil, validity(sent));
-                doubted &= sent < doubtedAt;
-            } else if (result.gone() && token != 0) {
-                depose("the grant has ended");
-            }
-        });
-    }
-
-    /** Writes the leader key again: workers that have seen the new token refuse every order under the old one. */
+        state.touch(
+                touched,
+                result -> {
+                    touching = false;
+                    if (grant != touched) {
+                        return;
+                    }
+                    if (result.id() != 0) {
+                        grantUntil = Math.max(grantUntil, validity(sent));
+                        doubted &= sent < doubtedAt;
+                    } else if (result.gone() && token != 0) {
+                        depose("the grant has ended");
+                    }
+                });
+    }
+
+    /**
+     * Writes the leader key again: workers that have seen the new token refuse every order under
+     * the old one.
+     */
     public void mint() {
         if (!confirmed() || minting) {
             return;
         }
         minting = true;
         long before = token;
-        state.txn(Urgency.GRANT, List.of(guard()),
-                List.of(new Change(Keys.LEADER, Json.object().put("node", node).put("grant", grant), grant)), result -> {
-            minting = false;
-            if (result instanceof TxnResult.Committed done && token == before) {
-                token = done.revision();
-                listener.renewedToken(token);
-            }
-        });
+        state.txn(
+                Urgency.GRANT,
+                List.of(guard()),
+                List.of(
+                        new Change(
+                                Keys.LEADER,
+                                Json.object().put("node", node).put("grant", grant),
+                                grant)),
+                result -> {
+                    minting = false;
+                    if (result instanceof TxnResult.Committed done && token == before) {
+                        token = done.revision();
+                        listener.renewedToken(token);
+                    }
+                });
     }
 
     /** Gives the lead away, for a node that can reach the state service but not the workers. */
--- a/src/main/java/io/pepperfield/node/Boots.java
+++ b/src/main/java/io/pepperfield/node/Boots.java
@@ -4,30 +4,33 @@
 import io.pepperfield.fleet.Fleet;
 import io.pepperfield.fleet.Machine;
 import io.pepperfield.predict.BootTimes;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** What boots take at present, by type and zone, and how long to wait for a machine by that. */
 final class Boots {
 
     private static final Logger LOG = LoggerFactory.getLogger(Boots.class);
+
     /** Of the expected time: beyond it a machine is not counted on any more and replaced. */
     private static final double COMING = 2;
+
     /** Of the expected time: beyond it a machine is given up. */
     private static final double WAIT = 3;
 
     private final Types types;
     private final BootTimes times;
     private final double unitS;
+
     /** By type and zone, as of the last look: it is asked for with each awaited machine. */
     private final Map<String, Map<String, Double>> expected = new HashMap<>();
+
     private final Set<String> bootSeen = new HashSet<>();
     private final Set<String> late = new HashSet<>();
 
@@ -54,7 +57,8 @@
         bootSeen.removeIf(name -> fleet.get(name) == null);
         for (Machine machine : fleet.machines()) {
             String place = place(machine.type(), machine.zone());
-            // One that an earlier leader waited for in vain may have been up and be silent now: that is no boot.
+            // One that an earlier leader waited for in vain may have been up and be silent now:
+            // that is no boot.
             if (!machine.up() && !machine.releasing() && !longBooted(machine)) {
                 awaited.computeIfAbsent(place, p -> new ArrayList<>()).add(machine.rentedAt());
             } else if (machine.up() && !bootSeen.contains(machine.name)) {
@@ -64,11 +68,20 @@
         for (MachineType type : types.all()) {
             for (String zone : type.zones()) {
                 String place = place(type.name(), zone);
-                double boot = times.expected(place, type.bootS(), awaited.getOrDefault(place, List.of()),
-                        unseen.getOrDefault(place, List.of()), now);
+                double boot =
+                        times.expected(
+                                place,
+                                type.bootS(),
+                                awaited.getOrDefault(place, List.of()),
+                                unseen.getOrDefault(place, List.of()),
+                                now);
                 expected.computeIfAbsent(type.name(), t -> new HashMap<>()).put(zone, boot);
                 if (late(type, zone) ? late.add(place) : late.remove(place)) {
-                    LOG.info("{} boots in {} s, {} s as stated{}", place, Math.round(boot), Math.round(type.bootS()),
+                    LOG.info(
+                            "{} boots in {} s, {} s as stated{}",
+                            place,
+                            Math.round(boot),
+                            Math.round(type.bootS()),
                             late.contains(place) ? ": other zones go first" : "");
                 }
             }
@@ -85,7 +98,11 @@
 
     /** The longest that is expected of any type anywhere: WIRE's interval is no shorter. */
     double longest() {
-        return types.all().stream().flatMapToDouble(type -> type.zones().stream().mapToDouble(zone -> expected(type, zone))).max().orElse(0);
+        return types.all().stream()
+                .flatMapToDouble(
+                        type -> type.zones().stream().mapToDouble(zone -> expected(type, zone)))
+                .max()
+                .orElse(0);
     }
 
     /** Whether a machine that is not up yet is still counted on. */
@@ -105,7 +122,8 @@
 
     private double patience(Machine machine, double part) {
         MachineType type = types.get(machine.type());
-        // Of a machine whose type nobody knows nothing can be expected either; a charge's unit it may stand.
+        // Of a machine whose type nobody knows nothing can be expected either; a charge's unit it
+        // may stand.
         return type == null ? unitS : part * expected(type, machine.zone());
     }
 }
--- a/src/main/java/io/pepperfield/node/DirectOrders.java
+++ b/src/main/java/io/pepperfield/node/DirectOrders.java
@@ -7,14 +7,16 @@
 import io.pepperfield.fleet.Workers;
 import io.pepperfield.leadership.Leadership;
 import io.pepperfield.peer.PartitionOrders;
-
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 
-/** Orders that need not wait for a machine's next report: what came together for one goes in one message. */
+/**
+ * Orders that need not wait for a machine's next report: what came together for one goes in one
+ * message.
+ */
 final class DirectOrders {
 
     private final Loop loop;
@@ -25,8 +27,15 @@
     private final Map<Machine, List<Attempt>> toSend = new LinkedHashMap<>();
     private boolean over;
 
-    /** @param fresh whether the state service has answered of late, or starts have to wait */
-    DirectOrders(Loop loop, Fleet fleet, Leadership leadership, PartitionOrders workers, BooleanSupplier fresh) {
+    /**
+     * @param fresh whether the state service has answered of late, or starts have to wait
+     */
+    DirectOrders(
+            Loop loop,
+            Fleet fleet,
+            Leadership leadership,
+            PartitionOrders workers,
+            BooleanSupplier fresh) {
         this.loop = loop;
         this.fleet = fleet;
         this.leadership = leadership;
@@ -74,10 +83,16 @@
             return;
         }
         fleet.sendingDirect(runs);
-        workers.orders(machine.through(), machine.address(), leadership.token(), machine.tenure(), orders, result -> {
-            if (!over && result instanceof Workers.Result.Heard heard) {
-                fleet.heard(heard.report(), loop.now());
-            }
-        });
+        workers.orders(
+                machine.through(),
+                machine.address(),
+                leadership.token(),
+                machine.tenure(),
+                orders,
+                result -> {
+                    if (!over && result instanceof Workers.Result.Heard heard) {
+                        fleet.heard(heard.report(), loop.now());
+                    }
+                });
     }
 }
