--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -26,16 +26,17 @@
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.Replica;
 import io.pepperfield.store.Writer;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-
 import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** The leading controller, for as long as one leadership lasts: what runs where, and what is rented. */
+/**
+ * The leading controller, for as long as one leadership lasts: what runs where, and what is rented.
+ */
 public final class Leader implements Fleet.Listener {
 
     private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
@@ -71,8 +72,18 @@
     private boolean acting;
     private boolean over;
 
-    Leader(Loop loop, Settings settings, Leadership leadership, Replica replica, Catalog catalog, Writer writer,
-           PartitionOrders workers, Cloud cloud, Types types, LeaseRenewal renewal, DoubleSupplier knownUpTo) {
+    Leader(
+            Loop loop,
+            Settings settings,
+            Leadership leadership,
+            Replica replica,
+            Catalog catalog,
+            Writer writer,
+            PartitionOrders workers,
+            Cloud cloud,
+            Types types,
+            LeaseRenewal renewal,
+            DoubleSupplier knownUpTo) {
         this.loop = loop;
         this.settings = settings;
         this.leadership = leadership;
@@ -85,35 +96,67 @@
         this.renewal = renewal;
         this.knownUpTo = knownUpTo;
         this.reportS = settings.deployment().workers().reportS();
-        this.fleet = new Fleet(this, leadership.token(), settings.deployment().workers().leaseS() / 2);
-        this.renting = new Renting(loop, cloud, writer, fleet, leadership.token(), reportS, settings.operators().chargeS(),
-                leadership::confirmed);
-        this.records = new RunRecords(writer, replica, ledger, new SharedRecords(leadership.token(), 2 * settings.deployment().state().txnOps()));
+        this.fleet =
+                new Fleet(this, leadership.token(), settings.deployment().workers().leaseS() / 2);
+        this.renting =
+                new Renting(
+                        loop,
+                        cloud,
+                        writer,
+                        fleet,
+                        leadership.token(),
+                        reportS,
+                        settings.operators().chargeS(),
+                        leadership::confirmed);
+        this.records =
+                new RunRecords(
+                        writer,
+                        replica,
+                        ledger,
+                        new SharedRecords(
+                                leadership.token(), 2 * settings.deployment().state().txnOps()));
         this.direct = new DirectOrders(loop, fleet, leadership, workers, () -> fresh(loop.now()));
         this.startedAt = loop.now();
         this.mintedAt = startedAt;
-        this.cluster = new ClusterState(loop, settings, new Aims(settings.deployment().objectives()), types, fleet, ledger, jobs, renting,
-                new Boots(types, settings.operators().chargeS()), new Latencies());
-        Dispatcher.Starter starter = new Dispatcher.Starter() {
-            @Override public void start(Job job, int task, Machine machine) {
-                begin(job, task, machine);
-            }
+        this.cluster =
+                new ClusterState(
+                        loop,
+                        settings,
+                        new Aims(settings.deployment().objectives()),
+                        types,
+                        fleet,
+                        ledger,
+                        jobs,
+                        renting,
+                        new Boots(types, settings.operators().chargeS()),
+                        new Latencies());
+        Dispatcher.Starter starter =
+                new Dispatcher.Starter() {
+                    @Override
+                    public void start(Job job, int task, Machine machine) {
+                        begin(job, task, machine);
+                    }
 
-            @Override public void stop(Attempt attempt, double drainS) {
-                fleet.stop(attempt, drainS);
-                direct.add(attempt);
-            }
-        };
+                    @Override
+                    public void stop(Attempt attempt, double drainS) {
+                        fleet.stop(attempt, drainS);
+                        direct.add(attempt);
+                    }
+                };
         this.dispatcher = new Dispatcher(cluster, starter);
         this.sizer = new Sizer(cluster);
         this.overview = new LeaderOverview(cluster, dispatcher, writer, catalog);
         this.watch = new Watch(cluster, dispatcher, workers, starter);
     }
 
-    /** Builds its books from the replica, which must hold everything written before this leadership began. */
+    /**
+     * Builds its books from the replica, which must hold everything written before this leadership
+     * began.
+     */
     void takeOver() {
         double now = loop.now();
-        replica.each(Keys.HIRE, (key, data) -> renting.restore(key.substring(Keys.HIRE.length()), data));
+        replica.each(
+                Keys.HIRE, (key, data) -> renting.restore(key.substring(Keys.HIRE.length()), data));
         for (Catalog.Record record : catalog.all()) {
             if (record.end() != Status.DONE) {
                 restore(record, now);
@@ -124,11 +167,18 @@
         if (types.known()) {
             typesHeard();
         }
-        LOG.info("taking over {} jobs, {} attempts, {} machines", jobs.size(), ledger.size(), fleet.machines().size());
+        LOG.info(
+                "taking over {} jobs, {} attempts, {} machines",
+                jobs.size(),
+                ledger.size(),
+                fleet.machines().size());
     }
 
     private void restore(Catalog.Record record, double now) {
-        Job job = new Job(record.spec(), now - Math.max(0, (loop.wallMs() - record.spec().acceptedMs()) / 1000.0));
+        Job job =
+                new Job(
+                        record.spec(),
+                        now - Math.max(0, (loop.wallMs() - record.spec().acceptedMs()) / 1000.0));
         if (record.end() != null) {
             job.end(record.end(), record.openAsOf());
         }
@@ -139,11 +189,19 @@
                 if (line.state() == RunRecord.State.DONE) {
                     job.markDone(line.task());
                 } else if (line.state() == RunRecord.State.FAILED) {
-                    // Or every change of leader would let a job that fails everywhere loose on the fleet once more.
+                    // Or every change of leader would let a job that fails everywhere loose on the
+                    // fleet once more.
                     job.failedBefore();
                 } else if (line.state() == RunRecord.State.LIVE) {
                     live = true;
-                    Attempt attempt = fleet.restore(job, line.task(), line.attempt(), line.machine(), line.tenure(), now);
+                    Attempt attempt =
+                            fleet.restore(
+                                    job,
+                                    line.task(),
+                                    line.attempt(),
+                                    line.machine(),
+                                    line.tenure(),
+                                    now);
                     ledger.add(attempt);
                     if (job.end() != null) {
                         fleet.stop(attempt, 0);
@@ -156,7 +214,7 @@
                 job.succeeded();
             }
             jobs.put(job.spec.id(), job);
-            endIfDone(job, () -> { });
+            endIfDone(job, () -> {});
         }
     }
 
@@ -230,16 +288,35 @@
     void typesHeard() {
         Replica.Entry known = replica.get(Keys.TYPES);
         if (known == null || !sameButForPrices(TypesRecord.read(known.data()))) {
-            writer.mark(Keys.TYPES, Writer.Priority.PATIENT, () -> TypesRecord.write(types.all()), null, null);
+            writer.mark(
+                    Keys.TYPES,
+                    Writer.Priority.PATIENT,
+                    () -> TypesRecord.write(types.all()),
+                    null,
+                    null);
         }
     }
 
     private boolean sameButForPrices(List<MachineType> durable) {
-        return durable.size() == types.all().size() && durable.stream().allMatch(t -> {
-            MachineType now = types.get(t.name());
-            return now != null && new MachineType(now.name(), now.cpus(), now.gpus(), now.memGb(), now.cacheGb(), now.fetchGbPerS(),
-                    t.price(), t.spotPrice(), now.bootS(), now.zones()).equals(t);
-        });
+        return durable.size() == types.all().size()
+                && durable.stream()
+                        .allMatch(
+                                t -> {
+                                    MachineType now = types.get(t.name());
+                                    return now != null
+                                            && new MachineType(
+                                                            now.name(),
+                                                            now.cpus(),
+                                                            now.gpus(),
+                                                            now.memGb(),
+                                                            now.cacheGb(),
+                                                            now.fetchGbPerS(),
+                                                            t.price(),
+                                                            t.spotPrice(),
+                                                            now.bootS(),
+                                                            now.zones())
+                                                    .equals(t);
+                                });
     }
 
     void renewedToken(long token) {
@@ -257,13 +334,20 @@
         }
         Machine machine = fleet.get(report.machine());
         machine.reportsThrough(through);
-        // A run order on its way, whose job was cancelled since, could begin after the last stop that this leader can give.
-        double settledUpTo = fleet.unsettledCancelled(machine).stream().mapToDouble(attempt -> attempt.job.openAsOf())
-                .min().orElse(Double.POSITIVE_INFINITY);
+        // A run order on its way, whose job was cancelled since, could begin after the last stop
+        // that this leader can give.
+        double settledUpTo =
+                fleet.unsettledCancelled(machine).stream()
+                        .mapToDouble(attempt -> attempt.job.openAsOf())
+                        .min()
+                        .orElse(Double.POSITIVE_INFINITY);
         return renewal.allowed(settledUpTo, now) ? orders : null;
     }
 
-    /** Whether the state service has answered of late: a follow is held for half a period, and as much again is not the ordinary case. */
+    /**
+     * Whether the state service has answered of late: a follow is held for half a period, and as
+     * much again is not the ordinary case.
+     */
     private boolean fresh(double now) {
         return now - knownUpTo.getAsDouble() < 0.8 * reportS;
     }
@@ -272,7 +356,13 @@
     RelayMessages.Verdict relayed(RelayMessages.Beat beat, String through) {
         Report report = beat instanceof RelayMessages.Beat.Whole whole ? whole.report() : null;
         if (beat instanceof RelayMessages.Beat.Same same) {
-            report = fleet.repeated(same.machine(), same.tenure(), same.base(), same.serial(), same.token());
+            report =
+                    fleet.repeated(
+                            same.machine(),
+                            same.tenure(),
+                            same.base(),
+                            same.serial(),
+                            same.token());
             if (report == null) {
                 return new RelayMessages.Verdict.WantsWhole();
             }
@@ -282,8 +372,10 @@
             return new RelayMessages.Verdict.Refused();
         }
         List<Order> orders = report(report, through);
-        return orders == null ? new RelayMessages.Verdict.Refused()
-                : new RelayMessages.Verdict.Orders(Order.reply(leadership.token(), orders).path("orders"));
+        return orders == null
+                ? new RelayMessages.Verdict.Refused()
+                : new RelayMessages.Verdict.Orders(
+                        Order.reply(leadership.token(), orders).path("orders"));
     }
 
     void heard(Report report) {
@@ -296,10 +388,16 @@
 
     // ---- events in the fleet
 
-    @Override public void started(Attempt attempt) {
+    @Override
+    public void started(Attempt attempt) {
         if (LOG.isDebugEnabled()) {
-            LOG.debug("{} ({}) attempt {} runs on {}: {} s after its intent, {} s after its submission", attempt.ref,
-                    attempt.job.spec.workload(), attempt.number, attempt.machine.name, tenths(loop.now() - attempt.intendedAt),
+            LOG.debug(
+                    "{} ({}) attempt {} runs on {}: {} s after its intent, {} s after its submission",
+                    attempt.ref,
+                    attempt.job.spec.workload(),
+                    attempt.number,
+                    attempt.machine.name,
+                    tenths(loop.now() - attempt.intendedAt),
                     tenths(loop.now() - attempt.job.readyAt()));
         }
     }
@@ -308,7 +406,8 @@
         return Math.round(seconds * 10) / 10.0;
     }
 
-    @Override public void completed(Attempt attempt, double ranS) {
+    @Override
+    public void completed(Attempt attempt, double ranS) {
         Job job = attempt.job;
         ledger.remove(attempt);
         dispatcher.wake();
@@ -322,13 +421,15 @@
         if (ranS > 0) {
             sizer.finished(job, ranS);
         }
-        // Done must be durable before the machine may forget it, or a later leader would run the task again.
+        // Done must be durable before the machine may forget it, or a later leader would run the
+        // task again.
         if (over(job) && records.sharesRecord(job)) {
-            // The final state says it as well, and spares the record that others share a change for each of them.
+            // The final state says it as well, and spares the record that others share a change for
+            // each of them.
             endIfDone(job, attempt::settle);
         } else {
             records.mark(job, attempt.task, Writer.Priority.PATIENT, attempt::settle);
-            endIfDone(job, () -> { });
+            endIfDone(job, () -> {});
         }
     }
 
@@ -339,30 +440,48 @@
     private void endIfDone(Job job, Runnable settle) {
         if (over(job)) {
             String key = Keys.END + job.spec.id();
-            writer.mark(key, Writer.Priority.END, () -> JobMessages.durableEnd(Status.DONE), () -> {
-                settle.run();
-                ended(job, Status.DONE);
-            }, () -> {
-                settle.run();
-                ended(job, JobMessages.end(replica.get(key).data()));
-            });
+            writer.mark(
+                    key,
+                    Writer.Priority.END,
+                    () -> JobMessages.durableEnd(Status.DONE),
+                    () -> {
+                        settle.run();
+                        ended(job, Status.DONE);
+                    },
+                    () -> {
+                        settle.run();
+                        ended(job, JobMessages.end(replica.get(key).data()));
+                    });
         }
     }
 
-    @Override public void gone(Attempt attempt, Report.Cause cause) {
+    @Override
+    public void gone(Attempt attempt, Report.Cause cause) {
         Job job = attempt.job;
         ledger.remove(attempt);
         dispatcher.wake();
         boolean failed = cause == Report.Cause.ERROR || cause == Report.Cause.NO_SUCH;
         if (failed) {
             // One line for a job: the tasks of a broken array fail by the hundred.
-            LOG.debug("{} attempt {} failed on {}: {}", attempt.ref, attempt.number, attempt.machine.describe(), cause);
-            if (job.failed(attempt.machine.name, loop.now(), reportS, settings.operators().chargeS())) {
-                LOG.info("{} has failed on {} and is tried one task at a time until one is completed", job.spec.id(), job.failedOn());
+            LOG.debug(
+                    "{} attempt {} failed on {}: {}",
+                    attempt.ref,
+                    attempt.number,
+                    attempt.machine.describe(),
+                    cause);
+            if (job.failed(
+                    attempt.machine.name, loop.now(), reportS, settings.operators().chargeS())) {
+                LOG.info(
+                        "{} has failed on {} and is tried one task at a time until one is completed",
+                        job.spec.id(),
+                        job.failedOn());
             }
         }
-        // What fails of a job that nowhere succeeded says nothing about the machine: several broken jobs would idle the fleet.
-        if (failed ? job.doneCount() > 0 : cause != Report.Cause.STOPPED && cause != Report.Cause.OTHER) {
+        // What fails of a job that nowhere succeeded says nothing about the machine: several broken
+        // jobs would idle the fleet.
+        if (failed
+                ? job.doneCount() > 0
+                : cause != Report.Cause.STOPPED && cause != Report.Cause.OTHER) {
             attempt.machine.avoid(loop.now() + 2 * reportS);
         }
         if (failed) {
@@ -373,9 +492,13 @@
         forgetIfOver(job);
     }
 
-    @Override public void appeared(Machine machine) {
+    @Override
+    public void appeared(Machine machine) {
         // A line for each machine of a large fleet would fill the log at every take-over.
-        LOG.debug("{} reports, {} s after its rental", machine.describe(), Math.round(loop.now() - machine.rentedAt()));
+        LOG.debug(
+                "{} reports, {} s after its rental",
+                machine.describe(),
+                Math.round(loop.now() - machine.rentedAt()));
         // One from before this leader may have been up for long already.
         if (!machine.up() && machine.rentedAt() >= startedAt) {
             cluster.boots().up(machine, loop.now());
@@ -408,15 +531,21 @@
             cluster.boots().look(fleet, now);
         }
         if (!watch.tick(now)) {
-            // All of them dead at once is less likely than this node cut off, while another may reach them.
+            // All of them dead at once is less likely than this node cut off, while another may
+            // reach them.
             leadership.abdicate("no worker reports here", settings.deployment().workers().leaseS());
             return;
         }
-        if (fleet.newerTokenWanted() && now - mintedAt >= settings.deployment().workers().leaseS() / 4) {
+        if (fleet.newerTokenWanted()
+                && now - mintedAt >= settings.deployment().workers().leaseS() / 4) {
             mintedAt = now;
             leadership.mint();
         }
-        if (now - listedAt >= Math.max(settings.deployment().cloud().listLagS() / 2, 4 / settings.deployment().cloud().rps()) && !listing) {
+        if (now - listedAt
+                        >= Math.max(
+                                settings.deployment().cloud().listLagS() / 2,
+                                4 / settings.deployment().cloud().rps())
+                && !listing) {
             list(now);
         }
         sizer.tick(now);
@@ -426,33 +555,47 @@
     private void begin(Job job, int task, Machine machine) {
         Attempt attempt = fleet.intend(job, task, job.begin(task), machine, loop.now());
         ledger.add(attempt);
-        records.mark(job, task, job.placed().rank() == JobSpec.Rank.BEST_EFFORT ? Writer.Priority.LATER : Writer.Priority.INTENT, () -> {
-            if (!over && fleet.ordered(attempt)) {
-                direct.add(attempt);
-            }
-        });
+        records.mark(
+                job,
+                task,
+                job.placed().rank() == JobSpec.Rank.BEST_EFFORT
+                        ? Writer.Priority.LATER
+                        : Writer.Priority.INTENT,
+                () -> {
+                    if (!over && fleet.ordered(attempt)) {
+                        direct.add(attempt);
+                    }
+                });
     }
 
     private void list(double now) {
         listedAt = now;
         listing = true;
-        cloud.list(listed -> {
-            listing = false;
-            if (over || listed == null) {
-                return;
-            }
-            for (Cloud.Listed item : listed) {
-                if (fleet.wasReleased(item.name())) {
-                    continue;
-                }
-                // A machine that nobody expects was rented by a request that had been given up: it is used or returned.
-                Machine machine = fleet.expect(item.name(), item.type(), item.zone(), item.spot(),
-                        loop.now() - item.ageS(), loop.now());
-                if (item.status().equals("failed")) {
-                    renting.release(machine, "listed as failed");
-                }
-            }
-        });
+        cloud.list(
+                listed -> {
+                    listing = false;
+                    if (over || listed == null) {
+                        return;
+                    }
+                    for (Cloud.Listed item : listed) {
+                        if (fleet.wasReleased(item.name())) {
+                            continue;
+                        }
+                        // A machine that nobody expects was rented by a request that had been given
+                        // up: it is used or returned.
+                        Machine machine =
+                                fleet.expect(
+                                        item.name(),
+                                        item.type(),
+                                        item.zone(),
+                                        item.spot(),
+                                        loop.now() - item.ageS(),
+                                        loop.now());
+                        if (item.status().equals("failed")) {
+                            renting.release(machine, "listed as failed");
+                        }
+                    }
+                });
     }
 
     /** What operators see of this leadership. */
--- a/src/main/java/io/pepperfield/node/LeaderOverview.java
+++ b/src/main/java/io/pepperfield/node/LeaderOverview.java
@@ -10,7 +10,6 @@
 import io.pepperfield.placement.PlacementRequest;
 import io.pepperfield.placement.Share;
 import io.pepperfield.store.Writer;
-
 import java.util.Map;
 
 /** What operators see of a leadership. */
@@ -30,10 +29,23 @@
 
     /** A line for the log: machines, attempts, queues and what has been waiting to be written. */
     String summary() {
-        int waiting = cluster.jobs().values().stream().filter(j -> j.end() == null).mapToInt(Job::waitingCount).sum();
-        return "machines " + cluster.fleet().census(cluster.loop().now(), 2 * cluster.reportS()) + ", jobs " + cluster.jobs().size() + ", attempts " + cluster.ledger().size()
-                + ", waiting tasks " + waiting + ", writes waiting " + writer.waiting()
-                + ", passes " + cluster.passes().summary();
+        int waiting =
+                cluster.jobs().values().stream()
+                        .filter(j -> j.end() == null)
+                        .mapToInt(Job::waitingCount)
+                        .sum();
+        return "machines "
+                + cluster.fleet().census(cluster.loop().now(), 2 * cluster.reportS())
+                + ", jobs "
+                + cluster.jobs().size()
+                + ", attempts "
+                + cluster.ledger().size()
+                + ", waiting tasks "
+                + waiting
+                + ", writes waiting "
+                + writer.waiting()
+                + ", passes "
+                + cluster.passes().summary();
     }
 
     void describe(ObjectNode node) {
@@ -41,42 +53,112 @@
         ArrayNode machines = node.putArray("machines");
         for (Machine machine : cluster.fleet().machines()) {
             MachineType type = cluster.types().get(machine.type());
-            ObjectNode line = machines.addObject().put("name", machine.name).put("type", machine.type()).put("zone", machine.zone())
-                    .put("spot", machine.spot())
-                    .put("state", machine.releasing() ? "releasing" : !machine.up() ? "awaited" : machine.draining() ? "draining"
-                            : machine.deaf() ? "deaf" : machine.silentFor(now) > 2 * cluster.reportS() ? "silent" : "up")
-                    .put("tasks", machine.liveCount());
+            ObjectNode line =
+                    machines.addObject()
+                            .put("name", machine.name)
+                            .put("type", machine.type())
+                            .put("zone", machine.zone())
+                            .put("spot", machine.spot())
+                            .put(
+                                    "state",
+                                    machine.releasing()
+                                            ? "releasing"
+                                            : !machine.up()
+                                                    ? "awaited"
+                                                    : machine.draining()
+                                                            ? "draining"
+                                                            : machine.deaf()
+                                                                    ? "deaf"
+                                                                    : machine.silentFor(now)
+                                                                                    > 2
+                                                                                            * cluster
+                                                                                                    .reportS()
+                                                                            ? "silent"
+                                                                            : "up")
+                            .put("tasks", machine.liveCount());
             if (type != null) {
                 line.put("freeCpus", machine.freeCpus(type));
             }
         }
         ArrayNode teams = node.putArray("teams");
         Map<String, Share> shares = cluster.shares();
-        shares.keySet().stream().sorted().forEach(name -> {
-            Settings.Team team = cluster.settings().deployment().teams().get(name);
-            int waiting = cluster.jobs().values().stream().filter(j -> j.end() == null && j.spec.team().equals(name)).mapToInt(Job::waitingCount).sum();
-            ObjectNode line = teams.addObject().put("name", name).put("cpus", shares.get(name).cpus()).put("guaranteed", team.cpus())
-                    .put("waitingTasks", waiting);
-            if (Double.isFinite(team.cpusMax())) {
-                line.put("most", team.cpusMax());
-            }
-        });
+        shares.keySet().stream()
+                .sorted()
+                .forEach(
+                        name -> {
+                            Settings.Team team = cluster.settings().deployment().teams().get(name);
+                            int waiting =
+                                    cluster.jobs().values().stream()
+                                            .filter(
+                                                    j ->
+                                                            j.end() == null
+                                                                    && j.spec.team().equals(name))
+                                            .mapToInt(Job::waitingCount)
+                                            .sum();
+                            ObjectNode line =
+                                    teams.addObject()
+                                            .put("name", name)
+                                            .put("cpus", shares.get(name).cpus())
+                                            .put("guaranteed", team.cpus())
+                                            .put("waitingTasks", waiting);
+                            if (Double.isFinite(team.cpusMax())) {
+                                line.put("most", team.cpusMax());
+                            }
+                        });
         ArrayNode queue = node.putArray("waiting");
-        cluster.jobs().values().stream().filter(job -> job.end() == null && job.suspect()).forEach(job ->
-                queue.addObject().put("job", job.spec.id()).put("team", job.spec.team()).put("tasks", job.waitingCount())
-                        .put("why", "its tasks fail wherever they are tried; the next try is due in "
-                                + Math.max(0, Math.round(job.notBefore() - now)) + " s"));
-        cluster.jobs().values().stream().filter(job -> job.end() == null && job.isAwaiting()).forEach(job ->
-                queue.addObject().put("job", job.spec.id()).put("team", job.spec.team()).put("tasks", job.spec.tasks())
-                        .put("why", "waits for " + String.join(", ", catalog.get(job.spec.id()).awaited())));
+        cluster.jobs().values().stream()
+                .filter(job -> job.end() == null && job.suspect())
+                .forEach(
+                        job ->
+                                queue.addObject()
+                                        .put("job", job.spec.id())
+                                        .put("team", job.spec.team())
+                                        .put("tasks", job.waitingCount())
+                                        .put(
+                                                "why",
+                                                "its tasks fail wherever they are tried; the next try is due in "
+                                                        + Math.max(
+                                                                0,
+                                                                Math.round(job.notBefore() - now))
+                                                        + " s"));
+        cluster.jobs().values().stream()
+                .filter(job -> job.end() == null && job.isAwaiting())
+                .forEach(
+                        job ->
+                                queue.addObject()
+                                        .put("job", job.spec.id())
+                                        .put("team", job.spec.team())
+                                        .put("tasks", job.spec.tasks())
+                                        .put(
+                                                "why",
+                                                "waits for "
+                                                        + String.join(
+                                                                ", ",
+                                                                catalog.get(job.spec.id())
+                                                                        .awaited())));
         for (PlacementRequest request : dispatcher.requests(now)) {
             Job job = cluster.jobs().get(request.job().id());
             if (job.suspect()) {
                 continue;
             }
-            boolean limited = shares.get(job.spec.team()).cpus() + job.spec.cpus() > cluster.settings().deployment().teams().get(job.spec.team()).cpusMax();
-            queue.addObject().put("job", job.spec.id()).put("team", job.spec.team()).put("tasks", request.waiting())
-                    .put("why", limited ? "the team's limit" : !cluster.types().known() ? "the machine types are not known" : "no machine has room");
+            boolean limited =
+                    shares.get(job.spec.team()).cpus() + job.spec.cpus()
+                            > cluster.settings()
+                                    .deployment()
+                                    .teams()
+                                    .get(job.spec.team())
+                                    .cpusMax();
+            queue.addObject()
+                    .put("job", job.spec.id())
+                    .put("team", job.spec.team())
+                    .put("tasks", request.waiting())
+                    .put(
+                            "why",
+                            limited
+                                    ? "the team's limit"
+                                    : !cluster.types().known()
+                                            ? "the machine types are not known"
+                                            : "no machine has room");
         }
     }
 }
--- a/src/main/java/io/pepperfield/node/LeaseRenewal.java
+++ b/src/main/java/io/pepperfield/node/LeaseRenewal.java
@@ -5,19 +5,20 @@
 import io.pepperfield.fleet.Report;
 import io.pepperfield.jobs.Catalog;
 import io.pepperfield.jobs.Status;
-
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.DoubleSupplier;
 
 /**
- * How long a machine's lease may be renewed. The invariant: every answer that renews a lease rests on a time K up to which all
- * cancellations are settled on that machine, that is, none of their tasks can be there once the answer has been carried out, and
- * none can begin there any more; and the lease then ends before K + cancel_s. What is cancelled after K is thus gone in time
- * without anybody's doing.
+ * How long a machine's lease may be renewed. The invariant: every answer that renews a lease rests
+ * on a time K up to which all cancellations are settled on that machine, that is, none of their
+ * tasks can be there once the answer has been carried out, and none can begin there any more; and
+ * the lease then ends before K + cancel_s. What is cancelled after K is thus gone in time without
+ * anybody's doing.
  *
- * <p>K is always the sending time of a question that the state service answered to the node on whose knowledge the answer rests:
- * neither a refusal nor a renewed grant nor a peer's word that the service is lost to all moves it.
+ * <p>K is always the sending time of a question that the state service answered to the node on
+ * whose knowledge the answer rests: neither a refusal nor a renewed grant nor a peer's word that
+ * the service is lost to all moves it.
  */
 final class LeaseRenewal {
 
@@ -25,37 +26,58 @@
     private final Catalog catalog;
     private final DoubleSupplier knownUpTo;
 
-    /** @param knownUpTo sending time of this node's last question that was answered with all changes up to then */
+    /**
+     * @param knownUpTo sending time of this node's last question that was answered with all changes
+     *     up to then
+     */
     LeaseRenewal(Settings.Workers times, Catalog catalog, DoubleSupplier knownUpTo) {
         this.times = times;
         this.catalog = catalog;
         this.knownUpTo = knownUpTo;
     }
 
-    /** Whether a lease may be renewed now that all cancellations up to then are settled; with the drift of two clocks and a margin. */
+    /**
+     * Whether a lease may be renewed now that all cancellations up to then are settled; with the
+     * drift of two clocks and a margin.
+     */
     boolean allowed(double settledUpTo, double now) {
         double margin = times.cancelS() / 500 + times.reportS() / 8;
         return now <= settledUpTo + times.cancelS() - times.leaseS() - margin;
     }
 
     /**
-     * K by this node's own knowledge, while no leader answers. What the report shows of cancelled jobs is stopped by the answer
-     * itself. What it does not show may still be on its way as a run order; but no order leaves before its intent is
-     * durable, and no intent becomes durable once its job is cancelled: so either its intent is known here, or its job was
-     * not cancelled as of this node's knowledge. Of the former kind the machine may hear no longer than from when the job was
-     * last known to be open.
+     * K by this node's own knowledge, while no leader answers. What the report shows of cancelled
+     * jobs is stopped by the answer itself. What it does not show may still be on its way as a run
+     * order; but no order leaves before its intent is durable, and no intent becomes durable once
+     * its job is cancelled: so either its intent is known here, or its job was not cancelled as of
+     * this node's knowledge. Of the former kind the machine may hear no longer than from when the
+     * job was last known to be open.
      */
     double settledByOwnKnowledge(Report report) {
-        return Math.min(knownUpTo.getAsDouble(), catalog.openAsOf(report.machine(),
-                attempt -> report.lines().stream().anyMatch(line -> line.ref().toString().equals(attempt.task()) && line.attempt() == attempt.number())));
+        return Math.min(
+                knownUpTo.getAsDouble(),
+                catalog.openAsOf(
+                        report.machine(),
+                        attempt ->
+                                report.lines().stream()
+                                        .anyMatch(
+                                                line ->
+                                                        line.ref().toString().equals(attempt.task())
+                                                                && line.attempt()
+                                                                        == attempt.number())));
     }
 
-    /** Stops for what the report shows of jobs that are known to be cancelled: right under any token, since nobody wants them any more. */
+    /**
+     * Stops for what the report shows of jobs that are known to be cancelled: right under any
+     * token, since nobody wants them any more.
+     */
     List<Order> stops(Report report) {
         List<Order> stops = new ArrayList<>();
         for (Report.Line line : report.lines()) {
             Catalog.Record record = catalog.get(line.ref().job());
-            if (line.state() != Report.State.ENDED && record != null && record.end() == Status.CANCELLED) {
+            if (line.state() != Report.State.ENDED
+                    && record != null
+                    && record.end() == Status.CANCELLED) {
                 stops.add(new Order.Stop(line.ref(), line.attempt(), 0));
             }
         }
--- a/src/main/java/io/pepperfield/node/Owner.java
+++ b/src/main/java/io/pepperfield/node/Owner.java
@@ -1,22 +1,25 @@
 package io.pepperfield.node;
 
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** The one thread that owns all state. It takes commands from its queue in batches; what follows from a batch is done once. */
+/**
+ * The one thread that owns all state. It takes commands from its queue in batches; what follows
+ * from a batch is done once.
+ */
 public final class Owner implements Loop {
 
     private static final Logger LOG = LoggerFactory.getLogger(Owner.class);
     private static final int MOST_IN_BATCH = 256;
 
     private record Timer(long at, long order, Runnable command) implements Comparable<Timer> {
-        @Override public int compareTo(Timer other) {
+        @Override
+        public int compareTo(Timer other) {
             return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
         }
     }
@@ -25,36 +28,46 @@
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final long zero = System.nanoTime();
     private long order;
-    private Runnable afterBatch = () -> { };
-    private Runnable afterFailure = () -> { };
+    private Runnable afterBatch = () -> {};
+    private Runnable afterFailure = () -> {};
     private volatile boolean stopped;
 
-    /** @param afterFailure what to do when a command threw and the books may be half-written */
+    /**
+     * @param afterFailure what to do when a command threw and the books may be half-written
+     */
     public void handlers(Runnable afterBatch, Runnable afterFailure) {
         this.afterBatch = afterBatch;
         this.afterFailure = afterFailure;
     }
 
-    @Override public double now() {
+    @Override
+    public double now() {
         return (System.nanoTime() - zero) / 1e9;
     }
 
-    @Override public long wallMs() {
+    @Override
+    public long wallMs() {
         return System.currentTimeMillis();
     }
 
-    @Override public void post(Runnable command) {
+    @Override
+    public void post(Runnable command) {
         queue.add(command);
     }
 
     /** Called on the owner only; other threads post. */
-    @Override public void after(double seconds, Runnable command) {
-        timers.add(new Timer(System.nanoTime() - zero + (long) (Math.max(0, seconds) * 1e9), order++, command));
+    @Override
+    public void after(double seconds, Runnable command) {
+        timers.add(
+                new Timer(
+                        System.nanoTime() - zero + (long) (Math.max(0, seconds) * 1e9),
+                        order++,
+                        command));
     }
 
     public void stop() {
         stopped = true;
-        queue.add(() -> { });
+        queue.add(() -> {});
     }
 
     /** Works until stopped. */
@@ -62,7 +75,10 @@
         List<Runnable> batch = new ArrayList<>();
         while (!stopped) {
             try {
-                long wait = timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at - (System.nanoTime() - zero);
+                long wait =
+                        timers.isEmpty()
+                                ? Long.MAX_VALUE
+                                : timers.peek().at - (System.nanoTime() - zero);
                 Runnable first = wait > 0 ? queue.poll(wait, TimeUnit.NANOSECONDS) : queue.poll();
                 if (first != null) {
                     batch.add(first);
--- a/src/main/java/io/pepperfield/node/ReportHandler.java
+++ b/src/main/java/io/pepperfield/node/ReportHandler.java
@@ -15,7 +15,6 @@
 import io.pepperfield.peer.Relay;
 import io.pepperfield.peer.RelayMessages;
 import io.pepperfield.store.Sync;
-
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -23,7 +22,10 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-/** Who answers a worker's report, and with what: the leader itself, a partition owner with the leader's word, or one without it. */
+/**
+ * Who answers a worker's report, and with what: the leader itself, a partition owner with the
+ * leader's word, or one without it.
+ */
 final class ReportHandler {
 
     private final Loop loop;
@@ -38,14 +40,26 @@
     private final Warnings warnings;
     private final double reportS;
     private final ZoneWatch zoneWatch = new ZoneWatch();
+
     /** Machines of other partitions that report here, and since when. */
     private final Map<String, Double> strays = new HashMap<>();
+
     private Reachability reachability;
+
     /** Null while this node does not lead, or has not read its books yet. */
     private Leader leader;
 
-    ReportHandler(Loop loop, Settings settings, Leadership leadership, Relay relay, Peers peers, Sync sync, Members members,
-                  LeaseRenewal renewal, Standstill standstill, Warnings warnings) {
+    ReportHandler(
+            Loop loop,
+            Settings settings,
+            Leadership leadership,
+            Relay relay,
+            Peers peers,
+            Sync sync,
+            Members members,
+            LeaseRenewal renewal,
+            Standstill standstill,
+            Warnings warnings) {
         this.loop = loop;
         this.settings = settings;
         this.leadership = leadership;
@@ -94,14 +108,18 @@
             if (!sentHome(report, relay.live(), answer)) {
                 relay.submit(report, call.body(), verdict -> relayed(report, verdict, answer));
             }
-        } else if (!lostAlone(now) && (now - relay.linkedAt() < reportS || leadership.leader().isEmpty()
-                || peers.contact(now) != Peers.Contact.FINE)) {
+        } else if (!lostAlone(now)
+                && (now - relay.linkedAt() < reportS
+                        || leadership.leader().isEmpty()
+                        || peers.contact(now) != Peers.Contact.FINE)) {
             keepAlive(report, answer);
-        } else if (peers.contact(now) == Peers.Contact.FINE && !leadership.leader().isEmpty()
+        } else if (peers.contact(now) == Peers.Contact.FINE
+                && !leadership.leader().isEmpty()
                 && !leadership.leader().equals(settings.node())) {
             answer.accept(Reply.json(421, Json.object().put("manager", leadership.leader())));
         } else {
-            // Cut off from the leader and the state service: others take the worker within its lease.
+            // Cut off from the leader and the state service: others take the worker within its
+            // lease.
             answer.accept(Reply.error(503, "not in touch with the leader"));
         }
     }
@@ -113,18 +131,28 @@
             return;
         }
         List<Order> orders = leader.report(report, "");
-        reachability.report(report.machine(), Partitions.owner(report.machine(), owners), settings.node(), now);
+        reachability.report(
+                report.machine(), Partitions.owner(report.machine(), owners), settings.node(), now);
         if (orders == null) {
             warnings.once(report.machine(), "sends a late copy of a report, or has been returned");
         } else {
-            relay.remember(report, raw, Relay.settledUpTo(orders.stream().anyMatch(Order.Stop.class::isInstance), sync.contactAt()));
+            relay.remember(
+                    report,
+                    raw,
+                    Relay.settledUpTo(
+                            orders.stream().anyMatch(Order.Stop.class::isInstance),
+                            sync.contactAt()));
         }
-        answer.accept(orders == null ? Reply.error(503, "an old report") : Reply.json(200, Order.reply(leadership.token(), orders)));
+        answer.accept(
+                orders == null
+                        ? Reply.error(503, "an old report")
+                        : Reply.json(200, Order.reply(leadership.token(), orders)));
     }
 
     /**
-     * Sends a machine of another partition to its owner; only after a report period, since its owner may have just ended, and
-     * to be sent to and fro costs more of its lease than a detour through this node.
+     * Sends a machine of another partition to its owner; only after a report period, since its
+     * owner may have just ended, and to be sent to and fro costs more of its lease than a detour
+     * through this node.
      */
     private boolean sentHome(Report report, Set<String> live, Consumer<Reply> answer) {
         String owner = Partitions.owner(report.machine(), live);
@@ -148,7 +176,8 @@
     private void relayed(Report report, RelayMessages.Verdict verdict, Consumer<Reply> answer) {
         if (standstill.stale()) {
             answer.accept(Reply.error(503, "has stood still"));
-        } else if (verdict instanceof RelayMessages.Verdict.Orders orders && relay.token() >= report.token()) {
+        } else if (verdict instanceof RelayMessages.Verdict.Orders orders
+                && relay.token() >= report.token()) {
             ObjectNode body = Json.object().put("epoch", relay.token());
             body.set("orders", orders.orders());
             answer.accept(Reply.json(200, body));
@@ -160,14 +189,18 @@
     }
 
     /**
-     * Renews a lease while nobody leads or the leader cannot be asked, with no orders but stops for what is known to be cancelled;
-     * as long as either the last leader's word for this machine or this node's own knowledge allows.
+     * Renews a lease while nobody leads or the leader cannot be asked, with no orders but stops for
+     * what is known to be cancelled; as long as either the last leader's word for this machine or
+     * this node's own knowledge allows.
      */
     private void keepAlive(Report report, Consumer<Reply> answer) {
         long token = Math.max(leadership.leaderToken(), relay.token());
-        double settledUpTo = Math.max(relay.settledUpTo(report.machine()), renewal.settledByOwnKnowledge(report));
+        double settledUpTo =
+                Math.max(
+                        relay.settledUpTo(report.machine()), renewal.settledByOwnKnowledge(report));
         if (token == 0 || report.token() > token) {
-            // A worker drops an answer with a lower token, and would stay here while its lease runs out.
+            // A worker drops an answer with a lower token, and would stay here while its lease runs
+            // out.
             answer.accept(Reply.error(503, "no valid token is known here"));
         } else if (!renewal.allowed(settledUpTo, loop.now())) {
             answer.accept(Reply.error(503, "no leader answers"));
@@ -177,11 +210,15 @@
     }
 
     /**
-     * Cut off from the state service, and from whoever may lead by now: others are to take the workers within their leases.
-     * Not so where the whole zone is cut off, since its workers reach nobody else either.
+     * Cut off from the state service, and from whoever may lead by now: others are to take the
+     * workers within their leases. Not so where the whole zone is cut off, since its workers reach
+     * nobody else either.
      */
     private boolean lostAlone(double now) {
-        return !leadership.confirmed() && !relay.linked(now) && peers.contact(now) == Peers.Contact.LOST_ALONE && !zoneWatch.cutOff();
+        return !leadership.confirmed()
+                && !relay.linked(now)
+                && peers.contact(now) == Peers.Contact.LOST_ALONE
+                && !zoneWatch.cutOff();
     }
 
     /** Whether this node, which leads as far as it knows, may answer workers. */
@@ -194,7 +231,10 @@
         return reachability.owners(members.live(now), now);
     }
 
-    /** For the leader, often: whether others reach the workers and it does not, so that somebody else should lead. */
+    /**
+     * For the leader, often: whether others reach the workers and it does not, so that somebody
+     * else should lead.
+     */
     boolean unheard(double now) {
         if (!mayLeadWorkers(now)) {
             // Who is refused everywhere is heard nowhere, and turns up at random afterwards.
@@ -228,10 +268,21 @@
         batch.heard().forEach(leader::heard);
         List<RelayMessages.Verdict> verdicts = new ArrayList<>();
         Set<String> owners = owners(now);
-        batch.beats().forEach(beat -> {
-            reachability.report(beat.machine(), Partitions.owner(beat.machine(), owners), batch.node(), now);
-            verdicts.add(leader.relayed(beat, batch.node()));
-        });
-        answer.accept(new Reply(200, RelayMessages.answer(leadership.token(), now - sync.contactAt(), owners, verdicts), 0));
+        batch.beats()
+                .forEach(
+                        beat -> {
+                            reachability.report(
+                                    beat.machine(),
+                                    Partitions.owner(beat.machine(), owners),
+                                    batch.node(),
+                                    now);
+                            verdicts.add(leader.relayed(beat, batch.node()));
+                        });
+        answer.accept(
+                new Reply(
+                        200,
+                        RelayMessages.answer(
+                                leadership.token(), now - sync.contactAt(), owners, verdicts),
+                        0));
     }
 }
--- a/src/main/java/io/pepperfield/node/RunRecords.java
+++ b/src/main/java/io/pepperfield/node/RunRecords.java
@@ -8,13 +8,14 @@
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.Replica;
 import io.pepperfield.store.Writer;
-
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 
-/** The leader's durable run records: which key holds a task's line, and what is written under it. */
+/**
+ * The leader's durable run records: which key holds a task's line, and what is written under it.
+ */
 final class RunRecords {
 
     private final Writer writer;
@@ -38,20 +39,39 @@
     void mark(Job job, int task, Writer.Priority priority, Runnable effect) {
         String key = sharedKey(job);
         if (key != null) {
-            writer.mark(key, priority, () -> shared.content(key, member -> lines(member, 0)), () -> openEnds(shared.jobs(key)), effect, null);
+            writer.mark(
+                    key,
+                    priority,
+                    () -> shared.content(key, member -> lines(member, 0)),
+                    () -> openEnds(shared.jobs(key)),
+                    effect,
+                    null);
             return;
         }
         int chunk = task / job.spec.chunk();
-        writer.mark(Keys.run(job.spec.id(), chunk), priority, () -> RunRecord.write(lines(job, chunk)), () -> openEnds(List.of(job)), effect, null);
+        writer.mark(
+                Keys.run(job.spec.id(), chunk),
+                priority,
+                () -> RunRecord.write(lines(job, chunk)),
+                () -> openEnds(List.of(job)),
+                effect,
+                null);
     }
 
     /**
-     * The final states that must not exist when intents of these jobs become durable: once a cancellation has taken effect, no
-     * start is intended any more, although this leader may not have heard of it yet.
+     * The final states that must not exist when intents of these jobs become durable: once a
+     * cancellation has taken effect, no start is intended any more, although this leader may not
+     * have heard of it yet.
      */
     private List<String> openEnds(Collection<Job> of) {
-        return of.stream().filter(job -> job.end() == null && ledger.live(job).stream().anyMatch(a -> a.phase() == Attempt.Phase.INTENDED))
-                .map(job -> Keys.END + job.spec.id()).toList();
+        return of.stream()
+                .filter(
+                        job ->
+                                job.end() == null
+                                        && ledger.live(job).stream()
+                                                .anyMatch(a -> a.phase() == Attempt.Phase.INTENDED))
+                .map(job -> Keys.END + job.spec.id())
+                .toList();
     }
 
     /** Whether the job shares its record with other small ones. */
@@ -59,7 +79,10 @@
         return sharedKey(job) != null;
     }
 
-    /** The job has ended: what waits to be written of its own records says less than its final state, and is spared. */
+    /**
+     * The job has ended: what waits to be written of its own records says less than its final
+     * state, and is spared.
+     */
     void drop(Job job) {
         for (int chunk = 0; chunk < job.spec.chunks() && !sharesRecord(job); chunk++) {
             writer.drop(Keys.run(job.spec.id(), chunk));
@@ -85,9 +108,21 @@
             if (job.isDone(task)) {
                 lines.add(new RunRecord(task, number, RunRecord.State.DONE, "", 0));
             } else if (attempt != null) {
-                lines.add(new RunRecord(task, number, RunRecord.State.LIVE, attempt.machine.name, attempt.tenure));
+                lines.add(
+                        new RunRecord(
+                                task,
+                                number,
+                                RunRecord.State.LIVE,
+                                attempt.machine.name,
+                                attempt.tenure));
             } else if (number > 0) {
-                lines.add(new RunRecord(task, number, job.hasFailed(task) ? RunRecord.State.FAILED : RunRecord.State.GONE, "", 0));
+                lines.add(
+                        new RunRecord(
+                                task,
+                                number,
+                                job.hasFailed(task) ? RunRecord.State.FAILED : RunRecord.State.GONE,
+                                "",
+                                0));
             }
         }
         return lines;
--- a/src/main/java/io/pepperfield/node/Service.java
+++ b/src/main/java/io/pepperfield/node/Service.java
@@ -15,22 +15,23 @@
 import io.pepperfield.peer.Peers;
 import io.pepperfield.peer.Relay;
 import io.pepperfield.store.HttpStateService;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-
 import java.util.List;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** One controller process: a network thread, the owner, and the slices wired to both. */
 public final class Service {
 
     private static final Logger LOG = LoggerFactory.getLogger(Service.class);
+
     /** A follow holds all changes at once; beyond this the keys are read in pages instead. */
     private static final int MOST_ANSWER_BYTES = 4 * 1024 * 1024;
 
     private final Settings settings;
     private final Owner owner = new Owner();
-    private final EventLoopGroup network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup network =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private HttpServer users;
     private HttpServer others;
 
@@ -40,27 +41,58 @@
 
     /** Listens; gives the port for users and workers. */
     public int start() throws InterruptedException {
-        List<String> shortage = Shortage.of(settings.deployment().quota(), Runtime.getRuntime().maxMemory() / 1048576.0);
+        List<String> shortage =
+                Shortage.of(
+                        settings.deployment().quota(),
+                        Runtime.getRuntime().maxMemory() / 1048576.0);
         if (!shortage.isEmpty()) {
-            LOG.warn("starting, but short of what the deployment may need: {}", String.join("; ", shortage));
+            LOG.warn(
+                    "starting, but short of what the deployment may need: {}",
+                    String.join("; ", shortage));
         }
         HttpClient client = new HttpClient(network, MOST_ANSWER_BYTES);
         HttpStateService state = new HttpStateService(owner, client, settings.state());
-        HttpCloud cloud = new HttpCloud(owner, client, settings.cloud(), settings.deployment().cloud().rps());
-        HttpWorkers workers = new HttpWorkers(owner, new HttpClient(network, MOST_ANSWER_BYTES, settings.deployment().quota().sockets() * 15 / 100), settings.deployment().workers().reportS());
+        HttpCloud cloud =
+                new HttpCloud(owner, client, settings.cloud(), settings.deployment().cloud().rps());
+        HttpWorkers workers =
+                new HttpWorkers(
+                        owner,
+                        new HttpClient(
+                                network,
+                                MOST_ANSWER_BYTES,
+                                settings.deployment().quota().sockets() * 15 / 100),
+                        settings.deployment().workers().reportS());
         Peers peers = new Peers(owner, settings, client);
         Relay relay = new Relay(owner, client, settings);
-        Controller controller = new Controller(owner, settings, state, cloud, workers, peers, relay, state::share);
+        Controller controller =
+                new Controller(owner, settings, state, cloud, workers, peers, relay, state::share);
         owner.handlers(controller::flush, controller::failed);
         int sockets = settings.deployment().quota().sockets();
-        users = new HttpServer(network, sockets * 7 / 10, new Admission(Controller.JOBS, Controller.questionsAtOnce(settings),
-                (call, answer) -> owner.post(() -> handle(controller, call, answer))))
-                .limit(Controller.BEAT, sockets * 6 / 10);
-        others = new HttpServer(network, sockets / 10, 4 * HttpServer.MOST_BYTES, (call, answer) -> owner.post(() -> peers.handle(call, answer)));
+        users =
+                new HttpServer(
+                                network,
+                                sockets * 7 / 10,
+                                new Admission(
+                                        Controller.JOBS,
+                                        Controller.questionsAtOnce(settings),
+                                        (call, answer) ->
+                                                owner.post(() -> handle(controller, call, answer))))
+                        .limit(Controller.BEAT, sockets * 6 / 10);
+        others =
+                new HttpServer(
+                        network,
+                        sockets / 10,
+                        4 * HttpServer.MOST_BYTES,
+                        (call, answer) -> owner.post(() -> peers.handle(call, answer)));
         int port = users.start(settings.bind().host(), settings.bind().port());
         others.start(settings.peerListen().host(), settings.peerListen().port());
         owner.post(controller::start);
-        LOG.info("{} in {} listens on {}:{}", settings.node(), settings.zone(), settings.bind().host(), port);
+        LOG.info(
+                "{} in {} listens on {}:{}",
+                settings.node(),
+                settings.zone(),
+                settings.bind().host(),
+                port);
         return port;
     }
 
@@ -68,7 +100,8 @@
         try {
             controller.handle(call, answer);
         } catch (RuntimeException e) {
-            // Without an answer the client would wait in vain, and its place among the questions be lost.
+            // Without an answer the client would wait in vain, and its place among the questions be
+            // lost.
             answer.accept(Reply.error(500, "an internal error"));
             throw e;
         }
--- a/src/main/java/io/pepperfield/node/Sizer.java
+++ b/src/main/java/io/pepperfield/node/Sizer.java
@@ -13,9 +13,6 @@
 import io.pepperfield.steering.Steering;
 import io.pepperfield.steering.ZoneShortage;
 import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -25,13 +22,18 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** WIRE's loop: projects the load, rents what is short and returns what is surplus. */
 final class Sizer {
 
     private static final Logger LOG = LoggerFactory.getLogger(Sizer.class);
 
-    /** Part of the time for which an aim allows that is planned with; the rest is for booting and bad luck. */
+    /**
+     * Part of the time for which an aim allows that is planned with; the rest is for booting and
+     * bad luck.
+     */
     private static final double AIM_RESERVE = 0.5;
 
     private final ClusterState cluster;
@@ -73,7 +75,12 @@
         List<ZoneShortage.Bound> bound = new ArrayList<>();
         Demand demand = new Demand();
         Map<String, Double> left = new HashMap<>();
-        cluster.settings().deployment().teams().forEach((name, team) -> left.put(name, team.cpusMax() - cluster.ledger().cpus(name)));
+        cluster.settings()
+                .deployment()
+                .teams()
+                .forEach(
+                        (name, team) ->
+                                left.put(name, team.cpusMax() - cluster.ledger().cpus(name)));
         Map<Job, Double> runTimes = new HashMap<>();
         for (Job job : cluster.ledger().jobs()) {
             if (job.end() != null || job.suspect()) {
@@ -116,27 +123,61 @@
         patientDemand.add(now, demand.patient);
         double headroom = cluster.settings().operators().headroom();
         List<Steering.Offer> offers = offers(now);
-        // The median of a rising demand lags half a unit behind, and a boot comes on top: what waits now counts as it is.
-        double patient = Math.max(demand.patient, patientDemand.quantile(cluster.settings().operators().steady()));
-        Map<Pool, Integer> targets = Steering.targets(offers, work, new Steering.Expected(
-                ordinaryDemand.quantile(headroom), eagerDemand.quantile(headroom) + patient),
-                unitS, cluster.settings().operators().partlyShare());
-        // What is asked for at this moment is no surplus, whatever was asked for of late; and a new leader has not seen
+        // The median of a rising demand lags half a unit behind, and a boot comes on top: what
+        // waits now counts as it is.
+        double patient =
+                Math.max(
+                        demand.patient,
+                        patientDemand.quantile(cluster.settings().operators().steady()));
+        Map<Pool, Integer> targets =
+                Steering.targets(
+                        offers,
+                        work,
+                        new Steering.Expected(
+                                ordinaryDemand.quantile(headroom),
+                                eagerDemand.quantile(headroom) + patient),
+                        unitS,
+                        cluster.settings().operators().partlyShare());
+        // What is asked for at this moment is no surplus, whatever was asked for of late; and a new
+        // leader has not seen
         // what came and went in the time that a boot takes.
-        Map<Pool, Integer> needed = Steering.floor(offers, new Steering.Expected(demand.ordinary, demand.all));
+        Map<Pool, Integer> needed =
+                Steering.floor(offers, new Steering.Expected(demand.ordinary, demand.all));
         boolean seasoned = now - startedAt >= intervalS;
-        LOG.debug("steering: demand {} {} {}, targets {}, offers {}", demand.ordinary, demand.eager, demand.patient, targets, offers);
-        Map<Pool, Map<String, Integer>> shortages = bound.isEmpty() ? Map.of() : ZoneShortage.of(bound, standing(runTimes, now), sources(offers),
-                unitS, cluster.settings().operators().partlyShare());
+        LOG.debug(
+                "steering: demand {} {} {}, targets {}, offers {}",
+                demand.ordinary,
+                demand.eager,
+                demand.patient,
+                targets,
+                offers);
+        Map<Pool, Map<String, Integer>> shortages =
+                bound.isEmpty()
+                        ? Map.of()
+                        : ZoneShortage.of(
+                                bound,
+                                standing(runTimes, now),
+                                sources(offers),
+                                unitS,
+                                cluster.settings().operators().partlyShare());
         for (Steering.Offer offer : offers) {
             int target = targets.getOrDefault(offer.pool(), 0);
             Map<String, Integer> shortage = shortages.getOrDefault(offer.pool(), Map.of());
-            int missing = Math.max(target - offer.present(), shortage.values().stream().mapToInt(Integer::intValue).sum());
+            int missing =
+                    Math.max(
+                            target - offer.present(),
+                            shortage.values().stream().mapToInt(Integer::intValue).sum());
             if (missing > 0) {
                 rent(offer.pool(), missing, shortage);
             }
-            // To rent again costs a boot; a surplus must have stood that long before returning it can pay.
-            DemandWindow kept = wanted.computeIfAbsent(offer.pool(), p -> new DemandWindow(cluster.types().get(offer.pool().type()).bootS()));
+            // To rent again costs a boot; a surplus must have stood that long before returning it
+            // can pay.
+            DemandWindow kept =
+                    wanted.computeIfAbsent(
+                            offer.pool(),
+                            p ->
+                                    new DemandWindow(
+                                            cluster.types().get(offer.pool().type()).bootS()));
             kept.add(now, Math.max(target, needed.get(offer.pool())));
             int most = (int) kept.quantile(1);
             if (seasoned && most < offer.present()) {
@@ -145,15 +186,31 @@
         }
     }
 
-    /** What waits for other jobs counts if these are predicted to end within the interval, as far as its team's limit leaves room. */
+    /**
+     * What waits for other jobs counts if these are predicted to end within the interval, as far as
+     * its team's limit leaves room.
+     */
     private void addReadySoon(List<Steering.Work> work, Map<String, Double> left, double now) {
-        List<Job> awaiting = cluster.jobs().values().stream().filter(job -> job.end() == null && job.isAwaiting()).toList();
+        List<Job> awaiting =
+                cluster.jobs().values().stream()
+                        .filter(job -> job.end() == null && job.isAwaiting())
+                        .toList();
         if (awaiting.isEmpty()) {
             return;
         }
-        ReadyTimes times = new ReadyTimes(id -> needed(cluster.jobs().get(id)), id -> remaining(cluster.jobs().get(id), now));
+        ReadyTimes times =
+                new ReadyTimes(
+                        id -> needed(cluster.jobs().get(id)),
+                        id -> remaining(cluster.jobs().get(id), now));
         for (Job job : awaiting) {
-            int counted = (int) Math.min(job.spec.tasks(), Math.max(0, left.getOrDefault(job.spec.team(), 0.0) / job.spec.cpus()));
+            int counted =
+                    (int)
+                            Math.min(
+                                    job.spec.tasks(),
+                                    Math.max(
+                                            0,
+                                            left.getOrDefault(job.spec.team(), 0.0)
+                                                    / job.spec.cpus()));
             if (counted > 0 && times.readyIn(job.spec.id()) <= intervalS) {
                 left.merge(job.spec.team(), -counted * job.spec.cpus(), Double::sum);
                 work.add(new Steering.Work(job.spec, expected(job), null, counted));
@@ -161,13 +218,23 @@
         }
     }
 
-    /** What it needs and is not over: one that this leader does not have is done, or its end is about to be known. */
+    /**
+     * What it needs and is not over: one that this leader does not have is done, or its end is
+     * about to be known.
+     */
     private List<String> needed(Job job) {
-        return job.spec.awaits().stream().filter(id -> cluster.jobs().containsKey(id) && cluster.jobs().get(id).end() == null).toList();
+        return job.spec.awaits().stream()
+                .filter(
+                        id ->
+                                cluster.jobs().containsKey(id)
+                                        && cluster.jobs().get(id).end() == null)
+                .toList();
     }
 
     private double expected(Job job) {
-        return job.spec.service() ? Double.POSITIVE_INFINITY : classTimes.expected(job.spec.workload(), job.spec.expectedS());
+        return job.spec.service()
+                ? Double.POSITIVE_INFINITY
+                : classTimes.expected(job.spec.workload(), job.spec.expectedS());
     }
 
     /** Until its last task ends, as if room for all that wait were there. */
@@ -176,8 +243,14 @@
         if (job.isAwaiting() || job.waitingCount() > 0) {
             return runTime;
         }
-        return cluster.ledger().live(job).stream().mapToDouble(attempt -> Predictor.remaining(runTime, attempt.running()
-                ? now - attempt.runningSince() : 0)).max().orElse(0);
+        return cluster.ledger().live(job).stream()
+                .mapToDouble(
+                        attempt ->
+                                Predictor.remaining(
+                                        runTime,
+                                        attempt.running() ? now - attempt.runningSince() : 0))
+                .max()
+                .orElse(0);
     }
 
     /** WIRE's prediction for a task of the job; a replica has no end in sight. */
@@ -204,8 +277,9 @@
         double all;
 
         /**
-         * Work that can wait counts by the part that it would fill of the time left for it: until its class should be
-         * complete, with a reserve, and no longer than a charging unit, by which WIRE counts machines.
+         * Work that can wait counts by the part that it would fill of the time left for it: until
+         * its class should be complete, with a reserve, and no longer than a charging unit, by
+         * which WIRE counts machines.
          */
         void add(Job of, double ranS, double now, int tasks) {
             JobSpec job = of.spec;
@@ -215,11 +289,18 @@
                 return;
             }
             all += cpus;
-            // A wait longer than any boot is met by renting when the work comes, and is no reason to keep machines for it.
+            // A wait longer than any boot is met by renting when the work comes, and is no reason
+            // to keep machines for it.
             if (cluster.aims().wait(job.workload()) > intervalS) {
-                double left = Predictor.remaining(classTimes.expected(job.workload(), job.expectedS()), ranS);
+                double left =
+                        Predictor.remaining(
+                                classTimes.expected(job.workload(), job.expectedS()), ranS);
                 double age = now - of.readyAt();
-                double time = Math.min(unitS, AIM_RESERVE * cluster.aims().finish(job.workload(), age + left) - age);
+                double time =
+                        Math.min(
+                                unitS,
+                                AIM_RESERVE * cluster.aims().finish(job.workload(), age + left)
+                                        - age);
                 patient += cpus * Steering.weight(left, time);
             } else {
                 eager += cpus;
@@ -238,10 +319,21 @@
         for (MachineType type : cluster.types().all()) {
             for (boolean spot : new boolean[] {false, true}) {
                 Pool pool = new Pool(type.name(), spot);
-                boolean open = type.zones().stream().anyMatch(zone -> cluster.renting().open(pool, zone));
-                offers.add(new Steering.Offer(pool, type.cpus(), type.gpus(), type.memGb(), type.price(spot),
-                        type.zones().stream().mapToDouble(zone -> cluster.boots().expected(type, zone)).min().orElse(type.bootS()),
-                        present.getOrDefault(pool, 0) + cluster.renting().underWay(pool), open));
+                boolean open =
+                        type.zones().stream().anyMatch(zone -> cluster.renting().open(pool, zone));
+                offers.add(
+                        new Steering.Offer(
+                                pool,
+                                type.cpus(),
+                                type.gpus(),
+                                type.memGb(),
+                                type.price(spot),
+                                type.zones().stream()
+                                        .mapToDouble(zone -> cluster.boots().expected(type, zone))
+                                        .min()
+                                        .orElse(type.bootS()),
+                                present.getOrDefault(pool, 0) + cluster.renting().underWay(pool),
+                                open));
             }
         }
         return offers;
@@ -253,12 +345,18 @@
         if (spec.zone() == null && !spec.oneZone() && !spec.spread()) {
             return null;
         }
-        Set<String> zones = cluster.types().all().stream().filter(type -> spec.types() == null || spec.types().contains(type.name()))
-                .flatMap(type -> type.zones().stream()).collect(Collectors.toSet());
+        Set<String> zones =
+                cluster.types().all().stream()
+                        .filter(type -> spec.types() == null || spec.types().contains(type.name()))
+                        .flatMap(type -> type.zones().stream())
+                        .collect(Collectors.toSet());
         return ZoneShortage.bound(spec, runTime, waiting, cluster.ledger().zones(job), zones);
     }
 
-    /** What stands or is coming, less what is alive there and neither being stopped nor expected to end within the interval. */
+    /**
+     * What stands or is coming, less what is alive there and neither being stopped nor expected to
+     * end within the interval.
+     */
     private List<ZoneShortage.Standing> standing(Map<Job, Double> runTimes, double now) {
         List<ZoneShortage.Standing> standing = new ArrayList<>();
         for (Machine machine : cluster.fleet().machines()) {
@@ -271,20 +369,26 @@
             double memGb = machine.freeMemGb(type);
             for (Attempt attempt : machine.attempts()) {
                 JobSpec spec = attempt.job.spec;
-                if (attempt.live() && (attempt.stopWanted() || endsSoon(attempt, runTimes.getOrDefault(attempt.job, 0.0), now))) {
+                if (attempt.live()
+                        && (attempt.stopWanted()
+                                || endsSoon(
+                                        attempt, runTimes.getOrDefault(attempt.job, 0.0), now))) {
                     cpus += spec.cpus();
                     gpus += spec.gpus();
                     memGb += spec.memGb();
                 }
             }
-            standing.add(new ZoneShortage.Standing(machine.pool(), machine.zone(), cpus, gpus, memGb));
+            standing.add(
+                    new ZoneShortage.Standing(machine.pool(), machine.zone(), cpus, gpus, memGb));
         }
         for (MachineType type : cluster.types().all()) {
             for (boolean spot : new boolean[] {false, true}) {
                 Pool pool = new Pool(type.name(), spot);
                 for (String zone : type.zones()) {
                     for (int i = cluster.renting().underWay(pool, zone); i > 0; i--) {
-                        standing.add(new ZoneShortage.Standing(pool, zone, type.cpus(), type.gpus(), type.memGb()));
+                        standing.add(
+                                new ZoneShortage.Standing(
+                                        pool, zone, type.cpus(), type.gpus(), type.memGb()));
                     }
                 }
             }
@@ -292,9 +396,13 @@
         return standing;
     }
 
-    /** By its prediction; one that has run for longer than predicted may go on for ever, and keeps its place. */
+    /**
+     * By its prediction; one that has run for longer than predicted may go on for ever, and keeps
+     * its place.
+     */
     private boolean endsSoon(Attempt attempt, double runTime, double now) {
-        double remaining = Predictor.remaining(runTime, attempt.running() ? now - attempt.runningSince() : 0);
+        double remaining =
+                Predictor.remaining(runTime, attempt.running() ? now - attempt.runningSince() : 0);
         return remaining > 0 && remaining <= intervalS;
     }
 
@@ -310,14 +418,21 @@
         return sources;
     }
 
-    /** Whether it stands or is on its way; a silent machine is not counted on: what takes its place boots meanwhile. */
+    /**
+     * Whether it stands or is on its way; a silent machine is not counted on: what takes its place
+     * boots meanwhile.
+     */
     private boolean countedOn(Machine machine, double now) {
-        boolean coming = machine.up() ? machine.lostFor(now) <= cluster.silentS() : cluster.boots().coming(machine, now);
+        boolean coming =
+                machine.up()
+                        ? machine.lostFor(now) <= cluster.silentS()
+                        : cluster.boots().coming(machine, now);
         return !machine.releasing() && !machine.draining() && coming;
     }
 
     /**
-     * Batched calls for each zone, so that the zones that still give machines come to about the same number.
+     * Batched calls for each zone, so that the zones that still give machines come to about the
+     * same number.
      *
      * @param first what is short in single zones, which is part of the count
      */
@@ -328,17 +443,28 @@
                 perZone.merge(machine.zone(), 1, Integer::sum);
             }
         }
-        List<String> open = cluster.types().get(pool.type()).zones().stream().filter(z -> cluster.renting().open(pool, z)).sorted().toList();
+        List<String> open =
+                cluster.types().get(pool.type()).zones().stream()
+                        .filter(z -> cluster.renting().open(pool, z))
+                        .sorted()
+                        .toList();
         if (open.isEmpty()) {
             return;
         }
-        // Where machines come late or not at all, what waits has nowhere to go: such zones only if there is no other.
-        List<String> prompt = open.stream().filter(z -> !cluster.boots().late(cluster.types().get(pool.type()), z)).toList();
+        // Where machines come late or not at all, what waits has nowhere to go: such zones only if
+        // there is no other.
+        List<String> prompt =
+                open.stream()
+                        .filter(z -> !cluster.boots().late(cluster.types().get(pool.type()), z))
+                        .toList();
         List<String> zones = prompt.isEmpty() ? open : prompt;
         Map<String, Integer> shares = new LinkedHashMap<>(first);
         first.forEach((zone, n) -> perZone.merge(zone, n, Integer::sum));
         for (int i = first.values().stream().mapToInt(Integer::intValue).sum(); i < count; i++) {
-            String zone = zones.stream().min(Comparator.comparingInt(z -> perZone.getOrDefault(z, 0))).orElseThrow();
+            String zone =
+                    zones.stream()
+                            .min(Comparator.comparingInt(z -> perZone.getOrDefault(z, 0)))
+                            .orElseThrow();
             perZone.merge(zone, 1, Integer::sum);
             shares.merge(zone, 1, Integer::sum);
         }
@@ -346,19 +472,30 @@
     }
 
     /**
-     * WIRE's algorithm 2: of a surplus those go whose charge ends within the interval and that are cheap to restart. Not from
-     * zones that are short at the same time: what is rented there would be returned and rented for ever.
+     * WIRE's algorithm 2: of a surplus those go whose charge ends within the interval and that are
+     * cheap to restart. Not from zones that are short at the same time: what is rented there would
+     * be returned and rented for ever.
      */
     private void shrink(Pool pool, int surplus, Set<String> shortZones, double now) {
-        record Candidate(Machine machine, double cost) { }
+        record Candidate(Machine machine, double cost) {}
         double most = cluster.settings().operators().restartShare() * unitS;
         cluster.fleet().machines().stream()
-                .filter(m -> m.up() && !m.releasing() && !m.draining() && m.pool().equals(pool) && !m.holdsReplica() && !shortZones.contains(m.zone()))
+                .filter(
+                        m ->
+                                m.up()
+                                        && !m.releasing()
+                                        && !m.draining()
+                                        && m.pool().equals(pool)
+                                        && !m.holdsReplica()
+                                        && !shortZones.contains(m.zone()))
                 .filter(m -> unitS - (now - m.rentedAt()) <= Math.min(intervalS, cluster.reportS()))
                 .map(m -> new Candidate(m, restartCost(m, now)))
                 .filter(c -> c.cost <= most)
-                .sorted(Comparator.comparingDouble(Candidate::cost).thenComparing(c -> c.machine.name))
-                .limit(surplus).toList()
+                .sorted(
+                        Comparator.comparingDouble(Candidate::cost)
+                                .thenComparing(c -> c.machine.name))
+                .limit(surplus)
+                .toList()
                 .forEach(c -> cluster.renting().release(c.machine, "surplus"));
     }
 
--- a/src/main/java/io/pepperfield/node/Types.java
+++ b/src/main/java/io/pepperfield/node/Types.java
@@ -1,10 +1,9 @@
 package io.pepperfield.node;
 
 import io.pepperfield.cloud.MachineType;
+import io.pepperfield.config.Settings;
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.UserRequests;
-import io.pepperfield.config.Settings;
-
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -40,13 +39,15 @@
         return types.values();
     }
 
-    @Override public String refusal(JobSpec job) throws UserRequests.Undecided {
+    @Override
+    public String refusal(JobSpec job) throws UserRequests.Undecided {
         Settings.Team team = settings.deployment().teams().get(job.team());
         if (team == null) {
             return "owner: no such team";
         }
         int atOnce = job.leastAtOnce();
-        if (atOnce * job.cpus() > team.cpusMax() + SLACK || atOnce * job.gpus() > team.gpusMax() + SLACK) {
+        if (atOnce * job.cpus() > team.cpusMax() + SLACK
+                || atOnce * job.gpus() > team.gpusMax() + SLACK) {
             return "the job needs more than the team's limit";
         }
         if (job.spread() && job.oneZone() && job.tasks() > 1) {
@@ -55,9 +56,16 @@
         if (!known()) {
             throw new UserRequests.Undecided();
         }
-        boolean fits = types.values().stream().anyMatch(t -> (job.types() == null || job.types().contains(t.name()))
-                && (job.zone() == null || t.zones().contains(job.zone()))
-                && job.cpus() <= t.cpus() + SLACK && job.gpus() <= t.gpus() + SLACK && job.memGb() <= t.memGb() + SLACK);
+        boolean fits =
+                types.values().stream()
+                        .anyMatch(
+                                t ->
+                                        (job.types() == null || job.types().contains(t.name()))
+                                                && (job.zone() == null
+                                                        || t.zones().contains(job.zone()))
+                                                && job.cpus() <= t.cpus() + SLACK
+                                                && job.gpus() <= t.gpus() + SLACK
+                                                && job.memGb() <= t.memGb() + SLACK);
         return fits ? null : "a task fits no allowed machine type";
     }
 }
--- a/src/main/java/io/pepperfield/node/Warnings.java
+++ b/src/main/java/io/pepperfield/node/Warnings.java
@@ -1,12 +1,13 @@
 package io.pepperfield.node;
 
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-
 import java.util.HashSet;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** Says of each sender and fault once what is wrong with its messages: a broken one sends thousands. */
+/**
+ * Says of each sender and fault once what is wrong with its messages: a broken one sends thousands.
+ */
 final class Warnings {
 
     private static final Logger LOG = LoggerFactory.getLogger(Warnings.class);
--- a/src/main/java/io/pepperfield/node/Watch.java
+++ b/src/main/java/io/pepperfield/node/Watch.java
@@ -4,7 +4,6 @@
 import io.pepperfield.fleet.Machine;
 import io.pepperfield.fleet.Workers;
 import io.pepperfield.jobs.Status;
-
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -14,19 +13,27 @@
 /** Machines that say nothing, do not hear, never came up, are faulty or about to be taken. */
 final class Watch {
 
-    /** Of the time that a cancellation may take; the rest is for the cloud to return the machine. */
+    /**
+     * Of the time that a cancellation may take; the rest is for the cloud to return the machine.
+     */
     private static final double OVERDUE = 0.6;
 
     private final ClusterState cluster;
     private final Dispatcher dispatcher;
     private final Workers workers;
     private final Dispatcher.Starter starter;
+
     /** Until when the silence of a zone's machines is taken for a cut. */
     private final Map<String, Double> cutUntil = new HashMap<>();
+
     private boolean over;
     private double askedForRoomAt = Double.NEGATIVE_INFINITY;
 
-    Watch(ClusterState cluster, Dispatcher dispatcher, Workers workers, Dispatcher.Starter starter) {
+    Watch(
+            ClusterState cluster,
+            Dispatcher dispatcher,
+            Workers workers,
+            Dispatcher.Starter starter) {
         this.cluster = cluster;
         this.dispatcher = dispatcher;
         this.workers = workers;
@@ -37,7 +44,10 @@
         over = true;
     }
 
-    /** False where none of several machines can be heard: this node is more likely cut off than they all dead. */
+    /**
+     * False where none of several machines can be heard: this node is more likely cut off than they
+     * all dead.
+     */
     boolean tick(double now) {
         double silentS = cluster.silentS();
         List<Machine> lost = new ArrayList<>();
@@ -48,7 +58,8 @@
             if (machine.releasing()) {
                 continue;
             }
-            // One that had long booted when this leader began may be out of hearing with the rest of its zone: silent, and
+            // One that had long booted when this leader began may be out of hearing with the rest
+            // of its zone: silent, and
             // not a machine that never came up.
             boolean before = !machine.up() && cluster.boots().longBooted(machine);
             if (machine.up() || before) {
@@ -59,12 +70,15 @@
                 }
             }
             if (machine.up()) {
-                if (machine.lostFor(now) > 1.5 * cluster.reportS() && machine.dueForProbe(now, cluster.reportS() / 2)) {
-                    workers.probe(machine.address(), report -> {
-                        if (!over && report != null) {
-                            cluster.fleet().heard(report, cluster.loop().now());
-                        }
-                    });
+                if (machine.lostFor(now) > 1.5 * cluster.reportS()
+                        && machine.dueForProbe(now, cluster.reportS() / 2)) {
+                    workers.probe(
+                            machine.address(),
+                            report -> {
+                                if (!over && report != null) {
+                                    cluster.fleet().heard(report, cluster.loop().now());
+                                }
+                            });
                 }
                 if (!Double.isNaN(machine.takenAt())) {
                     drainTaken(machine);
@@ -75,15 +89,21 @@
                 if (machine.reborn()) {
                     cluster.renting().release(machine, "its worker has begun anew");
                 } else if (machine.draining() && machine.idle()) {
-                    cluster.renting().release(machine, machine.faulty() ? "faulty" : "about to be taken");
+                    cluster.renting()
+                            .release(machine, machine.faulty() ? "faulty" : "about to be taken");
                 }
-            } else if (!before && cluster.boots().givenUp(machine, now) && machine.lostFor(now) > silentS) {
+            } else if (!before
+                    && cluster.boots().givenUp(machine, now)
+                    && machine.lostFor(now) > silentS) {
                 awaited.add(machine);
             }
         }
         // Whoever is cut off, the cloud ends them: before the question whether it is this node.
-        lost.stream().filter(machine -> holdsOverdue(machine, now)).forEach(machine ->
-                cluster.renting().release(machine, "silent with a cancelled task"));
+        lost.stream()
+                .filter(machine -> holdsOverdue(machine, now))
+                .forEach(
+                        machine ->
+                                cluster.renting().release(machine, "silent with a cancelled task"));
         if (up > 1 && lost.size() == up) {
             return false;
         }
@@ -91,7 +111,8 @@
         giveUp(lost, up, perZone, now);
         for (Machine machine : awaited) {
             // Of a zone that is out of hearing nobody can tell what has come up there since.
-            if (!cut(machine.zone(), now) || machine.lostFor(now) > cluster.settings().deployment().workers().cancelS()) {
+            if (!cut(machine.zone(), now)
+                    || machine.lostFor(now) > cluster.settings().deployment().workers().cancelS()) {
                 cluster.renting().release(machine, "never came up");
             }
         }
@@ -103,19 +124,23 @@
     }
 
     private void giveUp(List<Machine> lost, int up, Map<String, Integer> perZone, double now) {
-        // Many at once are more likely a cut than so many deaths, of a zone or of this node's own lines.
+        // Many at once are more likely a cut than so many deaths, of a zone or of this node's own
+        // lines.
         int few = cluster.settings().operators().silentAtOnce();
         boolean allCut = lost.size() > Math.max(few, up / 3);
         Map<String, Integer> lostPerZone = new HashMap<>();
         lost.forEach(machine -> lostPerZone.merge(machine.zone(), 1, Integer::sum));
-        lostPerZone.forEach((zone, count) -> {
-            if (allCut || count > Math.max(few, perZone.get(zone) / 2)) {
-                // When a cut ends its machines come back one by one, each after its patience with nodes it could not reach:
-                // those that are still silent then are no dead among the living.
-                cutUntil.put(zone, now + cluster.leaseS());
-            }
-        });
-        // A tenth of a large fleet may die at once with a rack; three at a time would take it minutes to be replaced.
+        lostPerZone.forEach(
+                (zone, count) -> {
+                    if (allCut || count > Math.max(few, perZone.get(zone) / 2)) {
+                        // When a cut ends its machines come back one by one, each after its
+                        // patience with nodes it could not reach:
+                        // those that are still silent then are no dead among the living.
+                        cutUntil.put(zone, now + cluster.leaseS());
+                    }
+                });
+        // A tenth of a large fleet may die at once with a rack; three at a time would take it
+        // minutes to be replaced.
         int most = Math.max(cluster.settings().operators().silentAtOnce(), up / 10);
         lost.sort(Comparator.comparingDouble((Machine m) -> m.lostFor(now)).reversed());
         for (Machine machine : lost) {
@@ -129,14 +154,16 @@
     }
 
     /**
-     * Whether to give a silent machine up. It may only hang, and its tasks with it until their lease ends: to return it
-     * earlier pays where replicas can go on elsewhere at once, and costs both work and replicas where they cannot.
+     * Whether to give a silent machine up. It may only hang, and its tasks with it until their
+     * lease ends: to return it earlier pays where replicas can go on elsewhere at once, and costs
+     * both work and replicas where they cannot.
      */
     private boolean isLost(Machine machine, boolean cut, double now) {
         double leaseS = cluster.leaseS();
         double silent = machine.lostFor(now);
         if (cut) {
-            // A controller inside the cut may keep the leases for that long, and its tasks go on; afterwards all have ended.
+            // A controller inside the cut may keep the leases for that long, and its tasks go on;
+            // afterwards all have ended.
             return silent > cluster.settings().deployment().workers().cancelS();
         }
         if (silent > leaseS || machine.idle()) {
@@ -145,7 +172,8 @@
         if (!machine.holdsReplica()) {
             return silent > leaseS / 2;
         }
-        // The question costs a look at the whole fleet, so it is put for one machine at a time, a few times a period; and
+        // The question costs a look at the whole fleet, so it is put for one machine at a time, a
+        // few times a period; and
         // what is being returned already must have moved before the room left is known.
         if (cluster.renting().releasing() > 0 || now - askedForRoomAt < cluster.reportS() / 8) {
             return false;
@@ -155,18 +183,29 @@
     }
 
     /**
-     * Whether it may still hold a task that was cancelled so long ago that it must be gone before long: a machine that hangs, unlike
-     * one that is cut off, ends nothing by itself, and both look the same from here, also when it is the whole fleet.
+     * Whether it may still hold a task that was cancelled so long ago that it must be gone before
+     * long: a machine that hangs, unlike one that is cut off, ends nothing by itself, and both look
+     * the same from here, also when it is the whole fleet.
      */
     private boolean holdsOverdue(Machine machine, double now) {
         double mostS = OVERDUE * cluster.settings().deployment().workers().cancelS();
-        return machine.attempts().stream().anyMatch(a -> a.live() && a.job.end() == Status.CANCELLED && now - a.job.openAsOf() > mostS);
+        return machine.attempts().stream()
+                .anyMatch(
+                        a ->
+                                a.live()
+                                        && a.job.end() == Status.CANCELLED
+                                        && now - a.job.openAsOf() > mostS);
     }
 
-    /** A machine that will be taken: what can save does so in time; what may still complete goes on. */
+    /**
+     * A machine that will be taken: what can save does so in time; what may still complete goes on.
+     */
     private void drainTaken(Machine machine) {
         for (Attempt attempt : List.copyOf(machine.attempts())) {
-            if (attempt.live() && !attempt.stopWanted() && attempt.job.spec.saves() && attempt.running()) {
+            if (attempt.live()
+                    && !attempt.stopWanted()
+                    && attempt.job.spec.saves()
+                    && attempt.running()) {
                 starter.stop(attempt, attempt.job.spec.checkpointS());
             }
         }
--- a/src/main/java/io/pepperfield/peer/PartitionOrders.java
+++ b/src/main/java/io/pepperfield/peer/PartitionOrders.java
@@ -5,7 +5,6 @@
 import io.pepperfield.fleet.Order;
 import io.pepperfield.fleet.Report;
 import io.pepperfield.fleet.Workers;
-
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -14,8 +13,9 @@
 import java.util.function.Consumer;
 
 /**
- * The leader's direct way to the workers of all partitions: orders for another node's partition go through that node, in one
- * message for many workers. What their answers show comes back among that node's reports.
+ * The leader's direct way to the workers of all partitions: orders for another node's partition go
+ * through that node, in one message for many workers. What their answers show comes back among that
+ * node's reports.
  */
 public final class PartitionOrders implements Workers {
 
@@ -31,20 +31,38 @@
         settings.members().forEach(member -> members.put(member.node(), member));
     }
 
-    @Override public void probe(String address, Consumer<Report> done) {
+    @Override
+    public void probe(String address, Consumer<Report> done) {
         own.probe(address, done);
     }
 
-    @Override public void forward(String address, long orderToken, long tenure, JsonNode orders, Consumer<byte[]> heard) {
+    @Override
+    public void forward(
+            String address, long orderToken, long tenure, JsonNode orders, Consumer<byte[]> heard) {
         own.forward(address, orderToken, tenure, orders, heard);
     }
 
-    @Override public void orders(String address, long orderToken, long tenure, List<Order> orders, Consumer<Result> done) {
+    @Override
+    public void orders(
+            String address,
+            long orderToken,
+            long tenure,
+            List<Order> orders,
+            Consumer<Result> done) {
         own.orders(address, orderToken, tenure, orders, done);
     }
 
-    /** Orders for a worker that reports through that node; through this one where it is no member's name. */
-    public void orders(String through, String address, long orderToken, long tenure, List<Order> orders, Consumer<Result> done) {
+    /**
+     * Orders for a worker that reports through that node; through this one where it is no member's
+     * name.
+     */
+    public void orders(
+            String through,
+            String address,
+            long orderToken,
+            long tenure,
+            List<Order> orders,
+            Consumer<Result> done) {
         Settings.Member owner = members.get(through);
         if (owner == null) {
             own.orders(address, orderToken, tenure, orders, done);
@@ -52,7 +70,9 @@
         }
         token = orderToken;
         waiting.computeIfAbsent(owner, o -> new ArrayList<>())
-                .add(new RelayMessages.Direct(address, tenure, Order.reply(orderToken, orders).path("orders")));
+                .add(
+                        new RelayMessages.Direct(
+                                address, tenure, Order.reply(orderToken, orders).path("orders")));
     }
 
     /** At the end of each batch of commands: one message for each partition. */
--- a/src/main/java/io/pepperfield/peer/Peers.java
+++ b/src/main/java/io/pepperfield/peer/Peers.java
@@ -8,16 +8,15 @@
 import io.pepperfield.http.Reply;
 import io.pepperfield.http.Sender;
 import io.pepperfield.node.Loop;
-
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
 /**
- * What controllers tell each other: whether they are in touch with the state service, the reports of their partitions, and
- * orders for them. A node that alone has lost the state service must leave the load balancer and let go of its workers; in
- * an outage that all of them see, it must not.
+ * What controllers tell each other: whether they are in touch with the state service, the reports
+ * of their partitions, and orders for them. A node that alone has lost the state service must leave
+ * the load balancer and let go of its workers; in an outage that all of them see, it must not.
  */
 public final class Peers {
 
@@ -34,7 +33,11 @@
     }
 
     /** How this node stands with the state service, compared with the others. */
-    public enum Contact { FINE, LOST_BY_ALL, LOST_ALONE }
+    public enum Contact {
+        FINE,
+        LOST_BY_ALL,
+        LOST_ALONE
+    }
 
     private final Loop loop;
     private final Settings settings;
@@ -58,18 +61,29 @@
         handler = of;
     }
 
-    /** To be called often; asks the others only while this node itself seems to have lost the state service. */
+    /**
+     * To be called often; asks the others only while this node itself seems to have lost the state
+     * service.
+     */
     public void tick(double now, double ownContact, long ownToken) {
         ownContactAt = ownContact;
         token = ownToken;
-        // A follow is held for half a period: contact older than that by as much again is not the ordinary case.
+        // A follow is held for half a period: contact older than that by as much again is not the
+        // ordinary case.
         if (now - ownContact < 0.8 * reportS || now - askedAt < reportS / 4) {
             return;
         }
         askedAt = now;
         for (Settings.Member member : settings.members()) {
-            client.send(member.address().host(), member.address().port(), 2, "GET", "/peer/contact", null,
-                    Math.round(reportS * 500), outcome -> loop.post(() -> heard(member.node(), now, outcome)));
+            client.send(
+                    member.address().host(),
+                    member.address().port(),
+                    2,
+                    "GET",
+                    "/peer/contact",
+                    null,
+                    Math.round(reportS * 500),
+                    outcome -> loop.post(() -> heard(member.node(), now, outcome)));
         }
     }
 
@@ -84,8 +98,8 @@
     }
 
     /**
-     * Whether the state service is lost, and to whom. A node that reaches nobody at all must take itself for the one that
-     * is cut off: the others may be deciding without it.
+     * Whether the state service is lost, and to whom. A node that reaches nobody at all must take
+     * itself for the one that is cut off: the others may be deciding without it.
      */
     public Contact contact(double now) {
         if (now - ownContactAt < 1.5 * reportS) {
@@ -94,25 +108,41 @@
         if (settings.members().isEmpty()) {
             return Contact.LOST_BY_ALL;
         }
-        boolean alone = now - reachedAt > 2 * reportS || contactAt.values().stream().anyMatch(at -> at > ownContactAt + reportS);
+        boolean alone =
+                now - reachedAt > 2 * reportS
+                        || contactAt.values().stream().anyMatch(at -> at > ownContactAt + reportS);
         return alone ? Contact.LOST_ALONE : Contact.LOST_BY_ALL;
     }
 
     /** Hands orders for workers to the owner of their partition. */
     void direct(Settings.Member owner, long orderToken, List<RelayMessages.Direct> messages) {
-        client.send(owner.address().host(), owner.address().port(), 2, "POST", "/peer/orders",
-                RelayMessages.direct(orderToken, messages), Math.round(reportS * 500), outcome -> { });
+        client.send(
+                owner.address().host(),
+                owner.address().port(),
+                2,
+                "POST",
+                "/peer/orders",
+                RelayMessages.direct(orderToken, messages),
+                Math.round(reportS * 500),
+                outcome -> {});
     }
 
     /**
-     * Tells all others what users have been told here: one that is refused by the state service alone can stop those tasks at
-     * once, instead of letting their machines go.
+     * Tells all others what users have been told here: one that is refused by the state service
+     * alone can stop those tasks at once, instead of letting their machines go.
      */
     public void cancelled(List<String> ids) {
         byte[] body = RelayMessages.cancelled(ids);
         for (Settings.Member member : settings.members()) {
-            client.send(member.address().host(), member.address().port(), 2, "POST", "/peer/cancelled", body,
-                    Math.round(reportS * 500), outcome -> { });
+            client.send(
+                    member.address().host(),
+                    member.address().port(),
+                    2,
+                    "POST",
+                    "/peer/cancelled",
+                    body,
+                    Math.round(reportS * 500),
+                    outcome -> {});
         }
     }
 
@@ -121,7 +151,12 @@
         switch (call.method() + " " + call.path()) {
             case "GET /peer/contact" -> {
                 double ago = Math.min(1e9, loop.now() - ownContactAt);
-                answer.accept(Reply.json(200, Json.object().put("contactAgoMs", Math.round(ago * 1000)).put("epoch", token)));
+                answer.accept(
+                        Reply.json(
+                                200,
+                                Json.object()
+                                        .put("contactAgoMs", Math.round(ago * 1000))
+                                        .put("epoch", token)));
             }
             case "POST /peer/relay" -> {
                 RelayMessages.Batch batch = RelayMessages.batch(Json.read(call.body()));
@@ -133,7 +168,9 @@
             }
             case "POST /peer/orders" -> {
                 JsonNode body = Json.read(call.body());
-                RelayMessages.readDirect(body).forEach(message -> handler.direct(body.path("epoch").longValue(), message));
+                RelayMessages.readDirect(body)
+                        .forEach(
+                                message -> handler.direct(body.path("epoch").longValue(), message));
                 answer.accept(Reply.empty(200));
             }
             case "POST /peer/cancelled" -> {
--- a/src/main/java/io/pepperfield/peer/Reachability.java
+++ b/src/main/java/io/pepperfield/peer/Reachability.java
@@ -1,24 +1,30 @@
 package io.pepperfield.peer;
 
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
- * The leader's view of whether each controller hears the workers of its partition. One that other controllers reach and its
- * workers do not would have them sent home to it again and again, each time with a pause of seconds and no orders.
+ * The leader's view of whether each controller hears the workers of its partition. One that other
+ * controllers reach and its workers do not would have them sent home to it again and again, each
+ * time with a pause of seconds and no orders.
  */
 public final class Reachability {
 
     private static final Logger LOG = LoggerFactory.getLogger(Reachability.class);
+
     /** So many strays of one partition at once are no accident of theirs. */
     private static final int SEVERAL = 2;
-    /** Periods until a controller's workers have found it: a period at another one, then home, with its patience between. */
+
+    /**
+     * Periods until a controller's workers have found it: a period at another one, then home, with
+     * its patience between.
+     */
     private static final double PERIODS = 3;
+
     /** Each new failure doubles the time without a partition, up to so many leases. */
     private static final int LONGEST = 8;
 
@@ -31,7 +37,7 @@
     }
 
     /** A machine that reports elsewhere, since when and until when. */
-    private record Stray(double since, double at) { }
+    private record Stray(double since, double at) {}
 
     private final double reportS;
     private final double leaseS;
@@ -52,11 +58,15 @@
             its.heardAt = now;
             its.strays.remove(machine);
         } else {
-            its.strays.merge(machine, new Stray(now, now), (known, news) -> new Stray(known.since, now));
+            its.strays.merge(
+                    machine, new Stray(now, now), (known, news) -> new Stray(known.since, now));
         }
     }
 
-    /** Of the live controllers those that are to have a partition; all of them where none would be left. */
+    /**
+     * Of the live controllers those that are to have a partition; all of them where none would be
+     * left.
+     */
     public Set<String> owners(Set<String> live, double now) {
         Set<String> hearing = new TreeSet<>();
         for (String node : live) {
@@ -71,7 +81,10 @@
                 owner.penalty = Math.min(LONGEST, Math.max(1, 2 * owner.penalty));
                 owner.deafUntil = now + owner.penalty * leaseS;
                 owner.ownsSince = Double.NaN;
-                LOG.warn("{} hears no worker of its partition while others do: they take it for {} s", node, Math.round(owner.penalty * leaseS));
+                LOG.warn(
+                        "{} hears no worker of its partition while others do: they take it for {} s",
+                        node,
+                        Math.round(owner.penalty * leaseS));
                 owner.strays.clear();
             } else {
                 if (owner.heardAt > owner.ownsSince && now - owner.ownsSince > LONGEST * leaseS) {
@@ -80,13 +93,14 @@
                 hearing.add(node);
             }
         }
-        owners.forEach((node, owner) -> {
-            if (!live.contains(node)) {
-                // It begins anew when it is back: its workers need their time to find it.
-                owner.ownsSince = Double.NaN;
-                owner.strays.clear();
-            }
-        });
+        owners.forEach(
+                (node, owner) -> {
+                    if (!live.contains(node)) {
+                        // It begins anew when it is back: its workers need their time to find it.
+                        owner.ownsSince = Double.NaN;
+                        owner.strays.clear();
+                    }
+                });
         return hearing.isEmpty() ? live : hearing;
     }
 
@@ -96,24 +110,36 @@
         return owner != null && owner.deafUntil > now;
     }
 
-    /** The workers are refused everywhere for now: until that is over, where they turn up tells nothing. */
+    /**
+     * The workers are refused everywhere for now: until that is over, where they turn up tells
+     * nothing.
+     */
     public void paused() {
-        owners.values().forEach(owner -> {
-            owner.ownsSince = Double.NaN;
-            owner.strays.clear();
-        });
+        owners.values()
+                .forEach(
+                        owner -> {
+                            owner.ownsSince = Double.NaN;
+                            owner.strays.clear();
+                        });
     }
 
     private boolean isDeaf(Owner owner, double now) {
-        // A stray spends most of its time waiting for an answer at home; it is seen elsewhere once in a while.
+        // A stray spends most of its time waiting for an answer at home; it is seen elsewhere once
+        // in a while.
         owner.strays.values().removeIf(stray -> now - stray.at > leaseS);
-        // New machines turn up anywhere and are sent home after a period: until then an owner that had none before has
+        // New machines turn up anywhere and are sent home after a period: until then an owner that
+        // had none before has
         // heard nobody for long, and is not deaf for it.
-        double firstStray = owner.strays.values().stream().mapToDouble(Stray::since).min().orElse(now);
-        if (now - Math.max(Math.max(owner.ownsSince, owner.heardAt), firstStray - reportS / 2) <= PERIODS * reportS) {
+        double firstStray =
+                owner.strays.values().stream().mapToDouble(Stray::since).min().orElse(now);
+        if (now - Math.max(Math.max(owner.ownsSince, owner.heardAt), firstStray - reportS / 2)
+                <= PERIODS * reportS) {
             return false;
         }
-        // On a small site a partition may be a single machine: it tells as much if it has strayed for a while.
-        return owner.strays.size() >= SEVERAL || owner.strays.values().stream().anyMatch(stray -> stray.at - stray.since > leaseS);
+        // On a small site a partition may be a single machine: it tells as much if it has strayed
+        // for a while.
+        return owner.strays.size() >= SEVERAL
+                || owner.strays.values().stream()
+                        .anyMatch(stray -> stray.at - stray.since > leaseS);
     }
 }
--- a/src/main/java/io/pepperfield/peer/RelayMessages.java
+++ b/src/main/java/io/pepperfield/peer/RelayMessages.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.databind.util.RawValue;
 import io.pepperfield.fleet.Report;
 import io.pepperfield.http.Json;
-
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -14,7 +13,9 @@
 import java.util.Set;
 import java.util.TreeSet;
 
-/** What partition owners and the leader tell each other; the only place that knows its field names. */
+/**
+ * What partition owners and the leader tell each other; the only place that knows its field names.
+ */
 public final class RelayMessages {
 
     /** One report as a partition owner passes it on. */
@@ -22,56 +23,78 @@
         String machine();
 
         record Whole(Report report) implements Beat {
-            @Override public String machine() {
+            @Override
+            public String machine() {
                 return report.machine();
             }
         }
 
         /** Differs from the one of serial {@code base} only in its serial and token. */
-        record Same(String machine, long tenure, long base, long serial, long token) implements Beat { }
+        record Same(String machine, long tenure, long base, long serial, long token)
+                implements Beat {}
     }
 
     /** A report that its partition owner remembers from before the leader was elected. */
-    public record Kept(Report report, double ageS) { }
+    public record Kept(Report report, double ageS) {}
 
-    public record Batch(String node, String life, long sequence, long token, List<Beat> beats, List<Report> heard, List<Kept> kept) { }
+    public record Batch(
+            String node,
+            String life,
+            long sequence,
+            long token,
+            List<Beat> beats,
+            List<Report> heard,
+            List<Kept> kept) {}
 
     /** The leader's answer to one report. */
     public sealed interface Verdict {
         /** To be answered with these orders. */
-        record Orders(JsonNode orders) implements Verdict { }
+        record Orders(JsonNode orders) implements Verdict {}
 
         /** A late copy, or of a machine that was returned. */
-        record Refused() implements Verdict { }
+        record Refused() implements Verdict {}
 
         /** The leader lacks the report that a short one repeats. */
-        record WantsWhole() implements Verdict { }
+        record WantsWhole() implements Verdict {}
     }
 
-    public record Answer(long token, double contactAgoS, Set<String> live, List<Verdict> verdicts) { }
+    public record Answer(
+            long token, double contactAgoS, Set<String> live, List<Verdict> verdicts) {}
 
     /** Orders that a partition owner is to hand to a worker at once. */
-    public record Direct(String address, long tenure, JsonNode orders) { }
+    public record Direct(String address, long tenure, JsonNode orders) {}
 
-    private RelayMessages() { }
+    private RelayMessages() {}
 
-    /** A worker's report as part of a message; one in another encoding than UTF-8 would spoil the others beside it. */
+    /**
+     * A worker's report as part of a message; one in another encoding than UTF-8 would spoil the
+     * others beside it.
+     */
     static RawValue raw(byte[] report) {
         boolean plain = report.length > 1 && report[0] > 0 && report[1] > 0;
-        return new RawValue(new String(plain ? report : Json.write(Json.read(report)), StandardCharsets.UTF_8));
+        return new RawValue(
+                new String(plain ? report : Json.write(Json.read(report)), StandardCharsets.UTF_8));
     }
 
     /** Null where the message is not one of this version's: it is refused whole. */
     public static Batch batch(JsonNode n) {
-        if (!n.path("node").isTextual() || !n.path("life").isTextual() || !n.path("seq").isIntegralNumber()
-                || !n.path("epoch").isIntegralNumber() || !n.path("beats").isArray()) {
+        if (!n.path("node").isTextual()
+                || !n.path("life").isTextual()
+                || !n.path("seq").isIntegralNumber()
+                || !n.path("epoch").isIntegralNumber()
+                || !n.path("beats").isArray()) {
             return null;
         }
         List<Beat> beats = new ArrayList<>();
         for (JsonNode beat : n.path("beats")) {
             if (beat.isArray() && beat.size() == 5) {
-                beats.add(new Beat.Same(beat.path(0).asText(), beat.path(1).asLong(), beat.path(2).asLong(), beat.path(3).asLong(),
-                        beat.path(4).asLong()));
+                beats.add(
+                        new Beat.Same(
+                                beat.path(0).asText(),
+                                beat.path(1).asLong(),
+                                beat.path(2).asLong(),
+                                beat.path(3).asLong(),
+                                beat.path(4).asLong()));
             } else {
                 Report report = Report.read(beat);
                 if (report == null) {
@@ -94,12 +117,22 @@
                 kept.add(new Kept(read, Math.max(0, item.path("ageMs").asLong() / 1000.0)));
             }
         }
-        return new Batch(n.path("node").textValue(), n.path("life").textValue(), n.path("seq").longValue(),
-                n.path("epoch").longValue(), beats, heard, kept);
+        return new Batch(
+                n.path("node").textValue(),
+                n.path("life").textValue(),
+                n.path("seq").longValue(),
+                n.path("epoch").longValue(),
+                beats,
+                heard,
+                kept);
     }
 
-    public static byte[] answer(long token, double contactAgoS, Collection<String> live, List<Verdict> verdicts) {
-        ObjectNode node = Json.object().put("epoch", token).put("contactAgoMs", Math.round(contactAgoS * 1000));
+    public static byte[] answer(
+            long token, double contactAgoS, Collection<String> live, List<Verdict> verdicts) {
+        ObjectNode node =
+                Json.object()
+                        .put("epoch", token)
+                        .put("contactAgoMs", Math.round(contactAgoS * 1000));
         ArrayNode names = node.putArray("live");
         live.forEach(names::add);
         ArrayNode answers = node.putArray("answers");
@@ -115,17 +148,27 @@
 
     /** Null where the message is not an answer to that many reports. */
     static Answer readAnswer(JsonNode n, int beats) {
-        if (!n.path("epoch").isIntegralNumber() || !n.path("contactAgoMs").isNumber() || n.path("answers").size() != beats) {
+        if (!n.path("epoch").isIntegralNumber()
+                || !n.path("contactAgoMs").isNumber()
+                || n.path("answers").size() != beats) {
             return null;
         }
         Set<String> live = new TreeSet<>();
         n.path("live").forEach(name -> live.add(name.asText()));
         List<Verdict> verdicts = new ArrayList<>();
         for (JsonNode answer : n.path("answers")) {
-            verdicts.add(answer.isArray() ? new Verdict.Orders(answer)
-                    : answer.asText().equals("whole") ? new Verdict.WantsWhole() : new Verdict.Refused());
+            verdicts.add(
+                    answer.isArray()
+                            ? new Verdict.Orders(answer)
+                            : answer.asText().equals("whole")
+                                    ? new Verdict.WantsWhole()
+                                    : new Verdict.Refused());
         }
-        return new Answer(n.path("epoch").longValue(), n.path("contactAgoMs").doubleValue() / 1000, live, verdicts);
+        return new Answer(
+                n.path("epoch").longValue(),
+                n.path("contactAgoMs").doubleValue() / 1000,
+                live,
+                verdicts);
     }
 
     static byte[] cancelled(List<String> ids) {
@@ -144,14 +187,23 @@
     static byte[] direct(long token, List<Direct> messages) {
         ObjectNode node = Json.object().put("epoch", token);
         ArrayNode all = node.putArray("messages");
-        messages.forEach(m -> all.addObject().put("addr", m.address()).put("tenure", m.tenure()).set("orders", m.orders()));
+        messages.forEach(
+                m ->
+                        all.addObject()
+                                .put("addr", m.address())
+                                .put("tenure", m.tenure())
+                                .set("orders", m.orders()));
         return Json.write(node);
     }
 
     static List<Direct> readDirect(JsonNode n) {
         List<Direct> messages = new ArrayList<>();
         for (JsonNode m : n.path("messages")) {
-            messages.add(new Direct(m.path("addr").asText(), m.path("tenure").longValue(), m.path("orders")));
+            messages.add(
+                    new Direct(
+                            m.path("addr").asText(),
+                            m.path("tenure").longValue(),
+                            m.path("orders")));
         }
         return messages;
     }
--- a/src/main/java/io/pepperfield/placement/PlacementRequest.java
+++ b/src/main/java/io/pepperfield/placement/PlacementRequest.java
@@ -1,7 +1,6 @@
 package io.pepperfield.placement;
 
 import io.pepperfield.jobs.JobSpec;
-
 import java.util.Map;
 import java.util.Set;
 
@@ -12,26 +11,48 @@
     int waiting;
     final boolean guaranteed;
     final double submittedAt;
+
     /** Tasks of this job that may be alive, by zone. */
     final Map<String, Integer> perZone;
+
     /** Machines that are not to be used for this job now. */
     final Set<String> avoid;
+
     /** Tasks of this job that may be alive. */
     final int live;
-    /** Only machines that have its image will do for now: to fetch it would take longer than its class may wait. */
+
+    /**
+     * Only machines that have its image will do for now: to fetch it would take longer than its
+     * class may wait.
+     */
     boolean warmOnly;
-    /** Nothing of it has begun for so long that it comes first: what is smaller or ranks higher cannot hold it back for ever. */
+
+    /**
+     * Nothing of it has begun for so long that it comes first: what is smaller or ranks higher
+     * cannot hold it back for ever.
+     */
     boolean overdue;
+
     /** Others are being stopped for it: the room that this frees is its own. */
     boolean promised;
+
     boolean madeRoom;
+
     /** Of a job that has only failed so far: nothing is stopped for it. */
     private boolean trial;
+
     boolean stuck;
+
     /** How long it has waited for each CPU that it still waits for. */
     double waitedForSize;
 
-    public PlacementRequest(JobSpec job, int waiting, boolean guaranteed, double submittedAt, Map<String, Integer> perZone, Set<String> avoid) {
+    public PlacementRequest(
+            JobSpec job,
+            int waiting,
+            boolean guaranteed,
+            double submittedAt,
+            Map<String, Integer> perZone,
+            Set<String> avoid) {
         this.job = job;
         this.waiting = waiting;
         this.guaranteed = guaranteed;
@@ -46,8 +67,9 @@
     }
 
     /**
-     * Within a team's queue what has waited longest for its size goes first: where more is asked than can be done, whole jobs
-     * are done in time instead of parts of all of them, and a large one's turn comes all the same.
+     * Within a team's queue what has waited longest for its size goes first: where more is asked
+     * than can be done, whole jobs are done in time instead of parts of all of them, and a large
+     * one's turn comes all the same.
      */
     public void waited(double seconds) {
         waitedForSize = job.service() ? 0 : seconds / (waiting * job.cpus());
@@ -78,7 +100,9 @@
         return warmOnly;
     }
 
-    /** Sets whether only machines with its image will do; what was stuck by that is looked at again. */
+    /**
+     * Sets whether only machines with its image will do; what was stuck by that is looked at again.
+     */
     public void warmOnly(boolean only) {
         if (warmOnly && !only) {
             stuck = false;
@@ -95,7 +119,10 @@
         return guaranteed;
     }
 
-    /** No machine had room for it; where tasks wait and this is false, its team's limit holds them up. */
+    /**
+     * No machine had room for it; where tasks wait and this is false, its team's limit holds them
+     * up.
+     */
     public boolean stuck() {
         return stuck;
     }
--- a/src/main/java/io/pepperfield/placement/Placer.java
+++ b/src/main/java/io/pepperfield/placement/Placer.java
@@ -1,7 +1,6 @@
 package io.pepperfield.placement;
 
 import io.pepperfield.jobs.JobSpec;
-
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -11,25 +10,39 @@
 import java.util.Set;
 
 /**
- * Which waiting task goes to which machine. A queue for each team, served in turn: work within a guarantee first, then by
- * rank, then the team that uses least of its share. Pure: the same input gives the same choices.
+ * Which waiting task goes to which machine. A queue for each team, served in turn: work within a
+ * guarantee first, then by rank, then the team that uses least of its share. Pure: the same input
+ * gives the same choices.
  */
 public final class Placer {
 
-    public record Choice(String job, String machine) { }
+    public record Choice(String job, String machine) {}
 
     /** What decides whether a task finds a place, where its job's other tasks have no say in it. */
-    private record Need(double cpus, double gpus, double memGb, List<String> types, String zone, boolean spot, String image) { }
+    private record Need(
+            double cpus,
+            double gpus,
+            double memGb,
+            List<String> types,
+            String zone,
+            boolean spot,
+            String image) {}
 
     private static final double SLACK = 1e-6;
-    private static final Comparator<PlacementRequest> IN_TEAM = Comparator.comparing((PlacementRequest w) -> !w.overdue)
-            .thenComparing(w -> !w.promised).thenComparing(w -> !w.guaranteed).thenComparing(w -> w.job.rank()).thenComparing(w -> !w.job.service())
-            .thenComparing(w -> -w.waitedForSize).thenComparing(w -> w.submittedAt)
-            .thenComparing(w -> w.job.id());
+    private static final Comparator<PlacementRequest> IN_TEAM =
+            Comparator.comparing((PlacementRequest w) -> !w.overdue)
+                    .thenComparing(w -> !w.promised)
+                    .thenComparing(w -> !w.guaranteed)
+                    .thenComparing(w -> w.job.rank())
+                    .thenComparing(w -> !w.job.service())
+                    .thenComparing(w -> -w.waitedForSize)
+                    .thenComparing(w -> w.submittedAt)
+                    .thenComparing(w -> w.job.id());
 
-    private Placer() { }
+    private Placer() {}
 
-    public static List<Choice> place(List<PlacementRequest> requests, List<Room> rooms, Map<String, Share> shares) {
+    public static List<Choice> place(
+            List<PlacementRequest> requests, List<Room> rooms, Map<String, Share> shares) {
         Map<String, List<PlacementRequest>> queues = new HashMap<>();
         for (PlacementRequest request : requests) {
             if (shares.containsKey(request.job.team())) {
@@ -60,7 +73,8 @@
                     if (need != null) {
                         hopeless.add(need);
                     }
-                    // Nothing fits this one now; what comes behind may be smaller or allowed elsewhere.
+                    // Nothing fits this one now; what comes behind may be smaller or allowed
+                    // elsewhere.
                     next.stuck = true;
                     if (next.overdue) {
                         keepRoom(next, rooms);
@@ -76,7 +90,8 @@
                 taken.add(room);
             }
             if (next.waiting > 0) {
-                // A gang that has waited too long keeps what room it found: smaller work would take each piece of it for ever.
+                // A gang that has waited too long keeps what room it found: smaller work would take
+                // each piece of it for ever.
                 for (Room room : taken) {
                     take(next, room, share, -1);
                     if (next.overdue) {
@@ -93,13 +108,19 @@
         }
     }
 
-    /** The machine that comes nearest to having room takes nothing else: smaller tasks would take each piece for ever. */
+    /**
+     * The machine that comes nearest to having room takes nothing else: smaller tasks would take
+     * each piece for ever.
+     */
     private static void keepRoom(PlacementRequest request, List<Room> rooms) {
         Room nearest = null;
         for (Room room : rooms) {
             // Any other would be kept empty for nothing and for ever.
-            if (willFit(request, room) && (nearest == null || room.cpus > nearest.cpus
-                    || room.cpus == nearest.cpus && room.machine.compareTo(nearest.machine) < 0)) {
+            if (willFit(request, room)
+                    && (nearest == null
+                            || room.cpus > nearest.cpus
+                            || room.cpus == nearest.cpus
+                                    && room.machine.compareTo(nearest.machine) < 0)) {
                 nearest = room;
             }
         }
@@ -111,16 +132,31 @@
     /** Null where zones or machines to avoid make the job a case of its own. */
     private static Need need(PlacementRequest request) {
         JobSpec job = request.job;
-        return job.oneZone() || job.spread() || !request.avoid.isEmpty() ? null : new Need(job.cpus(), job.gpus(), job.memGb(),
-                job.types(), job.zone(), job.spot(), request.warmOnly ? job.image() : "");
+        return job.oneZone() || job.spread() || !request.avoid.isEmpty()
+                ? null
+                : new Need(
+                        job.cpus(),
+                        job.gpus(),
+                        job.memGb(),
+                        job.types(),
+                        job.zone(),
+                        job.spot(),
+                        request.warmOnly ? job.image() : "");
     }
 
-    /** A turn fills a machine, so that a large array does not cost a look at the whole fleet for each task. */
-    private static void fill(PlacementRequest request, Room room, Share share, List<Choice> choices) {
+    /**
+     * A turn fills a machine, so that a large array does not cost a look at the whole fleet for
+     * each task.
+     */
+    private static void fill(
+            PlacementRequest request, Room room, Share share, List<Choice> choices) {
         do {
             take(request, room, share, 1);
             choices.add(new Choice(request.job.id(), room.machine));
-        } while (request.waiting > 0 && !request.job.spread() && fits(request, room) && share.allows(request.job.cpus(), request.job.gpus()));
+        } while (request.waiting > 0
+                && !request.job.spread()
+                && fits(request, room)
+                && share.allows(request.job.cpus(), request.job.gpus()));
     }
 
     private static PlacementRequest head(List<PlacementRequest> queue, Share share) {
@@ -133,8 +169,10 @@
             if (share.allows(turn * request.job.cpus(), turn * request.job.gpus())) {
                 return request;
             }
-            if (request.overdue && share.willAllow(turn * request.job.cpus(), turn * request.job.gpus())) {
-                // The rest of the team stands back until its limit leaves enough for this one; not where replicas keep it from
+            if (request.overdue
+                    && share.willAllow(turn * request.job.cpus(), turn * request.job.gpus())) {
+                // The rest of the team stands back until its limit leaves enough for this one; not
+                // where replicas keep it from
                 // ever doing so, or all would wait for ever.
                 return null;
             }
@@ -142,7 +180,8 @@
         return null;
     }
 
-    private static boolean before(PlacementRequest a, PlacementRequest b, Map<String, Share> shares) {
+    private static boolean before(
+            PlacementRequest a, PlacementRequest b, Map<String, Share> shares) {
         if (a.overdue != b.overdue) {
             return a.overdue;
         }
@@ -155,7 +194,8 @@
         if (a.job.rank() != b.job.rank()) {
             return a.job.rank().compareTo(b.job.rank()) < 0;
         }
-        int byUse = Double.compare(shares.get(a.job.team()).used(), shares.get(b.job.team()).used());
+        int byUse =
+                Double.compare(shares.get(a.job.team()).used(), shares.get(b.job.team()).used());
         return byUse != 0 ? byUse < 0 : a.submittedAt < b.submittedAt;
     }
 
@@ -178,22 +218,33 @@
     }
 
     static boolean fits(PlacementRequest request, Room room) {
-        return holds(request, room.cpus, room.gpus, room.memGb) && allowed(request, room) && !request.avoid.contains(room.machine);
+        return holds(request, room.cpus, room.gpus, room.memGb)
+                && allowed(request, room)
+                && !request.avoid.contains(room.machine);
     }
 
-    /** Whether the machine may come to have room for a task: it is neither too small beside its replicas nor one to avoid. */
+    /**
+     * Whether the machine may come to have room for a task: it is neither too small beside its
+     * replicas nor one to avoid.
+     */
     public static boolean willFit(PlacementRequest request, Room room) {
-        return holds(request, room.most.cpus(), room.most.gpus(), room.most.memGb()) && allowed(request, room)
+        return holds(request, room.most.cpus(), room.most.gpus(), room.most.memGb())
+                && allowed(request, room)
                 && !request.avoid.contains(room.machine);
     }
 
     static boolean holds(PlacementRequest request, double cpus, double gpus, double memGb) {
-        return cpus + SLACK >= request.job.cpus() && memGb + SLACK >= request.job.memGb() && gpus + SLACK >= request.job.gpus();
+        return cpus + SLACK >= request.job.cpus()
+                && memGb + SLACK >= request.job.memGb()
+                && gpus + SLACK >= request.job.gpus();
     }
 
-    /** Type, zone and kind, with regard to where the job's other tasks may be alive at this moment. */
+    /**
+     * Type, zone and kind, with regard to where the job's other tasks may be alive at this moment.
+     */
     static boolean allowed(PlacementRequest request, Room room) {
-        if (!request.job.allows(room.type, room.zone, room.spot) || request.warmOnly && !room.images.contains(request.job.image())) {
+        if (!request.job.allows(room.type, room.zone, room.spot)
+                || request.warmOnly && !room.images.contains(request.job.image())) {
             return false;
         }
         int here = request.perZone.getOrDefault(room.zone, 0);
@@ -214,7 +265,8 @@
             return imageA;
         }
         if (a.spot != b.spot) {
-            // Spot machines cost less and take nothing else away; where the job allows both they come first.
+            // Spot machines cost less and take nothing else away; where the job allows both they
+            // come first.
             return a.spot;
         }
         int hereA = request.job.spread() ? request.perZone.getOrDefault(a.zone, 0) : 0;
--- a/src/main/java/io/pepperfield/placement/Preemption.java
+++ b/src/main/java/io/pepperfield/placement/Preemption.java
@@ -1,7 +1,6 @@
 package io.pepperfield.placement;
 
 import io.pepperfield.jobs.JobSpec;
-
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -9,8 +8,9 @@
 import java.util.PriorityQueue;
 
 /**
- * Which tasks to stop for waiting ones that found no room, exactly as far as the protocol allows: for a job of higher
- * rank, or, to give a team its guarantee, work that another team runs beyond its own.
+ * Which tasks to stop for waiting ones that found no room, exactly as far as the protocol allows:
+ * for a job of higher rank, or, to give a team its guarantee, work that another team runs beyond
+ * its own.
  */
 public final class Preemption {
 
@@ -19,11 +19,13 @@
      *
      * @param lostS seconds of its work that would be lost
      */
-    public record Victim(String id, JobSpec job, double lostS) { }
+    public record Victim(String id, JobSpec job, double lostS) {}
 
     /** The lowest rank first, then what loses least. */
-    private static final Comparator<Victim> BY_LOSS = Comparator.comparing((Victim v) -> v.job.rank()).reversed()
-            .thenComparingDouble(v -> v.lostS * v.job.cpus());
+    private static final Comparator<Victim> BY_LOSS =
+            Comparator.comparing((Victim v) -> v.job.rank())
+                    .reversed()
+                    .thenComparingDouble(v -> v.lostS * v.job.cpus());
 
     /** A machine with what can be stopped on it; the room holds what is free or about to be. */
     public static final class Place {
@@ -46,23 +48,38 @@
         }
     }
 
-    private record Plan(Place place, List<Victim> stopped, double lost) { }
+    private record Plan(Place place, List<Victim> stopped, double lost) {}
 
-    private Preemption() { }
+    private Preemption() {}
 
     /**
-     * The tasks to stop. Rooms and shares must count what is already being stopped as free, so that nothing is stopped twice
-     * for the same need; they are therefore not those that tasks are started by.
+     * The tasks to stop. Rooms and shares must count what is already being stopped as free, so that
+     * nothing is stopped twice for the same need; they are therefore not those that tasks are
+     * started by.
      */
-    public static List<String> victims(List<PlacementRequest> requests, List<Place> places, Map<String, Share> shares) {
+    public static List<String> victims(
+            List<PlacementRequest> requests, List<Place> places, Map<String, Share> shares) {
         List<String> stopped = new ArrayList<>();
-        // What is lowest and claims no guarantee may stop nothing; a swarm of it would cost a look at all tasks for each.
-        List<PlacementRequest> order = requests.stream().filter(w -> w.waiting > 0 && !w.job.gang())
-                .filter(w -> !w.trial() && (w.guaranteed || w.job.rank() != JobSpec.Rank.BEST_EFFORT)).sorted(Comparator.comparing((PlacementRequest w) -> !w.guaranteed)
-                .thenComparing(w -> w.job.rank()).thenComparing(w -> w.submittedAt)).toList();
+        // What is lowest and claims no guarantee may stop nothing; a swarm of it would cost a look
+        // at all tasks for each.
+        List<PlacementRequest> order =
+                requests.stream()
+                        .filter(w -> w.waiting > 0 && !w.job.gang())
+                        .filter(
+                                w ->
+                                        !w.trial()
+                                                && (w.guaranteed
+                                                        || w.job.rank()
+                                                                != JobSpec.Rank.BEST_EFFORT))
+                        .sorted(
+                                Comparator.comparing((PlacementRequest w) -> !w.guaranteed)
+                                        .thenComparing(w -> w.job.rank())
+                                        .thenComparing(w -> w.submittedAt))
+                        .toList();
         for (PlacementRequest request : order) {
             Share share = shares.get(request.job.team());
-            // Every place is weighed once for the job and again only when it comes up, not once more for each task.
+            // Every place is weighed once for the job and again only when it comes up, not once
+            // more for each task.
             PriorityQueue<Plan> plans = new PriorityQueue<>(Comparator.comparingDouble(Plan::lost));
             boolean limited = !share.allows(request.job.cpus(), request.job.gpus());
             if (limited || request.stuck) {
@@ -104,7 +121,10 @@
         }
     }
 
-    /** The cheapest way to make room for one task of the job on that machine, or null; empty where there is room. */
+    /**
+     * The cheapest way to make room for one task of the job on that machine, or null; empty where
+     * there is room.
+     */
     private static Plan plan(PlacementRequest request, Place place, Map<String, Share> shares) {
         Room room = place.room;
         if (!Placer.allowed(request, room) || request.avoid.contains(room.machine)) {
@@ -135,20 +155,26 @@
             ownGpus += sameTeam ? victim.job.gpus() : 0;
             lost += (victim.lostS + 1) * victim.job.cpus();
             stopped.add(victim);
-            if (Placer.holds(request, cpus, gpus, memGb) && own.allows(request.job.cpus() - ownCpus, request.job.gpus() - ownGpus)) {
+            if (Placer.holds(request, cpus, gpus, memGb)
+                    && own.allows(request.job.cpus() - ownCpus, request.job.gpus() - ownGpus)) {
                 return new Plan(place, stopped, lost);
             }
         }
         return null;
     }
 
-    private static boolean mayStop(PlacementRequest request, Victim victim, Map<String, Share> shares) {
+    private static boolean mayStop(
+            PlacementRequest request, Victim victim, Map<String, Share> shares) {
         if (request.job.rank().compareTo(victim.job.rank()) < 0) {
             return true;
         }
         Share other = shares.get(victim.job.team());
-        // Of any rank by the protocol; but what ranks higher than the guarantee's own work is left alone here.
-        return request.guaranteed && other != null && request.job.rank() == victim.job.rank() && !victim.job.team().equals(request.job.team())
+        // Of any rank by the protocol; but what ranks higher than the guarantee's own work is left
+        // alone here.
+        return request.guaranteed
+                && other != null
+                && request.job.rank() == victim.job.rank()
+                && !victim.job.team().equals(request.job.team())
                 && other.cpus - victim.job.cpus() >= other.team.cpus();
     }
 }
--- a/src/main/java/io/pepperfield/placement/Room.java
+++ b/src/main/java/io/pepperfield/placement/Room.java
@@ -1,7 +1,6 @@
 package io.pepperfield.placement;
 
 import io.pepperfield.jobs.JobSpec;
-
 import java.util.Set;
 
 /** A machine that may take tasks, with the room left on it; the placer uses it up. */
@@ -15,11 +14,20 @@
     double cpus;
     double gpus;
     double memGb;
+
     /** What it will have at most, once all that ends by itself has ended. */
     final Capacity most;
 
-    public Room(String machine, String type, String zone, boolean spot, Set<String> images, double cpus, double gpus, double memGb,
-                Capacity most) {
+    public Room(
+            String machine,
+            String type,
+            String zone,
+            boolean spot,
+            Set<String> images,
+            double cpus,
+            double gpus,
+            double memGb,
+            Capacity most) {
         this.most = most;
         this.machine = machine;
         this.type = type;
--- a/src/main/java/io/pepperfield/placement/Share.java
+++ b/src/main/java/io/pepperfield/placement/Share.java
@@ -9,11 +9,14 @@
     final Settings.Team team;
     double cpus;
     double gpus;
+
     /** What its replicas take of that: no waiting frees it. */
     private final double lastingCpus;
+
     private final double lastingGpus;
 
-    public Share(Settings.Team team, double cpus, double gpus, double lastingCpus, double lastingGpus) {
+    public Share(
+            Settings.Team team, double cpus, double gpus, double lastingCpus, double lastingGpus) {
         this.team = team;
         this.cpus = cpus;
         this.gpus = gpus;
@@ -21,7 +24,10 @@
         this.lastingGpus = lastingGpus;
     }
 
-    /** The same figures, to be changed apart: what is being stopped still counts against a limit until it is gone. */
+    /**
+     * The same figures, to be changed apart: what is being stopped still counts against a limit
+     * until it is gone.
+     */
     public Share copy() {
         return new Share(team, cpus, gpus, lastingCpus, lastingGpus);
     }
@@ -30,12 +36,14 @@
     private static final double SLACK = 1e-6;
 
     boolean allows(double moreCpus, double moreGpus) {
-        return cpus + moreCpus <= team.cpusMax() + SLACK && (moreGpus == 0 || gpus + moreGpus <= team.gpusMax() + SLACK);
+        return cpus + moreCpus <= team.cpusMax() + SLACK
+                && (moreGpus == 0 || gpus + moreGpus <= team.gpusMax() + SLACK);
     }
 
     /** Whether the limit will leave so much once all that ends by itself has ended. */
     boolean willAllow(double someCpus, double someGpus) {
-        return lastingCpus + someCpus <= team.cpusMax() + SLACK && (someGpus == 0 || lastingGpus + someGpus <= team.gpusMax() + SLACK);
+        return lastingCpus + someCpus <= team.cpusMax() + SLACK
+                && (someGpus == 0 || lastingGpus + someGpus <= team.gpusMax() + SLACK);
     }
 
     /** Takes off what that many tasks of the job use; a negative number adds it. */
--- a/src/main/java/io/pepperfield/predict/ClassTimes.java
+++ b/src/main/java/io/pepperfield/predict/ClassTimes.java
@@ -1,16 +1,19 @@
 package io.pepperfield.predict;
 
 import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
-
 import java.util.HashMap;
 import java.util.Map;
 
-/** Late run times of each class of jobs: what is expected of work whose own peers have shown nothing yet. */
+/**
+ * Late run times of each class of jobs: what is expected of work whose own peers have shown nothing
+ * yet.
+ */
 public final class ClassTimes {
 
     private static final int KEPT = 64;
 
     private final Map<String, DoubleArrayList> times = new HashMap<>();
+
     /** Asked for each attempt in each step: the middle is looked for again only after news. */
     private final Map<String, Double> medians = new HashMap<>();
 
--- a/src/main/java/io/pepperfield/predict/Medians.java
+++ b/src/main/java/io/pepperfield/predict/Medians.java
@@ -1,13 +1,12 @@
 package io.pepperfield.predict;
 
 import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
-
 import java.util.Arrays;
 
 /** The middle of a list of run times; 0 where there is none. */
 public final class Medians {
 
-    private Medians() { }
+    private Medians() {}
 
     public static double of(DoubleArrayList values) {
         if (values.isEmpty()) {
--- a/src/main/java/io/pepperfield/predict/OnlineGradient.java
+++ b/src/main/java/io/pepperfield/predict/OnlineGradient.java
@@ -3,7 +3,9 @@
 import it.unimi.dsi.fastutil.doubles.Double2ObjectMap;
 import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
 
-/** WIRE's algorithm 1: run time as a0 + a1 x size, by online gradient descent from zero at rate 0.1. */
+/**
+ * WIRE's algorithm 1: run time as a0 + a1 x size, by online gradient descent from zero at rate 0.1.
+ */
 final class OnlineGradient {
 
     private static final double RATE = 0.1;
--- a/src/main/java/io/pepperfield/predict/PeerTimes.java
+++ b/src/main/java/io/pepperfield/predict/PeerTimes.java
@@ -3,7 +3,6 @@
 import it.unimi.dsi.fastutil.doubles.Double2ObjectMap;
 import it.unimi.dsi.fastutil.doubles.Double2ObjectOpenHashMap;
 import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
-
 import java.util.OptionalDouble;
 
 /** Run times of a job's finished tasks, and those of equal input size apart where sizes exist. */
@@ -15,14 +14,19 @@
     private int count;
     private final Double2ObjectMap<DoubleArrayList> bySize = new Double2ObjectOpenHashMap<>();
     private final OnlineGradient gradient = new OnlineGradient();
-    /** Asked for each task in each step: looked for again only after news; NaN while it is not known. */
+
+    /**
+     * Asked for each task in each step: looked for again only after news; NaN while it is not
+     * known.
+     */
     private double median = Double.NaN;
 
     public void finished(double seconds, OptionalDouble size) {
         if (finished.size() < KEPT) {
             finished.add(seconds);
         } else {
-            // The middle of the last few hundred says as much, and an array of 100,000 tasks is not sorted anew for each.
+            // The middle of the last few hundred says as much, and an array of 100,000 tasks is not
+            // sorted anew for each.
             finished.set(count % KEPT, seconds);
         }
         count++;
--- a/src/main/java/io/pepperfield/predict/Predictor.java
+++ b/src/main/java/io/pepperfield/predict/Predictor.java
@@ -1,23 +1,24 @@
 package io.pepperfield.predict;
 
 import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
-
 import java.util.OptionalDouble;
 
 /** WIRE's five policies for a task's least run time, from what its job's peers have shown. */
 public final class Predictor {
 
-    private Predictor() { }
+    private Predictor() {}
 
     /**
-     * @param times   the finished peers
+     * @param times the finished peers
      * @param running how long each running peer has run so far
-     * @param ready   whether the task could start now
-     * @param size    the task's input size, where such exist
+     * @param ready whether the task could start now
+     * @param size the task's input size, where such exist
      */
-    public static double runTime(PeerTimes times, DoubleArrayList running, boolean ready, OptionalDouble size) {
+    public static double runTime(
+            PeerTimes times, DoubleArrayList running, boolean ready, OptionalDouble size) {
         if (times.count() == 0) {
-            // Policies 1 and 2: nothing is known, or the running ones are presumed about to complete.
+            // Policies 1 and 2: nothing is known, or the running ones are presumed about to
+            // complete.
             return Medians.of(running);
         }
         if (!ready || size.isEmpty()) {
--- a/src/main/java/io/pepperfield/predict/ReadyTimes.java
+++ b/src/main/java/io/pepperfield/predict/ReadyTimes.java
@@ -8,8 +8,8 @@
 import java.util.function.ToDoubleFunction;
 
 /**
- * When jobs that need others are predicted to become ready: WIRE looks ahead along the workflow's graph in the same way, and
- * counts what will be ready at the start of the next interval.
+ * When jobs that need others are predicted to become ready: WIRE looks ahead along the workflow's
+ * graph in the same way, and counts what will be ready at the start of the next interval.
  */
 public final class ReadyTimes {
 
@@ -18,15 +18,19 @@
     private final Map<String, Double> readyIn = new HashMap<>();
 
     /**
-     * @param needs     the jobs that a job needs and that are not done, without cycles
+     * @param needs the jobs that a job needs and that are not done, without cycles
      * @param remaining how long a job still takes, from now or from when it is ready
      */
-    public ReadyTimes(Function<String, Collection<String>> needs, ToDoubleFunction<String> remaining) {
+    public ReadyTimes(
+            Function<String, Collection<String>> needs, ToDoubleFunction<String> remaining) {
         this.needs = needs;
         this.remaining = remaining;
     }
 
-    /** Seconds until the last job that it needs is predicted to be done. Without recursion: chains may be long. */
+    /**
+     * Seconds until the last job that it needs is predicted to be done. Without recursion: chains
+     * may be long.
+     */
     public double readyIn(String job) {
         ArrayDeque<String> open = new ArrayDeque<>();
         open.push(job);
--- a/src/main/java/io/pepperfield/steering/DemandWindow.java
+++ b/src/main/java/io/pepperfield/steering/DemandWindow.java
@@ -3,10 +3,13 @@
 import java.util.ArrayDeque;
 import java.util.Arrays;
 
-/** What was asked for of late, in CPUs: the expected work that WIRE's projection of submitted tasks cannot see. */
+/**
+ * What was asked for of late, in CPUs: the expected work that WIRE's projection of submitted tasks
+ * cannot see.
+ */
 public final class DemandWindow {
 
-    private record Sample(double at, double cpus) { }
+    private record Sample(double at, double cpus) {}
 
     private final ArrayDeque<Sample> samples = new ArrayDeque<>();
     private final double lengthS;
--- a/src/main/java/io/pepperfield/steering/Resize.java
+++ b/src/main/java/io/pepperfield/steering/Resize.java
@@ -11,8 +11,8 @@
      * A task expected to be active when the next interval begins.
      *
      * @param remainingS its predicted least remaining time; infinite for a replica
-     * @param share      the part of a machine it takes, where the paper has one of l equal slots
-     * @param count      so many alike: an array of 100,000 tasks is one entry
+     * @param share the part of a machine it takes, where the paper has one of l equal slots
+     * @param count so many alike: an array of 100,000 tasks is one entry
      */
     public record Upcoming(double remainingS, double share, int count) {
 
@@ -23,15 +23,17 @@
 
     private static final double SLACK = 1e-6;
 
-    private Resize() { }
+    private Resize() {}
 
     /**
-     * @param unitS       the charging unit u
-     * @param partlyShare the part of u that a task must have left for a partly filled last machine to count
+     * @param unitS the charging unit u
+     * @param partlyShare the part of u that a task must have left for a partly filled last machine
+     *     to count
      */
     public static int machines(List<Upcoming> tasks, double unitS, double partlyShare) {
         // What has nothing left, as far as is known, fills no slot for any time.
-        ArrayDeque<Upcoming> queue = new ArrayDeque<>(tasks.stream().filter(task -> task.remainingS > 0).toList());
+        ArrayDeque<Upcoming> queue =
+                new ArrayDeque<>(tasks.stream().filter(task -> task.remainingS > 0).toList());
         List<Upcoming> slots = new ArrayList<>();
         int machines = 0;
         double usedS = 0;
@@ -40,7 +42,8 @@
             if (slots.isEmpty() && usedS == 0 && !queue.isEmpty()) {
                 machines += whole(queue, unitS);
             }
-            while (!queue.isEmpty() && (slots.isEmpty() || taken + queue.peek().share() <= 1 + SLACK)) {
+            while (!queue.isEmpty()
+                    && (slots.isEmpty() || taken + queue.peek().share() <= 1 + SLACK)) {
                 Upcoming task = next(queue);
                 slots.add(task);
                 taken += task.share();
@@ -82,11 +85,15 @@
         return new Upcoming(group.remainingS, group.share);
     }
 
-    /** The machines that the first group fills by itself, in one reckoning: the same that task after task would come to. */
+    /**
+     * The machines that the first group fills by itself, in one reckoning: the same that task after
+     * task would come to.
+     */
     private static int whole(ArrayDeque<Upcoming> queue, double unitS) {
         Upcoming group = queue.peek();
         int slots = Math.max(1, (int) Math.floor((1 + SLACK) / Math.max(SLACK, group.share)));
-        // A task that is longer than the unit fills its slot alone; of shorter ones several follow each other.
+        // A task that is longer than the unit fills its slot alone; of shorter ones several follow
+        // each other.
         double each = slots * Math.max(1, Math.ceil(unitS / group.remainingS - SLACK));
         int machines = (int) (group.count / each);
         int left = group.count - (int) (machines * each);
--- a/src/main/java/io/pepperfield/steering/Steering.java
+++ b/src/main/java/io/pepperfield/steering/Steering.java
@@ -2,7 +2,6 @@
 
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.steering.Resize.Upcoming;
-
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -10,16 +9,27 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** How many machines of each type and kind there should be: WIRE's count, and beside it the work expected unseen. */
+/**
+ * How many machines of each type and kind there should be: WIRE's count, and beside it the work
+ * expected unseen.
+ */
 public final class Steering {
 
     /**
      * What can be rented of a pool.
      *
      * @param present machines there are, booting ones included
-     * @param open    whether a request for more is worth making, as far as refusals have shown
+     * @param open whether a request for more is worth making, as far as refusals have shown
      */
-    public record Offer(Pool pool, double cpus, double gpus, double memGb, double price, double bootS, int present, boolean open) {
+    public record Offer(
+            Pool pool,
+            double cpus,
+            double gpus,
+            double memGb,
+            double price,
+            double bootS,
+            int present,
+            boolean open) {
 
         /** The part of one such machine that a task takes. */
         double share(JobSpec job) {
@@ -29,17 +39,28 @@
         }
     }
 
-    /** Tasks, so many alike, expected to be active at the next interval; {@code on} null while they wait. */
-    public record Work(JobSpec job, double remainingS, Pool on, int count) { }
+    /**
+     * Tasks, so many alike, expected to be active at the next interval; {@code on} null while they
+     * wait.
+     */
+    public record Work(JobSpec job, double remainingS, Pool on, int count) {}
 
-    /** CPUs that are expected to be asked for: by work that needs ordinary machines, and by work that does not. */
-    public record Expected(double ordinaryCpus, double anyCpus) { }
+    /**
+     * CPUs that are expected to be asked for: by work that needs ordinary machines, and by work
+     * that does not.
+     */
+    public record Expected(double ordinaryCpus, double anyCpus) {}
 
     private static final double ALIKE = 1.1;
 
-    private Steering() { }
+    private Steering() {}
 
-    public static Map<Pool, Integer> targets(List<Offer> offers, List<Work> work, Expected expected, double unitS, double partlyShare) {
+    public static Map<Pool, Integer> targets(
+            List<Offer> offers,
+            List<Work> work,
+            Expected expected,
+            double unitS,
+            double partlyShare) {
         Map<Pool, List<Upcoming>> loads = new TreeMap<>();
         Map<Pool, Double> shares = new HashMap<>();
         for (Offer offer : offers) {
@@ -58,37 +79,45 @@
                 if (offer == null) {
                     break;
                 }
-                // As many as the room that stands takes; what is beyond that goes where the rest of it goes as well.
+                // As many as the room that stands takes; what is beyond that goes where the rest of
+                // it goes as well.
                 double share = Math.min(1, offer.share(task.job()));
                 double room = offer.present() - shares.getOrDefault(offer.pool(), 0.0);
-                int some = share > 0 && room >= share ? (int) Math.max(1, Math.min(left, room / share)) : left;
+                int some =
+                        share > 0 && room >= share
+                                ? (int) Math.max(1, Math.min(left, room / share))
+                                : left;
                 load(offer, new Work(task.job(), task.remainingS(), null, some), loads, shares);
                 left -= some;
             }
         }
         Map<Pool, Integer> targets = new TreeMap<>();
         loads.forEach((pool, load) -> targets.put(pool, Resize.machines(load, unitS, partlyShare)));
-        floor(offers, expected).forEach((pool, machines) -> targets.merge(pool, machines, Math::max));
+        floor(offers, expected)
+                .forEach((pool, machines) -> targets.merge(pool, machines, Math::max));
         return targets;
     }
 
     /**
-     * The part of a machine's time that work counts for: what it fills of the time left for it. Where no time is left it
-     * counts whole, also when nothing seems left to do: nought by nought is no number, and would spoil every sum it is in.
+     * The part of a machine's time that work counts for: what it fills of the time left for it.
+     * Where no time is left it counts whole, also when nothing seems left to do: nought by nought
+     * is no number, and would spoil every sum it is in.
      */
     public static double weight(double leftS, double timeS) {
         return leftS >= timeS ? 1 : Math.max(0, leftS) / timeS;
     }
 
-    private static void load(Offer offer, Work task, Map<Pool, List<Upcoming>> loads, Map<Pool, Double> shares) {
+    private static void load(
+            Offer offer, Work task, Map<Pool, List<Upcoming>> loads, Map<Pool, Double> shares) {
         double share = Math.min(1, offer.share(task.job()));
         loads.get(offer.pool()).add(new Upcoming(task.remainingS(), share, task.count()));
         shares.merge(offer.pool(), task.count() * share, Double::sum);
     }
 
     /**
-     * Machines for the expected CPUs. What there is comes first, spot before ordinary: a pool that may have machines again
-     * after a refusal must not draw the demand away from machines that stand, or all of those would be returned at once.
+     * Machines for the expected CPUs. What there is comes first, spot before ordinary: a pool that
+     * may have machines again after a refusal must not draw the demand away from machines that
+     * stand, or all of those would be returned at once.
      */
     public static Map<Pool, Integer> floor(List<Offer> offers, Expected expected) {
         Map<Pool, Double> cpus = new HashMap<>();
@@ -99,7 +128,9 @@
         fill(offers, false, true, ordinary + any, cpus);
         Map<Pool, Integer> machines = new HashMap<>();
         for (Offer offer : offers) {
-            machines.put(offer.pool(), (int) Math.ceil(cpus.getOrDefault(offer.pool(), 0.0) / offer.cpus() - 0.05));
+            machines.put(
+                    offer.pool(),
+                    (int) Math.ceil(cpus.getOrDefault(offer.pool(), 0.0) / offer.cpus() - 0.05));
         }
         return machines;
     }
@@ -108,18 +139,27 @@
         return offers.stream().filter(o -> o.pool().equals(pool)).findFirst().orElse(null);
     }
 
-    /** Where a waiting task is expected to go: room that stands, else a pool that gives machines, else any; the cheapest. */
+    /**
+     * Where a waiting task is expected to go: room that stands, else a pool that gives machines,
+     * else any; the cheapest.
+     */
     private static Offer choose(List<Offer> offers, JobSpec job, Map<Pool, Double> shares) {
         Offer best = null;
         int bestClass = 3;
         for (Offer offer : offers) {
-            boolean allowed = (job.spot() || !offer.pool().spot()) && (job.types() == null || job.types().contains(offer.pool().type()));
+            boolean allowed =
+                    (job.spot() || !offer.pool().spot())
+                            && (job.types() == null || job.types().contains(offer.pool().type()));
             double share = offer.share(job);
             if (!allowed || share > 1) {
                 continue;
             }
-            int itsClass = shares.getOrDefault(offer.pool(), 0.0) + share <= offer.present() ? 0 : offer.open() ? 1 : 2;
-            if (itsClass < bestClass || itsClass == bestClass && cheaper(offer, best, share, best.share(job))) {
+            int itsClass =
+                    shares.getOrDefault(offer.pool(), 0.0) + share <= offer.present()
+                            ? 0
+                            : offer.open() ? 1 : 2;
+            if (itsClass < bestClass
+                    || itsClass == bestClass && cheaper(offer, best, share, best.share(job))) {
                 best = offer;
                 bestClass = itsClass;
             }
@@ -134,11 +174,27 @@
         return costA * ALIKE < costB || costA < costB * ALIKE && a.bootS() < b.bootS();
     }
 
-    /** Puts expected CPUs on the pools of one kind, the cheapest first: on what stands, or on what can be had; gives back the rest. */
-    private static double fill(List<Offer> offers, boolean spot, boolean more, double cpus, Map<Pool, Double> taken) {
-        List<Offer> kind = offers.stream().filter(o -> o.pool().spot() == spot && (!more || o.open()))
-                .sorted(Comparator.comparingDouble((Offer o) -> Math.rint(10 * Math.log(o.price() / o.cpus())))
-                        .thenComparingDouble(Offer::bootS).thenComparing(Offer::pool)).toList();
+    /**
+     * Puts expected CPUs on the pools of one kind, the cheapest first: on what stands, or on what
+     * can be had; gives back the rest.
+     */
+    private static double fill(
+            List<Offer> offers, boolean spot, boolean more, double cpus, Map<Pool, Double> taken) {
+        List<Offer> kind =
+                offers.stream()
+                        .filter(o -> o.pool().spot() == spot && (!more || o.open()))
+                        .sorted(
+                                Comparator.comparingDouble(
+                                                (Offer o) ->
+                                                        Math.rint(
+                                                                10
+                                                                        * Math.log(
+                                                                                o.price()
+                                                                                        / o
+                                                                                                .cpus())))
+                                        .thenComparingDouble(Offer::bootS)
+                                        .thenComparing(Offer::pool))
+                        .toList();
         double left = cpus;
         for (Offer offer : kind) {
             double free = offer.present() * offer.cpus() - taken.getOrDefault(offer.pool(), 0.0);
--- a/src/main/java/io/pepperfield/store/Budget.java
+++ b/src/main/java/io/pepperfield/store/Budget.java
@@ -1,19 +1,19 @@
 package io.pepperfield.store;
 
 import io.pepperfield.node.Loop;
-
 import java.util.ArrayDeque;
 import java.util.EnumMap;
 import java.util.Map;
 
 /**
- * This node's part of the state service's two rates. What exceeds it waits in order of urgency; what has waited too
- * long is refused here, which is certain, instead of by the service. The leader's writes and the users' have changes of
- * their own: a leader that always has something to write must not keep its users waiting, nor they its starts.
+ * This node's part of the state service's two rates. What exceeds it waits in order of urgency;
+ * what has waited too long is refused here, which is certain, instead of by the service. The
+ * leader's writes and the users' have changes of their own: a leader that always has something to
+ * write must not keep its users waiting, nor they its starts.
  */
 final class Budget {
 
-    private record Waiting(int writes, double until, Runnable go, Runnable refuse) { }
+    private record Waiting(int writes, double until, Runnable go, Runnable refuse) {}
 
     private static final class Changes {
         double rate;
@@ -28,14 +28,18 @@
             left = Math.min(rate, left + seconds * rate);
         }
 
-        /** A second's worth may be saved up; what is larger goes once as much is there, and is paid for afterwards. */
+        /**
+         * A second's worth may be saved up; what is larger goes once as much is there, and is paid
+         * for afterwards.
+         */
         boolean allow(int changes) {
             return changes == 0 || rate > 0 && left >= Math.min(changes, rate);
         }
     }
 
     private final Loop loop;
-    private final Map<StateService.Urgency, ArrayDeque<Waiting>> queues = new EnumMap<>(StateService.Urgency.class);
+    private final Map<StateService.Urgency, ArrayDeque<Waiting>> queues =
+            new EnumMap<>(StateService.Urgency.class);
     private double requestRate;
     private double requests;
     private final Changes leaders = new Changes();
@@ -50,7 +54,9 @@
         }
     }
 
-    /** Sets the parts of both rates; a second's worth may be saved up, as the service allows in all. */
+    /**
+     * Sets the parts of both rates; a second's worth may be saved up, as the service allows in all.
+     */
     void share(double requestRate, double leadersWriteRate, double usersWriteRate) {
         refill();
         this.requestRate = requestRate;
@@ -59,8 +65,14 @@
         users.rate(usersWriteRate);
     }
 
-    void submit(StateService.Urgency urgency, int changes, double patienceS, Runnable go, Runnable refuse) {
-        // A leadership renewal that waits in a queue ends a leadership; it is charged but never held back.
+    void submit(
+            StateService.Urgency urgency,
+            int changes,
+            double patienceS,
+            Runnable go,
+            Runnable refuse) {
+        // A leadership renewal that waits in a queue ends a leadership; it is charged but never
+        // held back.
         if (urgency == StateService.Urgency.GRANT) {
             refill();
             requests -= 1;
@@ -100,7 +112,8 @@
                     changes.left -= first.writes;
                     first.go.run();
                 } else {
-                    // What is behind may need no changes: a leader that waits for its writes still answers questions.
+                    // What is behind may need no changes: a leader that waits for its writes still
+                    // answers questions.
                     blocked = true;
                     break;
                 }
--- a/src/main/java/io/pepperfield/store/HttpStateService.java
+++ b/src/main/java/io/pepperfield/store/HttpStateService.java
@@ -8,7 +8,6 @@
 import io.pepperfield.http.Outcome;
 import io.pepperfield.http.Sender;
 import io.pepperfield.node.Loop;
-
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
@@ -18,7 +17,11 @@
 
     private static final int CONNECTIONS = 6;
     private static final int PAGE = 500;
-    /** Longer than its slow answers of a few hundred milliseconds, shorter than a user's patience of 2 s. */
+
+    /**
+     * Longer than its slow answers of a few hundred milliseconds, shorter than a user's patience of
+     * 2 s.
+     */
     private static final double DEADLINE_S = 1.2;
 
     private final Loop loop;
@@ -37,7 +40,9 @@
         budget.share(requestRate, leadersWriteRate, usersWriteRate);
     }
 
-    @Override public void txn(Urgency urgency, List<Guard> guards, List<Change> changes, Consumer<TxnResult> done) {
+    @Override
+    public void txn(
+            Urgency urgency, List<Guard> guards, List<Change> changes, Consumer<TxnResult> done) {
         ObjectNode body = Json.object();
         ArrayNode conditions = body.putArray("guards");
         guards.forEach(g -> conditions.addObject().put("k", g.key()).put("stamp", g.stamp()));
@@ -50,8 +55,17 @@
             }
         }
         byte[] bytes = Json.write(body);
-        budget.submit(urgency, changes.size(), DEADLINE_S,
-                () -> send("POST", "/txn", bytes, DEADLINE_S, outcome -> done.accept(txnResult(outcome))),
+        budget.submit(
+                urgency,
+                changes.size(),
+                DEADLINE_S,
+                () ->
+                        send(
+                                "POST",
+                                "/txn",
+                                bytes,
+                                DEADLINE_S,
+                                outcome -> done.accept(txnResult(outcome))),
                 () -> done.accept(new TxnResult.Refused(429)));
     }
 
@@ -64,81 +78,197 @@
         }
         JsonNode body = answer.json();
         return switch (answer.status()) {
-            case 200 -> body.path("generation").isIntegralNumber()
-                    ? new TxnResult.Committed(body.path("generation").longValue()) : new TxnResult.Unknown();
+            case 200 ->
+                    body.path("generation").isIntegralNumber()
+                            ? new TxnResult.Committed(body.path("generation").longValue())
+                            : new TxnResult.Unknown();
             case 409 -> {
                 List<String> failed = new ArrayList<>();
                 body.path("failed").forEach(key -> failed.add(key.asText()));
                 yield new TxnResult.Conflict(failed);
             }
             case 400, 429, 503 -> new TxnResult.Refused(answer.status());
-            // Anything else may come from something in between, after the service had done its work.
+            // Anything else may come from something in between, after the service had done its
+            // work.
             default -> new TxnResult.Unknown();
         };
     }
 
-    @Override public void range(String after, Consumer<ReadResult> done) {
-        String path = "/kv?starts=" + Keys.ROOT + "&limit=" + PAGE + (after.isEmpty() ? "" : "&since=" + after);
-        budget.submit(Urgency.READ, 0, DEADLINE_S, () -> send("GET", path, null, 2 * DEADLINE_S, outcome -> {
-            if (outcome instanceof Outcome.Answered answer && answer.status() == 200) {
-                JsonNode body = answer.json();
-                List<Item> items = new ArrayList<>();
-                body.path("pairs").forEach(p ->
-                        items.add(new Item(p.path("k").asText(), p.get("data"), p.path("stamp").longValue())));
-                done.accept(new ReadResult.Read(items, body.path("truncated").asBoolean(), body.path("generation").longValue()));
-            } else {
-                done.accept(new ReadResult.Failed());
-            }
-        }), () -> done.accept(new ReadResult.Failed()));
+    @Override
+    public void range(String after, Consumer<ReadResult> done) {
+        String path =
+                "/kv?starts="
+                        + Keys.ROOT
+                        + "&limit="
+                        + PAGE
+                        + (after.isEmpty() ? "" : "&since=" + after);
+        budget.submit(
+                Urgency.READ,
+                0,
+                DEADLINE_S,
+                () ->
+                        send(
+                                "GET",
+                                path,
+                                null,
+                                2 * DEADLINE_S,
+                                outcome -> {
+                                    if (outcome instanceof Outcome.Answered answer
+                                            && answer.status() == 200) {
+                                        JsonNode body = answer.json();
+                                        List<Item> items = new ArrayList<>();
+                                        body.path("pairs")
+                                                .forEach(
+                                                        p ->
+                                                                items.add(
+                                                                        new Item(
+                                                                                p.path("k")
+                                                                                        .asText(),
+                                                                                p.get("data"),
+                                                                                p.path("stamp")
+                                                                                        .longValue())));
+                                        done.accept(
+                                                new ReadResult.Read(
+                                                        items,
+                                                        body.path("truncated").asBoolean(),
+                                                        body.path("generation").longValue()));
+                                    } else {
+                                        done.accept(new ReadResult.Failed());
+                                    }
+                                }),
+                () -> done.accept(new ReadResult.Failed()));
     }
 
-    @Override public void follow(long since, double holdS, Consumer<ReadResult> done) {
-        String path = "/follow?starts=" + Keys.ROOT + "&since=" + since + "&holdMs=" + Math.round(holdS * 1000);
-        budget.submit(Urgency.READ, 0, DEADLINE_S, () -> send("GET", path, null, holdS + DEADLINE_S, outcome -> {
-            if (!(outcome instanceof Outcome.Answered answer) || answer.status() != 200 && answer.status() != 410) {
-                done.accept(new ReadResult.Failed());
-                return;
-            }
-            if (answer.status() == 410) {
-                done.accept(new ReadResult.TooOld());
-                return;
-            }
-            JsonNode body = answer.json();
-            if (!body.path("generation").isIntegralNumber()) {
-                done.accept(new ReadResult.Failed());
-                return;
-            }
-            List<Item> items = new ArrayList<>();
-            for (JsonNode event : body.path("events")) {
-                long stamp = event.path("stamp").longValue();
-                items.add(event.has("delete") ? new Item(event.path("delete").asText(), null, stamp)
-                        : new Item(event.path("set").asText(), event.get("data"), stamp));
-            }
-            done.accept(new ReadResult.Read(items, false, body.path("generation").longValue()));
-        }), () -> done.accept(new ReadResult.Failed()));
+    @Override
+    public void follow(long since, double holdS, Consumer<ReadResult> done) {
+        String path =
+                "/follow?starts="
+                        + Keys.ROOT
+                        + "&since="
+                        + since
+                        + "&holdMs="
+                        + Math.round(holdS * 1000);
+        budget.submit(
+                Urgency.READ,
+                0,
+                DEADLINE_S,
+                () ->
+                        send(
+                                "GET",
+                                path,
+                                null,
+                                holdS + DEADLINE_S,
+                                outcome -> {
+                                    if (!(outcome instanceof Outcome.Answered answer)
+                                            || answer.status() != 200 && answer.status() != 410) {
+                                        done.accept(new ReadResult.Failed());
+                                        return;
+                                    }
+                                    if (answer.status() == 410) {
+                                        done.accept(new ReadResult.TooOld());
+                                        return;
+                                    }
+                                    JsonNode body = answer.json();
+                                    if (!body.path("generation").isIntegralNumber()) {
+                                        done.accept(new ReadResult.Failed());
+                                        return;
+                                    }
+                                    List<Item> items = new ArrayList<>();
+                                    for (JsonNode event : body.path("events")) {
+                                        long stamp = event.path("stamp").longValue();
+                                        items.add(
+                                                event.has("delete")
+                                                        ? new Item(
+                                                                event.path("delete").asText(),
+                                                                null,
+                                                                stamp)
+                                                        : new Item(
+                                                                event.path("set").asText(),
+                                                                event.get("data"),
+                                                                stamp));
+                                    }
+                                    done.accept(
+                                            new ReadResult.Read(
+                                                    items,
+                                                    false,
+                                                    body.path("generation").longValue()));
+                                }),
+                () -> done.accept(new ReadResult.Failed()));
     }
 
-    @Override public void grant(double ttlS, Consumer<GrantResult> done) {
+    @Override
+    public void grant(double ttlS, Consumer<GrantResult> done) {
         byte[] body = Json.write(Json.object().put("ttlMs", Math.round(ttlS * 1000)));
-        budget.submit(Urgency.GRANT, 0, 0, () -> send("POST", "/grants", body, DEADLINE_S, outcome -> {
-            boolean granted = outcome instanceof Outcome.Answered answer && answer.status() == 200;
-            done.accept(new GrantResult(granted ? ((Outcome.Answered) outcome).json().path("claim").longValue() : 0, false));
-        }), () -> { });
+        budget.submit(
+                Urgency.GRANT,
+                0,
+                0,
+                () ->
+                        send(
+                                "POST",
+                                "/grants",
+                                body,
+                                DEADLINE_S,
+                                outcome -> {
+                                    boolean granted =
+                                            outcome instanceof Outcome.Answered answer
+                                                    && answer.status() == 200;
+                                    done.accept(
+                                            new GrantResult(
+                                                    granted
+                                                            ? ((Outcome.Answered) outcome)
+                                                                    .json()
+                                                                    .path("claim")
+                                                                    .longValue()
+                                                            : 0,
+                                                    false));
+                                }),
+                () -> {});
     }
 
-    @Override public void touch(long id, Consumer<GrantResult> done) {
-        budget.submit(Urgency.GRANT, 0, 0, () -> send("POST", "/grants/" + id + "/touch", new byte[0], DEADLINE_S, outcome -> {
-            int status = outcome instanceof Outcome.Answered answer ? answer.status() : 0;
-            done.accept(new GrantResult(status == 200 ? id : 0, status == 404));
-        }), () -> { });
+    @Override
+    public void touch(long id, Consumer<GrantResult> done) {
+        budget.submit(
+                Urgency.GRANT,
+                0,
+                0,
+                () ->
+                        send(
+                                "POST",
+                                "/grants/" + id + "/touch",
+                                new byte[0],
+                                DEADLINE_S,
+                                outcome -> {
+                                    int status =
+                                            outcome instanceof Outcome.Answered answer
+                                                    ? answer.status()
+                                                    : 0;
+                                    done.accept(
+                                            new GrantResult(status == 200 ? id : 0, status == 404));
+                                }),
+                () -> {});
     }
 
-    @Override public void endGrant(long id) {
-        budget.submit(Urgency.GRANT, 0, 0, () -> send("DELETE", "/grants/" + id, null, DEADLINE_S, outcome -> { }), () -> { });
+    @Override
+    public void endGrant(long id) {
+        budget.submit(
+                Urgency.GRANT,
+                0,
+                0,
+                () -> send("DELETE", "/grants/" + id, null, DEADLINE_S, outcome -> {}),
+                () -> {});
     }
 
-    private void send(String method, String path, byte[] body, double deadlineS, Consumer<Outcome> done) {
-        client.send(address.host(), address.port(), CONNECTIONS, method, path, body, Math.round(deadlineS * 1000),
+    private void send(
+            String method, String path, byte[] body, double deadlineS, Consumer<Outcome> done) {
+        client.send(
+                address.host(),
+                address.port(),
+                CONNECTIONS,
+                method,
+                path,
+                body,
+                Math.round(deadlineS * 1000),
                 outcome -> loop.post(() -> done.accept(outcome)));
     }
 }
--- a/src/main/java/io/pepperfield/store/Keys.java
+++ b/src/main/java/io/pepperfield/store/Keys.java
@@ -8,12 +8,14 @@
     public static final String TYPES = ROOT + "types";
     public static final String JOB = ROOT + "job/";
     public static final String RUN = ROOT + "run/";
+
     /** After the jobs in the order of keys, so that a reading in pages knows them first. */
     public static final String SHARED = ROOT + "runs/";
+
     public static final String END = ROOT + "end/";
     public static final String HIRE = ROOT + "hire/";
 
-    private Keys() { }
+    private Keys() {}
 
     public static String run(String job, int chunk) {
         return RUN + job + "/" + chunk;
--- a/src/main/java/io/pepperfield/store/Replica.java
+++ b/src/main/java/io/pepperfield/store/Replica.java
@@ -2,25 +2,26 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
-
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
 
 /**
- * This node's copy of the state service, as of one revision. Two streams feed it, the long follow and the short
- * confirmations; each answer holds all changes since some revision this copy already had, so that taking only what is
- * newer than the copy keeps it whole in whatever order they come.
+ * This node's copy of the state service, as of one revision. Two streams feed it, the long follow
+ * and the short confirmations; each answer holds all changes since some revision this copy already
+ * had, so that taking only what is newer than the copy keeps it whole in whatever order they come.
  */
 public final class Replica {
 
-    /** Told of every change in the order of revisions; {@code data} is null where the key is gone. */
+    /**
+     * Told of every change in the order of revisions; {@code data} is null where the key is gone.
+     */
     public interface Listener {
         void changed(String key, JsonNode data, long stamp);
     }
 
-    public record Entry(JsonNode data, long stamp) { }
+    public record Entry(JsonNode data, long stamp) {}
 
     private final Map<String, Entry> entries = new HashMap<>();
     private final Listener listener;
@@ -52,32 +53,36 @@
     }
 
     public void each(String prefix, BiConsumer<String, JsonNode> visit) {
-        entries.forEach((key, entry) -> {
-            if (key.startsWith(prefix)) {
-                visit.accept(key, entry.data);
-            }
-        });
+        entries.forEach(
+                (key, entry) -> {
+                    if (key.startsWith(prefix)) {
+                        visit.accept(key, entry.data);
+                    }
+                });
     }
 
     /**
-     * Takes a full reading, which may be older than what the follow has brought meanwhile. Its later pages may be newer than
-     * {@code asOf}; what is, is left to the follow since then, which brings it in its order: a run record, for one, after its job.
+     * Takes a full reading, which may be older than what the follow has brought meanwhile. Its
+     * later pages may be newer than {@code asOf}; what is, is left to the follow since then, which
+     * brings it in its order: a run record, for one, after its job.
      */
     public void reset(List<StateService.Item> all, long asOf) {
         Map<String, Entry> missing = new HashMap<>(entries);
         for (StateService.Item item : all) {
             missing.remove(item.key());
-            // What is as old as this copy it has seen; where it lacks it, the key was deleted since and must stay so.
+            // What is as old as this copy it has seen; where it lacks it, the key was deleted since
+            // and must stay so.
             if (item.stamp() > revision && item.stamp() <= asOf) {
                 put(item);
             }
         }
-        missing.forEach((key, entry) -> {
-            if (entry.stamp <= asOf) {
-                entries.remove(key);
-                listener.changed(key, null, asOf);
-            }
-        });
+        missing.forEach(
+                (key, entry) -> {
+                    if (entry.stamp <= asOf) {
+                        entries.remove(key);
+                        listener.changed(key, null, asOf);
+                    }
+                });
         revision = Math.max(revision, asOf);
     }
 
--- a/src/main/java/io/pepperfield/store/StateService.java
+++ b/src/main/java/io/pepperfield/store/StateService.java
@@ -1,7 +1,6 @@
 package io.pepperfield.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
-
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -9,10 +8,16 @@
 public interface StateService {
 
     /** Who goes first when the rate budget is short; the design's order. */
-    enum Urgency { GRANT, END, RUN, JOB, READ }
+    enum Urgency {
+        GRANT,
+        END,
+        RUN,
+        JOB,
+        READ
+    }
 
     /** The key must have that stamp; 0 says that it must not exist. */
-    record Guard(String key, long stamp) { }
+    record Guard(String key, long stamp) {}
 
     /** {@code grant} 0 ties the key to none. */
     record Change(String key, JsonNode data, long grant) {
@@ -21,32 +26,35 @@
         }
     }
 
-    record Item(String key, JsonNode data, long stamp) { }
+    record Item(String key, JsonNode data, long stamp) {}
 
     sealed interface TxnResult {
-        record Committed(long revision) implements TxnResult { }
+        record Committed(long revision) implements TxnResult {}
 
-        record Conflict(List<String> failed) implements TxnResult { }
+        record Conflict(List<String> failed) implements TxnResult {}
 
         /** Certainly not carried out. */
-        record Refused(int status) implements TxnResult { }
+        record Refused(int status) implements TxnResult {}
 
         /** May have been carried out, or may be later. */
-        record Unknown() implements TxnResult { }
+        record Unknown() implements TxnResult {}
     }
 
     sealed interface ReadResult {
         /** {@code items} hold a null {@code data} where a key was deleted. */
-        record Read(List<Item> items, boolean more, long revision) implements ReadResult { }
+        record Read(List<Item> items, boolean more, long revision) implements ReadResult {}
 
         /** The changes asked for are no longer kept. */
-        record TooOld() implements ReadResult { }
+        record TooOld() implements ReadResult {}
 
-        record Failed() implements ReadResult { }
+        record Failed() implements ReadResult {}
     }
 
-    /** {@code id} 0 where none was to be had; {@code gone} where the service says the grant has ended. */
-    record GrantResult(long id, boolean gone) { }
+    /**
+     * {@code id} 0 where none was to be had; {@code gone} where the service says the grant has
+     * ended.
+     */
+    record GrantResult(long id, boolean gone) {}
 
     void txn(Urgency urgency, List<Guard> guards, List<Change> changes, Consumer<TxnResult> done);
 
