--- a/src/main/java/io/pepperfield/store/Writer.java
+++ b/src/main/java/io/pepperfield/store/Writer.java
@@ -6,10 +6,6 @@
 import io.pepperfield.store.StateService.Change;
 import io.pepperfield.store.StateService.Guard;
 import io.pepperfield.store.StateService.TxnResult;
-
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -17,11 +13,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
- * The leader's durable writes: many keys share one transaction, one transaction is under way. Every key is guarded by
- * its own stamp besides the leader's token, so that a transaction that was given up and is applied late finds its keys
- * changed and does nothing.
+ * The leader's durable writes: many keys share one transaction, one transaction is under way. Every
+ * key is guarded by its own stamp besides the leader's token, so that a transaction that was given
+ * up and is applied late finds its keys changed and does nothing.
  */
 public final class Writer {
 
@@ -40,9 +38,15 @@
         INTENT,
         /** A final state, which users wait for. */
         END,
-        /** An intent of the lowest rank: gathered for a moment, so that a swarm of small jobs costs one change and not one each. */
+        /**
+         * An intent of the lowest rank: gathered for a moment, so that a swarm of small jobs costs
+         * one change and not one each.
+         */
         LATER,
-        /** A completed or lost task: if it is lost, a worker that still holds it tells it again, or it runs once more. */
+        /**
+         * A completed or lost task: if it is lost, a worker that still holds it tells it again, or
+         * it runs once more.
+         */
         PATIENT
     }
 
@@ -53,10 +57,16 @@
         final Runnable taken;
         final double since;
         Priority priority;
+
         /** Refused by the service for itself: not tried again before. */
         double notBefore = Double.NEGATIVE_INFINITY;
 
-        Pending(Priority priority, Supplier<JsonNode> content, Supplier<Collection<String>> absent, Runnable taken, double since) {
+        Pending(
+                Priority priority,
+                Supplier<JsonNode> content,
+                Supplier<Collection<String>> absent,
+                Runnable taken,
+                double since) {
             this.priority = priority;
             this.content = content;
             this.absent = absent;
@@ -67,10 +77,13 @@
 
     /** 64 KiB are allowed in all; guards and names need their partition. */
     private static final int MOST_BYTES = 40 * 1024;
+
     /** The state service takes so many times as many guards as changes. */
     private static final int GUARDS_PER_CHANGE = 4;
+
     /** HTTP's word for a request that will never be carried out as it is. */
     private static final int MALFORMED = 400;
+
     /** What a guard adds to the name of its key. */
     private static final int GUARD_BYTES = 20;
 
@@ -88,15 +101,24 @@
     private boolean writing;
     private boolean paused;
     private int generation;
+
     /** So many changes are tried one by one, after a transaction was refused whole. */
     private int alone;
 
     /**
-     * @param retryS    the pause after a refusal, and how long intents of the lowest rank are gathered
-     * @param patienceS how long changes that nobody waits for are gathered, so that a chunk's many cost one
+     * @param retryS the pause after a refusal, and how long intents of the lowest rank are gathered
+     * @param patienceS how long changes that nobody waits for are gathered, so that a chunk's many
+     *     cost one
      */
-    public Writer(Loop loop, StateService state, Replica replica, Sync sync, Lead lead, int mostChanges, double retryS,
-                  double patienceS) {
+    public Writer(
+            Loop loop,
+            StateService state,
+            Replica replica,
+            Sync sync,
+            Lead lead,
+            int mostChanges,
+            double retryS,
+            double patienceS) {
         this.loop = loop;
         this.state = state;
         this.replica = replica;
@@ -123,11 +145,17 @@
     }
 
     /**
-     * The key is to hold what {@code content} gives when the write leaves; {@code effect} runs once it is durable. A
-     * {@code taken} that is not null makes the key write-once: it runs instead if the key is found written. Keys are never
-     * deleted here: a late first write would find its key missing, as it expects, and bring it back.
+     * The key is to hold what {@code content} gives when the write leaves; {@code effect} runs once
+     * it is durable. A {@code taken} that is not null makes the key write-once: it runs instead if
+     * the key is found written. Keys are never deleted here: a late first write would find its key
+     * missing, as it expects, and bring it back.
      */
-    public void mark(String key, Priority priority, Supplier<JsonNode> content, Runnable effect, Runnable taken) {
+    public void mark(
+            String key,
+            Priority priority,
+            Supplier<JsonNode> content,
+            Runnable effect,
+            Runnable taken) {
         mark(key, priority, content, Set::of, effect, taken);
     }
 
@@ -136,9 +164,16 @@
      *
      * @param absent gives these keys when the write leaves
      */
-    public void mark(String key, Priority priority, Supplier<JsonNode> content, Supplier<Collection<String>> absent, Runnable effect,
-                     Runnable taken) {
-        Pending entry = pending.computeIfAbsent(key, k -> new Pending(priority, content, absent, taken, loop.now()));
+    public void mark(
+            String key,
+            Priority priority,
+            Supplier<JsonNode> content,
+            Supplier<Collection<String>> absent,
+            Runnable effect,
+            Runnable taken) {
+        Pending entry =
+                pending.computeIfAbsent(
+                        key, k -> new Pending(priority, content, absent, taken, loop.now()));
         if (priority.compareTo(entry.priority) < 0) {
             entry.priority = priority;
         }
@@ -147,7 +182,10 @@
         }
     }
 
-    /** What was to be written under the key is of no consequence any more; whoever waited for it goes on. */
+    /**
+     * What was to be written under the key is of no consequence any more; whoever waited for it
+     * goes on.
+     */
     public void drop(String key) {
         Pending entry = pending.remove(key);
         if (entry != null) {
@@ -172,32 +210,48 @@
         for (Map.Entry<String, Pending> next : chosen) {
             JsonNode content = next.getValue().content.get();
             Collection<String> absent = next.getValue().absent.get();
-            int size = Json.write(content).length + 2 * next.getKey().length() + absent.stream().mapToInt(k -> k.length() + GUARD_BYTES).sum();
-            if (!batch.isEmpty() && (alone > 0 || bytes + size > MOST_BYTES || guards.size() + 1 + absent.size() > GUARDS_PER_CHANGE * mostChanges)) {
+            int size =
+                    Json.write(content).length
+                            + 2 * next.getKey().length()
+                            + absent.stream().mapToInt(k -> k.length() + GUARD_BYTES).sum();
+            if (!batch.isEmpty()
+                    && (alone > 0
+                            || bytes + size > MOST_BYTES
+                            || guards.size() + 1 + absent.size()
+                                    > GUARDS_PER_CHANGE * mostChanges)) {
                 break;
             }
             bytes += size;
             pending.remove(next.getKey());
             batch.put(next.getKey(), next.getValue());
             changes.add(Change.set(next.getKey(), content));
-            // A final state is written once: its guard stays 0 whatever a retry has learned meanwhile.
-            guards.add(new Guard(next.getKey(), next.getValue().taken != null ? 0 : stamp(next.getKey())));
+            // A final state is written once: its guard stays 0 whatever a retry has learned
+            // meanwhile.
+            guards.add(
+                    new Guard(
+                            next.getKey(),
+                            next.getValue().taken != null ? 0 : stamp(next.getKey())));
             absent.forEach(k -> guards.add(new Guard(k, 0)));
         }
         writing = true;
         alone = Math.max(0, alone - 1);
         int mine = generation;
-        state.txn(StateService.Urgency.RUN, guards, changes, result -> {
-            if (mine == generation) {
-                writing = false;
-                finish(batch, changes, result);
-            }
-        });
+        state.txn(
+                StateService.Urgency.RUN,
+                guards,
+                changes,
+                result -> {
+                    if (mine == generation) {
+                        writing = false;
+                        finish(batch, changes, result);
+                    }
+                });
     }
 
     /**
-     * The most urgent changes, the oldest of them first; patient ones only once they have gathered. With each such time a
-     * change moves up, so that what keeps coming cannot hold it back for ever.
+     * The most urgent changes, the oldest of them first; patient ones only once they have gathered.
+     * With each such time a change moves up, so that what keeps coming cannot hold it back for
+     * ever.
      */
     private List<Map.Entry<String, Pending>> chosen() {
         double now = loop.now();
@@ -209,11 +263,13 @@
                 }
                 Pending change = entry.getValue();
                 int waited = (int) ((now - change.since) / patienceS);
-                boolean ripe = change.notBefore <= now && switch (change.priority) {
-                    case INTENT, END -> true;
-                    case LATER -> now - change.since >= gatherS;
-                    case PATIENT -> waited > 0;
-                };
+                boolean ripe =
+                        change.notBefore <= now
+                                && switch (change.priority) {
+                                    case INTENT, END -> true;
+                                    case LATER -> now - change.since >= gatherS;
+                                    case PATIENT -> waited > 0;
+                                };
                 if (ripe && Math.max(0, change.priority.ordinal() - waited) == rank) {
                     chosen.add(entry);
                 }
@@ -240,71 +296,88 @@
         paused = true;
         int mine = generation;
         if (result instanceof TxnResult.Refused) {
-            loop.after(retryS, () -> {
-                if (mine == generation) {
-                    paused = false;
-                    flush();
-                }
-            });
+            loop.after(
+                    retryS,
+                    () -> {
+                        if (mine == generation) {
+                            paused = false;
+                            flush();
+                        }
+                    });
         } else {
             settle(batch);
         }
     }
 
     /**
-     * The service will never take this transaction as it is. Of several changes one may be too large, as it was stored under a higher
-     * limit: each is tried by itself, and the one that is refused alone waits until it has changed, without holding up the others.
+     * The service will never take this transaction as it is. Of several changes one may be too
+     * large, as it was stored under a higher limit: each is tried by itself, and the one that is
+     * refused alone waits until it has changed, without holding up the others.
      */
     private void refusedForGood(Map<String, Pending> batch) {
         if (batch.size() > 1) {
             alone = batch.size();
             return;
         }
-        batch.forEach((key, entry) -> {
-            LOG.warn("{} cannot be written as it is", key);
-            entry.notBefore = loop.now() + patienceS;
-        });
+        batch.forEach(
+                (key, entry) -> {
+                    LOG.warn("{} cannot be written as it is", key);
+                    entry.notBefore = loop.now() + patienceS;
+                });
     }
 
-    /** After a conflict or no answer: what is there now decides which stamps the next try is guarded by. */
+    /**
+     * After a conflict or no answer: what is there now decides which stamps the next try is guarded
+     * by.
+     */
     private void settle(Map<String, Pending> batch) {
         int mine = generation;
-        sync.confirm(current -> {
-            if (mine != generation) {
-                return;
-            }
-            if (!current) {
-                loop.after(retryS, () -> {
-                    if (mine == generation) {
-                        settle(batch);
+        sync.confirm(
+                current -> {
+                    if (mine != generation) {
+                        return;
                     }
+                    if (!current) {
+                        loop.after(
+                                retryS,
+                                () -> {
+                                    if (mine == generation) {
+                                        settle(batch);
+                                    }
+                                });
+                        return;
+                    }
+                    paused = false;
+                    batch.forEach(
+                            (key, entry) -> {
+                                // A key in a newer version than expected was written by an earlier
+                                // try of this very writer.
+                                stamps.remove(key);
+                                if (entry.taken != null && replica.get(key) != null) {
+                                    pending.remove(key);
+                                    entry.taken.run();
+                                }
+                            });
+                    // Spaced, so that a guard which keeps failing until the replica brings the
+                    // reason does not spin.
+                    loop.after(retryS / 4, this::flush);
                 });
-                return;
-            }
-            paused = false;
-            batch.forEach((key, entry) -> {
-                // A key in a newer version than expected was written by an earlier try of this very writer.
-                stamps.remove(key);
-                if (entry.taken != null && replica.get(key) != null) {
-                    pending.remove(key);
-                    entry.taken.run();
-                }
-            });
-            // Spaced, so that a guard which keeps failing until the replica brings the reason does not spin.
-            loop.after(retryS / 4, this::flush);
-        });
     }
 
     /** Puts a batch back in front, joined with what was marked meanwhile. */
     private void requeue(Map<String, Pending> batch) {
         Map<String, Pending> later = pending;
         pending = new LinkedHashMap<>(batch);
-        later.forEach((key, entry) -> {
-            Pending first = pending.putIfAbsent(key, entry);
-            if (first != null) {
-                first.effects.addAll(entry.effects);
-                first.priority = first.priority.compareTo(entry.priority) < 0 ? first.priority : entry.priority;
-            }
-        });
+        later.forEach(
+                (key, entry) -> {
+                    Pending first = pending.putIfAbsent(key, entry);
+                    if (first != null) {
+                        first.effects.addAll(entry.effects);
+                        first.priority =
+                                first.priority.compareTo(entry.priority) < 0
+                                        ? first.priority
+                                        : entry.priority;
+                    }
+                });
     }
 }
--- a/src/test/java/io/pepperfield/cli/CommandLineTest.java
+++ b/src/test/java/io/pepperfield/cli/CommandLineTest.java
@@ -1,25 +1,27 @@
 package io.pepperfield.cli;
 
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
-import picocli.CommandLine;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
 
 /** Exit codes: 2 for a wrong command line, 1 for what could not be done. */
 class CommandLineTest {
 
     private static int run(String... arguments) {
-        return new CommandLine(new Main()).setErr(new PrintWriter(new StringWriter())).execute(arguments);
+        return new CommandLine(new Main())
+                .setErr(new PrintWriter(new StringWriter()))
+                .execute(arguments);
     }
 
-    @Test void mistakesOnTheCommandLine() {
+    @Test
+    void mistakesOnTheCommandLine() {
         assertEquals(2, run());
         assertEquals(2, run("frob"));
         assertEquals(2, run("serve"));
@@ -30,7 +32,8 @@
         assertEquals(2, run("nodes", "--server", "127.0.0.1:70000"));
     }
 
-    @Test void whatCouldNotBeDone(@TempDir Path dir) throws IOException {
+    @Test
+    void whatCouldNotBeDone(@TempDir Path dir) throws IOException {
         Path bad = Files.writeString(dir.resolve("bad.toml"), "node = 3\n");
         assertEquals(1, run("check", "--config", bad.toString()));
         assertEquals(1, run("serve", "--config", dir.resolve("none.toml").toString()));
--- a/src/test/java/io/pepperfield/config/SettingsTest.java
+++ b/src/test/java/io/pepperfield/config/SettingsTest.java
@@ -1,17 +1,17 @@
 package io.pepperfield.config;
 
-import org.junit.jupiter.api.Test;
-
-import java.nio.charset.StandardCharsets;
-import java.util.List;
-
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
 class SettingsTest {
 
-    private static final String GOOD = """
+    private static final String GOOD =
+            """
             node = "a"
             zone = "east"
             bind = "127.0.0.1:8080"
@@ -49,36 +49,62 @@
             """;
 
     private static String fault(String toml) {
-        return assertThrows(SettingsException.class, () -> SettingsReader.parse("f.toml", toml, Operators.DEFAULTS)).getMessage();
+        return assertThrows(
+                        SettingsException.class,
+                        () -> SettingsReader.parse("f.toml", toml, Operators.DEFAULTS))
+                .getMessage();
     }
 
-    @Test void aTeamWhoseLimitIsNoughtHasNone() throws SettingsException {
-        String guests = GOOD.replace("[deployment.workers]", """
+    @Test
+    void aTeamWhoseLimitIsNoughtHasNone() throws SettingsException {
+        String guests =
+                GOOD.replace(
+                        "[deployment.workers]",
+                        """
                 [[deployment.teams]]
                 name = "guests"
                 cpus = 0.0
                 cpus_max = 0.0
                 [deployment.workers]""");
         // Read as a limit of nothing, every job of theirs would be refused for good.
-        assertEquals(Double.POSITIVE_INFINITY, SettingsReader.parse("f.toml", guests, Operators.DEFAULTS).deployment().teams().get("guests").cpusMax());
+        assertEquals(
+                Double.POSITIVE_INFINITY,
+                SettingsReader.parse("f.toml", guests, Operators.DEFAULTS)
+                        .deployment()
+                        .teams()
+                        .get("guests")
+                        .cpusMax());
     }
 
-    @Test void whatTheStateServiceWillAllowLessOfCountsFromTheStart() throws SettingsException {
-        String next = GOOD.replace("[deployment.cloud]", "[deployment.state.next]\nvalue_kb = 2.0\ntxn_ops = 13\nrps = 900.0\n[deployment.cloud]");
-        Settings.State state = SettingsReader.parse("f.toml", next, Operators.DEFAULTS).deployment().state();
+    @Test
+    void whatTheStateServiceWillAllowLessOfCountsFromTheStart() throws SettingsException {
+        String next =
+                GOOD.replace(
+                        "[deployment.cloud]",
+                        "[deployment.state.next]\nvalue_kb = 2.0\ntxn_ops = 13\nrps = 900.0\n[deployment.cloud]");
+        Settings.State state =
+                SettingsReader.parse("f.toml", next, Operators.DEFAULTS).deployment().state();
         assertEquals(new Settings.State(150, 50, 2, 13), state);
         String fault = fault(next.replace("value_kb = 2.0", "value_kb = \"small\""));
-        assertTrue(fault.contains("deployment.state.next.value_kb = \"small\": want a number from 1"), fault);
+        assertTrue(
+                fault.contains("deployment.state.next.value_kb = \"small\": want a number from 1"),
+                fault);
     }
 
-    @Test void readsWhatThePlatformHandsOver() throws SettingsException {
+    @Test
+    void readsWhatThePlatformHandsOver() throws SettingsException {
         Settings settings = SettingsReader.parse("f.toml", GOOD, Operators.DEFAULTS);
         assertEquals(2.5, settings.deployment().workers().reportS());
         assertEquals(32, settings.deployment().teams().get("red").cpusMax());
     }
 
-    @Test void namesEveryFaultInOneLine() {
-        String fault = fault(GOOD.replace("lease_s = 12.0", "lease_s = \"long\"").replace("127.0.0.1:8080", "8080").replace("txn_ops = 40", ""));
+    @Test
+    void namesEveryFaultInOneLine() {
+        String fault =
+                fault(
+                        GOOD.replace("lease_s = 12.0", "lease_s = \"long\"")
+                                .replace("127.0.0.1:8080", "8080")
+                                .replace("txn_ops = 40", ""));
         assertTrue(fault.contains("bind = \"8080\""), fault);
         assertTrue(fault.contains("deployment.workers.lease_s = \"long\""), fault);
         assertTrue(fault.contains("deployment.state.txn_ops is missing"), fault);
@@ -90,19 +116,29 @@
         return OperatorsReader.parse("f.xml", text.getBytes(StandardCharsets.UTF_8));
     }
 
-    @Test void readsOperatorsXmlAndRefusesSlips() throws SettingsException {
+    @Test
+    void readsOperatorsXmlAndRefusesSlips() throws SettingsException {
         assertEquals(90, xml("<pepperfield><charge-s>90</charge-s></pepperfield>").chargeS());
         assertEquals(Operators.DEFAULTS, xml("<pepperfield/>"));
-        for (String bad : new String[] {"<pepperfield><charge-s>0</charge-s></pepperfield>", "<pepperfield><charge>1</charge></pepperfield>",
-            "<other/>", "<pepperfield>", "<!DOCTYPE x [<!ENTITY e SYSTEM 'file:///etc/passwd'>]><pepperfield/>"}) {
+        for (String bad :
+                new String[] {
+                    "<pepperfield><charge-s>0</charge-s></pepperfield>",
+                    "<pepperfield><charge>1</charge></pepperfield>",
+                    "<other/>",
+                    "<pepperfield>",
+                    "<!DOCTYPE x [<!ENTITY e SYSTEM 'file:///etc/passwd'>]><pepperfield/>"
+                }) {
             assertThrows(SettingsException.class, () -> xml(bad), bad);
         }
     }
 
-    @Test void aQuotaThatIsTooSmallIsNamedAndNothingMore() {
+    @Test
+    void aQuotaThatIsTooSmallIsNamedAndNothingMore() {
         assertEquals(List.of(), Shortage.of(new Settings.Quota(0.34, 263, 1200), 128));
-        assertEquals(List.of("deployment.quota.mem_mb = 200, and the process may come to hold 224",
-                "deployment.quota.sockets = 40, and 64 are needed before any worker reports"),
+        assertEquals(
+                List.of(
+                        "deployment.quota.mem_mb = 200, and the process may come to hold 224",
+                        "deployment.quota.sockets = 40, and 64 are needed before any worker reports"),
                 Shortage.of(new Settings.Quota(0.34, 200, 40), 128));
     }
 }
--- a/src/test/java/io/pepperfield/fleet/AttemptTraceTest.java
+++ b/src/test/java/io/pepperfield/fleet/AttemptTraceTest.java
@@ -4,28 +4,62 @@
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.Status;
 import io.pepperfield.standin.Trace;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
-
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The proofs that an attempt is gone, and when a worker may forget one. */
 class AttemptTraceTest implements Fleet.Listener {
 
     private final List<String> said = new ArrayList<>();
     private final Map<String, Attempt> attempts = new HashMap<>();
-    private final Job job = new Job(new JobSpec("run-000001", "w", "t", JobSpec.Shape.ARRAY, JobSpec.Rank.STANDARD, 4, 1, 0, 1, "i",
-            1, null, null, false, false, false, 1, 0, 0, null, 0, 4, List.of()), 0);
+    private final Job job =
+            new Job(
+                    new JobSpec(
+                            "run-000001",
+                            "w",
+                            "t",
+                            JobSpec.Shape.ARRAY,
+                            JobSpec.Rank.STANDARD,
+                            4,
+                            1,
+                            0,
+                            1,
+                            "i",
+                            1,
+                            null,
+                            null,
+                            false,
+                            false,
+                            false,
+                            1,
+                            0,
+                            0,
+                            null,
+                            0,
+                            4,
+                            List.of()),
+                    0);
     private Fleet fleet;
     private double now;
 
-    @ParameterizedTest @ValueSource(strings = {"attempt-life.txt", "attempt-late-orders.txt", "attempt-proofs.txt", "attempt-takeover.txt",
-            "attempt-deaf.txt", "attempt-copies.txt", "attempt-held-orders.txt", "attempt-starts-held.txt"})
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "attempt-life.txt",
+                "attempt-late-orders.txt",
+                "attempt-proofs.txt",
+                "attempt-takeover.txt",
+                "attempt-deaf.txt",
+                "attempt-copies.txt",
+                "attempt-held-orders.txt",
+                "attempt-starts-held.txt"
+            })
     void trace(String name) throws IOException {
         Trace.check(name, this::play);
     }
@@ -37,10 +71,20 @@
             case "elected" -> fleet = new Fleet(this, Long.parseLong(words[1]), 3);
             case "token" -> fleet.token(Long.parseLong(words[1]));
             case "intend" -> {
-                Attempt attempt = fleet.intend(job, task(words[1]), job.begin(task(words[1])), fleet.get(words[2]), now);
+                Attempt attempt =
+                        fleet.intend(
+                                job,
+                                task(words[1]),
+                                job.begin(task(words[1])),
+                                fleet.get(words[2]),
+                                now);
                 attempts.put(words[1], attempt);
             }
-            case "durable" -> said.add(fleet.ordered(attempts.get(words[1])) ? "may be ordered" : "not ordered");
+            case "durable" ->
+                    said.add(
+                            fleet.ordered(attempts.get(words[1]))
+                                    ? "may be ordered"
+                                    : "not ordered");
             case "direct" -> fleet.sendingDirect(List.of(attempts.get(words[1])));
             case "stop" -> fleet.stop(attempts.get(words[1]), 0);
             case "cancelled" -> {
@@ -58,15 +102,33 @@
             case "go" -> fleet.holdStarts(false);
             case "wait" -> now += Integer.parseInt(words[1]) - 1;
             case "settled" -> attempts.get(words[1]).settle();
-            case "restore" -> attempts.put(words[1], fleet.restore(job, task(words[1]), Integer.parseInt(words[2]), words[3],
-                    Long.parseLong(words[4]), now));
+            case "restore" ->
+                    attempts.put(
+                            words[1],
+                            fleet.restore(
+                                    job,
+                                    task(words[1]),
+                                    Integer.parseInt(words[2]),
+                                    words[3],
+                                    Long.parseLong(words[4]),
+                                    now));
             case "released" -> fleet.gone(words[1]);
             case "beat" -> {
                 List<Order> orders = fleet.beat(report(words), now);
                 if (orders == null) {
                     said.add("not answered");
                 } else {
-                    orders.forEach(o -> said.add("order " + o.getClass().getSimpleName().toLowerCase(Locale.ROOT) + " " + o.ref() + " try " + o.attempt()));
+                    orders.forEach(
+                            o ->
+                                    said.add(
+                                            "order "
+                                                    + o.getClass()
+                                                            .getSimpleName()
+                                                            .toLowerCase(Locale.ROOT)
+                                                    + " "
+                                                    + o.ref()
+                                                    + " try "
+                                                    + o.attempt()));
                 }
             }
             case "heard" -> fleet.heard(report(words), now);
@@ -74,7 +136,12 @@
             case "listed" -> fleet.expect(words[1], "box", "east", false, now, now);
             case "ask" -> {
                 Machine machine = fleet.get(words[1]);
-                return List.of(machine.takesWork(now) ? "takes work" : machine.reborn() ? "began anew" : machine.deaf() ? "deaf" : "no work");
+                return List.of(
+                        machine.takesWork(now)
+                                ? "takes work"
+                                : machine.reborn()
+                                        ? "began anew"
+                                        : machine.deaf() ? "deaf" : "no work");
             }
             default -> throw new IllegalArgumentException(words[0]);
         }
@@ -93,28 +160,52 @@
         List<Report.Line> lines = new ArrayList<>();
         for (int i = 5; i < words.length; i++) {
             String[] part = words[i].split(":");
-            lines.add(new Report.Line(TaskRef.parse(part[0]), Integer.parseInt(part[1]), Report.State.valueOf(part[2].toUpperCase(Locale.ROOT)),
-                    part.length > 3 ? Report.Cause.valueOf(part[3].toUpperCase(Locale.ROOT)) : Report.Cause.NONE));
+            lines.add(
+                    new Report.Line(
+                            TaskRef.parse(part[0]),
+                            Integer.parseInt(part[1]),
+                            Report.State.valueOf(part[2].toUpperCase(Locale.ROOT)),
+                            part.length > 3
+                                    ? Report.Cause.valueOf(part[3].toUpperCase(Locale.ROOT))
+                                    : Report.Cause.NONE));
         }
-        return new Report(words[1], "a:1", "box", "east", false, Long.parseLong(words[2]), Long.parseLong(words[3]),
-                Long.parseLong(words[4]), null, lines);
+        return new Report(
+                words[1],
+                "a:1",
+                "box",
+                "east",
+                false,
+                Long.parseLong(words[2]),
+                Long.parseLong(words[3]),
+                Long.parseLong(words[4]),
+                null,
+                lines);
     }
 
-    @Override public void started(Attempt attempt) {
+    @Override
+    public void started(Attempt attempt) {
         said.add("started " + attempt.ref + " try " + attempt.number);
     }
 
-    @Override public void completed(Attempt attempt, double ranS) {
-        said.add("completed " + attempt.ref + " try " + attempt.number + (ranS > 0 ? " after " + Math.round(ranS) + " s" : ""));
+    @Override
+    public void completed(Attempt attempt, double ranS) {
+        said.add(
+                "completed "
+                        + attempt.ref
+                        + " try "
+                        + attempt.number
+                        + (ranS > 0 ? " after " + Math.round(ranS) + " s" : ""));
         job.markDone(attempt.task);
     }
 
-    @Override public void gone(Attempt attempt, Report.Cause cause) {
+    @Override
+    public void gone(Attempt attempt, Report.Cause cause) {
         said.add("gone " + attempt.ref + " try " + attempt.number + " " + cause);
         job.requeue(attempt.task);
     }
 
-    @Override public void appeared(Machine machine) {
+    @Override
+    public void appeared(Machine machine) {
         said.add("appeared " + machine.name);
     }
 }
--- a/src/test/java/io/pepperfield/http/AdmissionTest.java
+++ b/src/test/java/io/pepperfield/http/AdmissionTest.java
@@ -1,32 +1,34 @@
 package io.pepperfield.http;
 
-import org.junit.jupiter.api.Test;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+import org.junit.jupiter.api.Test;
 
 /** Many times as many questions as usual. */
 class AdmissionTest {
 
     private final List<Consumer<Reply>> waiting = new ArrayList<>();
     private final List<Reply> said = new ArrayList<>();
-    private final Admission admission = new Admission("/api/jobs/", 3, (call, answer) -> waiting.add(answer));
+    private final Admission admission =
+            new Admission("/api/jobs/", 3, (call, answer) -> waiting.add(answer));
 
     private void call(String method, String path) {
         admission.handle(Call.of(method, path, new byte[0]), said::add);
     }
 
-    @Test void whatIsBeyondTheBoundIsToldAtOnceWhenToComeBackAndDelaysNobody() {
+    @Test
+    void whatIsBeyondTheBoundIsToldAtOnceWhenToComeBackAndDelaysNobody() {
         for (int i = 0; i < 10; i++) {
             call("GET", "/api/jobs/run-00000" + i);
         }
         assertEquals(3, waiting.size());
         assertEquals(7, said.size());
-        assertTrue(said.stream().allMatch(reply -> reply.status() == 503 && reply.retryAfterS() > 0));
+        assertTrue(
+                said.stream().allMatch(reply -> reply.status() == 503 && reply.retryAfterS() > 0));
         call("POST", "/agent/beat");
         call("GET", "/up");
         call("POST", "/api/jobs/run-000001/cancel");
--- a/src/test/java/io/pepperfield/http/SocketsTest.java
+++ b/src/test/java/io/pepperfield/http/SocketsTest.java
@@ -1,22 +1,23 @@
 package io.pepperfield.http;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-import java.util.concurrent.CompletableFuture;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertInstanceOf;
-
 /** Sockets are short: nobody may use up those of the others. */
 class SocketsTest {
 
-    private final EventLoopGroup network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup network =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
-    @AfterEach void stop() {
+    @AfterEach
+    void stop() {
         network.shutdownGracefully();
     }
 
@@ -27,38 +28,51 @@
     }
 
     private int server() throws InterruptedException {
-        return new HttpServer(network, 4, (call, answer) -> answer.accept(Reply.empty(200))).limit("/beat", 2).start("127.0.0.1", 0);
+        return new HttpServer(network, 4, (call, answer) -> answer.accept(Reply.empty(200)))
+                .limit("/beat", 2)
+                .start("127.0.0.1", 0);
     }
 
     private int status(HttpClient client, int port, String path) {
         return ((Outcome.Answered) ask(client, port, path)).status();
     }
 
-    @Test void workersLeaveConnectionsToUsers() throws InterruptedException {
-        int port = new HttpServer(network, 4, (call, answer) -> {
-            if (!call.path().equals("/beat")) {
-                answer.accept(Reply.empty(200));
-            }
-        }).limit("/beat", 2).start("127.0.0.1", 0);
+    @Test
+    void workersLeaveConnectionsToUsers() throws InterruptedException {
+        int port =
+                new HttpServer(
+                                network,
+                                4,
+                                (call, answer) -> {
+                                    if (!call.path().equals("/beat")) {
+                                        answer.accept(Reply.empty(200));
+                                    }
+                                })
+                        .limit("/beat", 2)
+                        .start("127.0.0.1", 0);
         HttpClient user = new HttpClient(network, 1 << 16);
         for (int i = 0; i < 2; i++) {
-            new HttpClient(network, 1 << 16).send("127.0.0.1", port, 1, "GET", "/beat", null, 60_000, outcome -> { });
+            new HttpClient(network, 1 << 16)
+                    .send("127.0.0.1", port, 1, "GET", "/beat", null, 60_000, outcome -> {});
             assertEquals(200, status(user, port, "/up"));
         }
         assertEquals(503, status(new HttpClient(network, 1 << 16), port, "/beat"));
         assertEquals(200, status(user, port, "/up"));
     }
 
-    @Test void moreWorkersThanConnectionsFindTheirTurn() throws InterruptedException {
+    @Test
+    void moreWorkersThanConnectionsFindTheirTurn() throws InterruptedException {
         int port = server();
-        // Each ends its connection with the answer once the limit is near; kept open, the first two would hold the rest out.
+        // Each ends its connection with the answer once the limit is near; kept open, the first two
+        // would hold the rest out.
         for (int i = 0; i < 12; i++) {
             assertEquals(200, status(new HttpClient(network, 1 << 16), port, "/beat"));
         }
         assertEquals(200, status(new HttpClient(network, 1 << 16), port, "/up"));
     }
 
-    @Test void theLongestIdleConnectionGivesWay() throws InterruptedException {
+    @Test
+    void theLongestIdleConnectionGivesWay() throws InterruptedException {
         HttpClient client = new HttpClient(network, 1 << 16, 1);
         int first = server();
         int second = server();
@@ -67,11 +81,12 @@
         assertEquals(200, status(client, first, "/a"));
     }
 
-    @Test void whereNoneIsLeftTheRequestFailsAtOnce() throws InterruptedException {
+    @Test
+    void whereNoneIsLeftTheRequestFailsAtOnce() throws InterruptedException {
         HttpClient client = new HttpClient(network, 1 << 16, 1);
-        int silent = new HttpServer(network, 4, (call, answer) -> { }).start("127.0.0.1", 0);
+        int silent = new HttpServer(network, 4, (call, answer) -> {}).start("127.0.0.1", 0);
         int port = server();
-        client.send("127.0.0.1", silent, 1, "GET", "/a", null, 60_000, outcome -> { });
+        client.send("127.0.0.1", silent, 1, "GET", "/a", null, 60_000, outcome -> {});
         assertInstanceOf(Outcome.NotSent.class, ask(client, port, "/a"));
     }
 }
--- a/src/test/java/io/pepperfield/jobs/BrokenJobTest.java
+++ b/src/test/java/io/pepperfield/jobs/BrokenJobTest.java
@@ -1,20 +1,45 @@
 package io.pepperfield.jobs;
 
-import java.util.List;
-
-import org.junit.jupiter.api.Test;
-
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
 /** A job that was submitted with a mistake fails on every machine until its user cancels it. */
 class BrokenJobTest {
 
-    private final Job job = new Job(new JobSpec("run-000001", "w", "t", JobSpec.Shape.ARRAY, JobSpec.Rank.STANDARD, 40, 4, 0, 1, "i", 1,
-            null, null, false, false, true, 1, 0, 0, null, 0, 64, List.of()), 0);
+    private final Job job =
+            new Job(
+                    new JobSpec(
+                            "run-000001",
+                            "w",
+                            "t",
+                            JobSpec.Shape.ARRAY,
+                            JobSpec.Rank.STANDARD,
+                            40,
+                            4,
+                            0,
+                            1,
+                            "i",
+                            1,
+                            null,
+                            null,
+                            false,
+                            false,
+                            true,
+                            1,
+                            0,
+                            0,
+                            null,
+                            0,
+                            64,
+                            List.of()),
+                    0);
 
-    @Test void failuresOnOneMachineAreTheMachines() {
+    @Test
+    void failuresOnOneMachineAreTheMachines() {
         for (int i = 0; i < 4; i++) {
             assertFalse(job.failed("m1", 10, 2, 60));
         }
@@ -22,7 +47,8 @@
         assertTrue(job.failedOn().contains("m1"), "the next try goes elsewhere");
     }
 
-    @Test void failuresOnSeveralLetOneTaskGoAtATimeAfterGrowingPauses() {
+    @Test
+    void failuresOnSeveralLetOneTaskGoAtATimeAfterGrowingPauses() {
         job.failed("m1", 10, 2, 60);
         assertTrue(job.failed("m2", 10, 2, 60), "said once");
         assertEquals(12, job.notBefore());
@@ -37,7 +63,8 @@
         assertTrue(job.failedOn().size() < 10, "a small site has no other machines left");
     }
 
-    @Test void oneCompletedTaskClearsItAndADurableFailureIsRemembered() {
+    @Test
+    void oneCompletedTaskClearsItAndADurableFailureIsRemembered() {
         job.failed("m1", 10, 2, 60);
         job.failed("m2", 10, 2, 60);
         job.succeeded();
--- a/src/test/java/io/pepperfield/jobs/CreateIfAbsentTest.java
+++ b/src/test/java/io/pepperfield/jobs/CreateIfAbsentTest.java
@@ -1,15 +1,14 @@
 package io.pepperfield.jobs;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import io.pepperfield.http.Json;
 import io.pepperfield.standin.Transactions;
 import io.pepperfield.store.StateService.TxnResult;
 import io.pepperfield.store.StateService.Urgency;
-import org.junit.jupiter.api.Test;
-
 import java.util.ArrayList;
 import java.util.List;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
+import org.junit.jupiter.api.Test;
 
 /** Submissions beyond what can be written while their users wait. */
 class CreateIfAbsentTest {
@@ -23,24 +22,36 @@
         once.flush();
     }
 
-    @Test void aQueueIsNoLongerThanItsUsersWaitAndTheRestIsToldAtOnce() {
+    @Test
+    void aQueueIsNoLongerThanItsUsersWaitAndTheRestIsToldAtOnce() {
         ask("a");
         for (int i = 0; i < 20; i++) {
             ask("b" + i);
         }
-        // Three seconds' worth of two a second wait behind the first; the others are told to come back.
+        // Three seconds' worth of two a second wait behind the first; the others are told to come
+        // back.
         assertEquals(14, said.size());
-        // The answer comes so late that those who waited have gone: what they asked for again comes next, not their queue.
+        // The answer comes so late that those who waited have gone: what they asked for again comes
+        // next, not their queue.
         state.now = 4;
         said.clear();
         state.underWay.accept(new TxnResult.Committed(1));
-        assertEquals(List.of("a CREATED", "b0 TOO_MANY", "b1 TOO_MANY", "b2 TOO_MANY", "b3 TOO_MANY", "b4 TOO_MANY",
-                "b5 TOO_MANY"), said);
+        assertEquals(
+                List.of(
+                        "a CREATED",
+                        "b0 TOO_MANY",
+                        "b1 TOO_MANY",
+                        "b2 TOO_MANY",
+                        "b3 TOO_MANY",
+                        "b4 TOO_MANY",
+                        "b5 TOO_MANY"),
+                said);
         ask("b7");
         assertEquals(List.of(List.of("a"), List.of("b7")), state.written);
     }
 
-    @Test void whoAsksAgainWhileTheFirstRequestWaitsIsAnsweredWithIt() {
+    @Test
+    void whoAsksAgainWhileTheFirstRequestWaitsIsAnsweredWithIt() {
         ask("a");
         ask("b");
         ask("b");
@@ -50,7 +61,8 @@
         assertEquals(List.of(List.of("a"), List.of("b")), state.written);
     }
 
-    @Test void whatFailedForAnothersSakeIsTriedAgain() {
+    @Test
+    void whatFailedForAnothersSakeIsTriedAgain() {
         ask("a");
         ask("b");
         ask("c");
@@ -61,16 +73,22 @@
         assertEquals(List.of("a CREATED", "b EXISTS", "c CREATED"), said);
     }
 
-    @Test void aTransactionHoldsNoMoreBytesThanTheServiceTakesWhateverTheScript() {
+    @Test
+    void aTransactionHoldsNoMoreBytesThanTheServiceTakesWhateverTheScript() {
         ask("a");
-        // Three bytes a letter: two such values are too much for one transaction here, which would be refused for all in it.
+        // Three bytes a letter: two such values are too much for one transaction here, which would
+        // be refused for all in it.
         for (String key : List.of("b", "c", "d")) {
-            once.create(key, Json.object().put("w", "\u754c".repeat(7_000)), result -> said.add(key + " " + result));
+            once.create(
+                    key,
+                    Json.object().put("w", "\u754c".repeat(7_000)),
+                    result -> said.add(key + " " + result));
         }
         for (int i = 1; i <= 4; i++) {
             state.underWay.accept(new TxnResult.Committed(i));
         }
-        assertEquals(List.of(List.of("a"), List.of("b"), List.of("c"), List.of("d")), state.written);
+        assertEquals(
+                List.of(List.of("a"), List.of("b"), List.of("c"), List.of("d")), state.written);
         assertEquals(List.of("a CREATED", "b CREATED", "c CREATED", "d CREATED"), said);
     }
 }
--- a/src/test/java/io/pepperfield/jobs/FinalStateTraceTest.java
+++ b/src/test/java/io/pepperfield/jobs/FinalStateTraceTest.java
@@ -6,11 +6,10 @@
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.Replica;
 import io.pepperfield.store.StateService.Item;
-import org.junit.jupiter.api.Test;
-
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 
 /** What a node tells about a job as the news of the state service reach it, in whatever order. */
 class FinalStateTraceTest {
@@ -22,7 +21,8 @@
         return new Replica((key, data, stamp) -> catalog.changed(key, data));
     }
 
-    @Test void answers() throws IOException {
+    @Test
+    void answers() throws IOException {
         Trace.check("final-states.txt", this::play);
     }
 
@@ -36,30 +36,56 @@
             case "reading" -> replica.reset(items(words, 2), Long.parseLong(words[1]));
             default -> {
                 Catalog.Record record = catalog.get(words[1]);
-                return List.of(record == null ? "unknown" : record.answer().path("status").asText() + " "
-                        + record.answer().path("done").asInt() + " done " + record.answer().path("running").asInt() + " running");
+                return List.of(
+                        record == null
+                                ? "unknown"
+                                : record.answer().path("status").asText()
+                                        + " "
+                                        + record.answer().path("done").asInt()
+                                        + " done "
+                                        + record.answer().path("running").asInt()
+                                        + " running");
             }
         }
         return List.of();
     }
 
-    /** STAMP:job | STAMP:done | STAMP:cancelled | STAMP:run=TASK.STATE,... (0 gone, 1 live, 2 done), all of run-000001. */
+    /**
+     * STAMP:job | STAMP:done | STAMP:cancelled | STAMP:run=TASK.STATE,... (0 gone, 1 live, 2 done),
+     * all of run-000001.
+     */
     private static List<Item> items(String[] words, int from) {
         List<Item> items = new ArrayList<>();
         for (int i = from; i < words.length; i++) {
             String[] part = words[i].split(":");
             long stamp = Long.parseLong(part[0]);
             switch (part[1].split("=")[0]) {
-                case "job" -> items.add(new Item(Keys.JOB + "run-000001", Json.object().put("n", 3).put("k", 10), stamp));
+                case "job" ->
+                        items.add(
+                                new Item(
+                                        Keys.JOB + "run-000001",
+                                        Json.object().put("n", 3).put("k", 10),
+                                        stamp));
                 case "run" -> {
                     List<RunRecord> lines = new ArrayList<>();
                     for (String line : part[1].substring(4).split(",")) {
-                        lines.add(new RunRecord(line.charAt(0) - '0', 1, RunRecord.State.values()[line.charAt(2) - '0'], "m", 1));
+                        lines.add(
+                                new RunRecord(
+                                        line.charAt(0) - '0',
+                                        1,
+                                        RunRecord.State.values()[line.charAt(2) - '0'],
+                                        "m",
+                                        1));
                     }
                     JsonNode data = RunRecord.write(lines);
                     items.add(new Item(Keys.run("run-000001", 0), data, stamp));
                 }
-                default -> items.add(new Item(Keys.END + "run-000001", Json.object().put("s", part[1]), stamp));
+                default ->
+                        items.add(
+                                new Item(
+                                        Keys.END + "run-000001",
+                                        Json.object().put("s", part[1]),
+                                        stamp));
             }
         }
         return items;
--- a/src/test/java/io/pepperfield/jobs/PipelineTest.java
+++ b/src/test/java/io/pepperfield/jobs/PipelineTest.java
@@ -1,17 +1,16 @@
 package io.pepperfield.jobs;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.http.Json;
 import io.pepperfield.store.Keys;
-import org.junit.jupiter.api.Test;
-
 import java.util.List;
 import java.util.Set;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+import org.junit.jupiter.api.Test;
 
 /** What a node knows of jobs that need others, as the news of the state service reach it. */
 class PipelineTest {
@@ -19,7 +18,9 @@
     private final Catalog catalog = new Catalog(() -> 0);
 
     private static String id(int number) {
-        return JobMessages.validId("run-" + number) ? "run-" + number : String.format("run-%06d", number);
+        return JobMessages.validId("run-" + number)
+                ? "run-" + number
+                : String.format("run-%06d", number);
     }
 
     private void accepted(int number, int... needed) {
@@ -38,7 +39,8 @@
         return catalog.get(id(number)).end();
     }
 
-    @Test void aJobIsReadyOnceAllThatItNeedsIsDone() {
+    @Test
+    void aJobIsReadyOnceAllThatItNeedsIsDone() {
         accepted(1);
         accepted(2);
         accepted(3, 1, 2);
@@ -56,7 +58,8 @@
         assertEquals(Set.of(id(3)), catalog.get(id(4)).awaited());
     }
 
-    @Test void aCancellationFlowsDownADiamondAndReachesWhoComesAfterwards() {
+    @Test
+    void aCancellationFlowsDownADiamondAndReachesWhoComesAfterwards() {
         accepted(1);
         accepted(2, 1);
         accepted(3, 1);
@@ -79,7 +82,8 @@
         assertTrue(catalog.get(id(7)).ready());
     }
 
-    @Test void aReadingMayBringThemInAnyOrder() {
+    @Test
+    void aReadingMayBringThemInAnyOrder() {
         ended(1, Status.CANCELLED);
         ended(2, Status.DONE);
         // Keys in their order: what needs others before these.
@@ -93,7 +97,8 @@
         assertTrue(catalog.get(id(3)).ready());
     }
 
-    @Test void longChainsAreWalkedWithoutRecursion() {
+    @Test
+    void longChainsAreWalkedWithoutRecursion() {
         accepted(0);
         for (int i = 1; i < 20_000; i++) {
             accepted(i, i - 1);
@@ -102,13 +107,20 @@
         assertEquals(Status.CANCELLED, end(19_999));
     }
 
-    @Test void aDescriptionOfTheVersionBeforeNeedsNothingAndTheFieldIsKept() {
-        JobSpec old = JobMessages.fromDurable(id(1), Json.read("{\"w\":\"w\",\"o\":\"t\",\"s\":0,\"r\":2,\"n\":3,\"c\":1.0,\"k\":68}".getBytes()));
+    @Test
+    void aDescriptionOfTheVersionBeforeNeedsNothingAndTheFieldIsKept() {
+        JobSpec old =
+                JobMessages.fromDurable(
+                        id(1),
+                        Json.read(
+                                "{\"w\":\"w\",\"o\":\"t\",\"s\":0,\"r\":2,\"n\":3,\"c\":1.0,\"k\":68}"
+                                        .getBytes()));
         assertEquals(List.of(), old.awaits());
         assertFalse(JobMessages.durable(old).has("aw"));
         accepted(1);
         accepted(2, 1);
         JobSpec spec = catalog.get(id(2)).spec();
-        assertEquals(List.of(id(1)), JobMessages.fromDurable(id(2), JobMessages.durable(spec)).awaits());
+        assertEquals(
+                List.of(id(1)), JobMessages.fromDurable(id(2), JobMessages.durable(spec)).awaits());
     }
 }
--- a/src/test/java/io/pepperfield/jobs/SharedRecordsTest.java
+++ b/src/test/java/io/pepperfield/jobs/SharedRecordsTest.java
@@ -1,18 +1,17 @@
 package io.pepperfield.jobs;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pepperfield.http.Json;
 import io.pepperfield.store.Keys;
-import org.junit.jupiter.api.Test;
-
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNull;
+import org.junit.jupiter.api.Test;
 
 /** Swarms of small jobs share their run records. */
 class SharedRecordsTest {
@@ -24,15 +23,38 @@
     }
 
     private static JobSpec spec(int number, int tasks) {
-        return new JobSpec(String.format("run-%06d", number), "w", "t", JobSpec.Shape.ARRAY, JobSpec.Rank.BEST_EFFORT, tasks, 1, 0, 1, "i", 1,
-                null, null, false, false, true, 1, 0, 0, null, 0, CHUNK, List.of());
+        return new JobSpec(
+                String.format("run-%06d", number),
+                "w",
+                "t",
+                JobSpec.Shape.ARRAY,
+                JobSpec.Rank.BEST_EFFORT,
+                tasks,
+                1,
+                0,
+                1,
+                "i",
+                1,
+                null,
+                null,
+                false,
+                false,
+                true,
+                1,
+                0,
+                0,
+                null,
+                0,
+                CHUNK,
+                List.of());
     }
 
     private static List<RunRecord> live(Job job) {
         return List.of(new RunRecord(0, 1, RunRecord.State.LIVE, "m1", 1));
     }
 
-    @Test void aSwarmCostsAKeyForEachChunkOfIt() {
+    @Test
+    void aSwarmCostsAKeyForEachChunkOfIt() {
         SharedRecords records = new SharedRecords(7, 2 * CHUNK);
         Set<String> keys = new HashSet<>();
         for (int i = 0; i < 4 * CHUNK; i++) {
@@ -43,7 +65,8 @@
         assertNull(records.keyOf(job(501, 1), true), "and so has one that began with them");
     }
 
-    @Test void whatIsOverIsLeftOutAndItsRecordUsedAgain() {
+    @Test
+    void whatIsOverIsLeftOutAndItsRecordUsedAgain() {
         SharedRecords records = new SharedRecords(7, 2 * CHUNK);
         String first = records.keyOf(job(0, 1), false);
         for (int i = 1; i <= CHUNK; i++) {
@@ -62,7 +85,8 @@
         assertEquals(true, keys.contains(first));
     }
 
-    @Test void theNextLeaderFindsEachJobInItsRecordAndNothingOfThoseLeftOut() {
+    @Test
+    void theNextLeaderFindsEachJobInItsRecordAndNothingOfThoseLeftOut() {
         Catalog catalog = new Catalog(() -> 0);
         Map<String, Job> jobs = new HashMap<>();
         for (int i = 0; i < 3; i++) {
@@ -70,7 +94,10 @@
             jobs.put(spec(i, 1).id(), job(i, 1));
         }
         String key = Keys.SHARED + "7-1";
-        JsonNode both = Json.read("{\"run-000000\":[[0,1,1,\"m1\",1]],\"run-000001\":[[0,1,1,\"m2\",1]]}".getBytes());
+        JsonNode both =
+                Json.read(
+                        "{\"run-000000\":[[0,1,1,\"m1\",1]],\"run-000001\":[[0,1,1,\"m2\",1]]}"
+                                .getBytes());
         catalog.changed(key, both);
         assertEquals("running", catalog.get("run-000000").answer().path("status").asText());
         // Left out once it was over: a line that stayed would be an attempt on a machine long gone.
--- a/src/test/java/io/pepperfield/jobs/UserAnswersTraceTest.java
+++ b/src/test/java/io/pepperfield/jobs/UserAnswersTraceTest.java
@@ -9,15 +9,17 @@
 import io.pepperfield.store.Replica;
 import io.pepperfield.store.StateService;
 import io.pepperfield.store.Sync;
-import org.junit.jupiter.api.Test;
-
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
 
-/** What one node tells its users, and what it asks the state service before, which here answers when the trace says so. */
+/**
+ * What one node tells its users, and what it asks the state service before, which here answers when
+ * the trace says so.
+ */
 class UserAnswersTraceTest implements StateService {
 
     private final List<String> decisions = new ArrayList<>();
@@ -28,7 +30,8 @@
     private List<String> keys;
     private UserRequests users;
 
-    @Test void answers() throws IOException {
+    @Test
+    void answers() throws IOException {
         Trace.check("user-answers.txt", this::play);
     }
 
@@ -42,7 +45,8 @@
             case "written" -> transaction.accept(new TxnResult.Committed(0));
             case "exists" -> transaction.accept(new TxnResult.Conflict(keys));
             case "lost" -> transaction.accept(new TxnResult.Unknown());
-            case "submit" -> users.submit(Json.write(submission(words)), reply -> say(words, reply));
+            case "submit" ->
+                    users.submit(Json.write(submission(words)), reply -> say(words, reply));
             case "cancel" -> users.cancel("run-00000" + words[1], reply -> say(words, reply));
             default -> users.query("run-00000" + words[1], reply -> say(words, reply));
         }
@@ -60,22 +64,50 @@
         Catalog catalog = new Catalog(() -> 0);
         Replica replica = new Replica((key, data, stamp) -> catalog.changed(key, data));
         Sync sync = new Sync(loop, this, replica, 1, 0.1);
-        users = new UserRequests(loop, catalog, sync, this, job -> {
-            if (job.cpus() == 999) {
-                throw new UserRequests.Undecided();
-            }
-            return job.cpus() > 64 ? "fits nowhere" : null;
-        }, 32, 8, 10, 2, id -> { });
+        users =
+                new UserRequests(
+                        loop,
+                        catalog,
+                        sync,
+                        this,
+                        job -> {
+                            if (job.cpus() == 999) {
+                                throw new UserRequests.Undecided();
+                            }
+                            return job.cpus() > 64 ? "fits nowhere" : null;
+                        },
+                        32,
+                        8,
+                        10,
+                        2,
+                        id -> {});
         sync.start();
     }
 
     /** submit NUMBER [unfit | undecided | incomplete | needs NUMBER] */
     private static ObjectNode submission(String[] words) {
         String what = words.length > 2 ? words[2] : "";
-        ObjectNode body = Json.object().put("nameId", "run-00000" + words[1]).put("workload", "w").put("owner", "t").put("shape", "sweep")
-                .put("rank", "standard").put("shards", 3).put("vcpus", what.equals("unfit") ? 65 : what.equals("undecided") ? 999 : 1)
-                .put("accelerators", 0.0).put("memGb", 1.0).put("bundle", "i").put("pullGb", 0.0).put("together", false)
-                .put("spread", false).put("reclaimable", true).put("expectedS", 1.0).put("snapshotEveryS", 0.0).put("snapshotS", 0.0);
+        ObjectNode body =
+                Json.object()
+                        .put("nameId", "run-00000" + words[1])
+                        .put("workload", "w")
+                        .put("owner", "t")
+                        .put("shape", "sweep")
+                        .put("rank", "standard")
+                        .put("shards", 3)
+                        .put(
+                                "vcpus",
+                                what.equals("unfit") ? 65 : what.equals("undecided") ? 999 : 1)
+                        .put("accelerators", 0.0)
+                        .put("memGb", 1.0)
+                        .put("bundle", "i")
+                        .put("pullGb", 0.0)
+                        .put("together", false)
+                        .put("spread", false)
+                        .put("reclaimable", true)
+                        .put("expectedS", 1.0)
+                        .put("snapshotEveryS", 0.0)
+                        .put("snapshotS", 0.0);
         if (what.equals("needs")) {
             body.putArray("awaits").add("run-00000" + words[3]);
         }
@@ -90,27 +122,43 @@
         if (words[1].equals("gone")) {
             return new ReadResult.TooOld();
         }
-        List<Item> items = Arrays.stream(words).skip(2).map(word -> {
-            String[] part = word.split("[:=]");
-            String id = "run-00000" + part[2];
-            return part[1].equals("job") ? new Item(Keys.JOB + id, Json.object().put("n", 3).put("k", 10), Long.parseLong(part[0]))
-                    : new Item(Keys.END + id, Json.object().put("s", part[1]), Long.parseLong(part[0]));
-        }).toList();
+        List<Item> items =
+                Arrays.stream(words)
+                        .skip(2)
+                        .map(
+                                word -> {
+                                    String[] part = word.split("[:=]");
+                                    String id = "run-00000" + part[2];
+                                    return part[1].equals("job")
+                                            ? new Item(
+                                                    Keys.JOB + id,
+                                                    Json.object().put("n", 3).put("k", 10),
+                                                    Long.parseLong(part[0]))
+                                            : new Item(
+                                                    Keys.END + id,
+                                                    Json.object().put("s", part[1]),
+                                                    Long.parseLong(part[0]));
+                                })
+                        .toList();
         return new ReadResult.Read(items, false, Long.parseLong(words[1]));
     }
 
-    @Override public void txn(Urgency urgency, List<Guard> guards, List<Change> changes, Consumer<TxnResult> done) {
+    @Override
+    public void txn(
+            Urgency urgency, List<Guard> guards, List<Change> changes, Consumer<TxnResult> done) {
         keys = changes.stream().map(Change::key).toList();
         decisions.add("writes " + String.join(" ", keys).replace(Keys.ROOT, ""));
         transaction = done;
     }
 
-    @Override public void range(String after, Consumer<ReadResult> done) {
+    @Override
+    public void range(String after, Consumer<ReadResult> done) {
         decisions.add("reads all");
         reading = done;
     }
 
-    @Override public void follow(long since, double holdS, Consumer<ReadResult> done) {
+    @Override
+    public void follow(long since, double holdS, Consumer<ReadResult> done) {
         // The long follow is silent here: nothing may rest on it.
         if (holdS == 0) {
             decisions.add("asks since " + since);
@@ -118,9 +166,12 @@
         }
     }
 
-    @Override public void grant(double ttlS, Consumer<GrantResult> done) { }
+    @Override
+    public void grant(double ttlS, Consumer<GrantResult> done) {}
 
-    @Override public void touch(long id, Consumer<GrantResult> done) { }
+    @Override
+    public void touch(long id, Consumer<GrantResult> done) {}
 
-    @Override public void endGrant(long id) { }
+    @Override
+    public void endGrant(long id) {}
 }
--- a/src/test/java/io/pepperfield/node/DispatcherTest.java
+++ b/src/test/java/io/pepperfield/node/DispatcherTest.java
@@ -1,5 +1,9 @@
 package io.pepperfield.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import io.pepperfield.cloud.MachineType;
 import io.pepperfield.config.Aims;
 import io.pepperfield.config.Operators;
@@ -14,16 +18,11 @@
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.JobSpec.Rank;
 import io.pepperfield.jobs.JobSpec.Shape;
-import org.junit.jupiter.api.Test;
-
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+import org.junit.jupiter.api.Test;
 
 /** Starting and stopping in one pass over real books. */
 class DispatcherTest implements Loop, Fleet.Listener, Dispatcher.Starter {
@@ -33,8 +32,20 @@
     private final Fleet fleet = new Fleet(this, 10, 3);
     private final Ledger ledger = new Ledger();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
-    private final Dispatcher dispatcher = new Dispatcher(new ClusterState(this, settings, new Aims(settings.deployment().objectives()), types,
-            fleet, ledger, jobs, null, new Boots(types, 60), new Latencies()), this);
+    private final Dispatcher dispatcher =
+            new Dispatcher(
+                    new ClusterState(
+                            this,
+                            settings,
+                            new Aims(settings.deployment().objectives()),
+                            types,
+                            fleet,
+                            ledger,
+                            jobs,
+                            null,
+                            new Boots(types, 60),
+                            new Latencies()),
+                    this);
     private final List<String> said = new ArrayList<>();
     private double now = 0.5;
 
@@ -42,54 +53,114 @@
         Map<String, Settings.Team> teams = new LinkedHashMap<>();
         teams.put("red", new Settings.Team("red", 0, 8, 0, 0));
         teams.put("blue", new Settings.Team("blue", 8, 64, 0, 0));
-        return new Settings("node-0", "east", null, null, List.of(), null, null, new Settings.Deployment(1, List.of("east"), 5, teams,
-                List.of(new Settings.Objective("wait", "gate", 1, 0.9, 0)), new Settings.Workers(1, 6, 20), new Settings.State(100, 50, 8, 32),
-                new Settings.Cloud(2, 2), new Settings.Quota(1, 256, 1000)), Operators.DEFAULTS);
+        return new Settings(
+                "node-0",
+                "east",
+                null,
+                null,
+                List.of(),
+                null,
+                null,
+                new Settings.Deployment(
+                        1,
+                        List.of("east"),
+                        5,
+                        teams,
+                        List.of(new Settings.Objective("wait", "gate", 1, 0.9, 0)),
+                        new Settings.Workers(1, 6, 20),
+                        new Settings.State(100, 50, 8, 32),
+                        new Settings.Cloud(2, 2),
+                        new Settings.Quota(1, 256, 1000)),
+                Operators.DEFAULTS);
     }
 
     private Job job(String id, String workload, String team, Rank rank, String image, int tasks) {
-        Job job = new Job(new JobSpec(id, workload, team, Shape.ARRAY, rank, tasks, 4, 0, 1, image, 2, null, null, false, false, false, 9,
-                0, 0, null, 0, 10, List.of()), 0);
+        Job job =
+                new Job(
+                        new JobSpec(
+                                id,
+                                workload,
+                                team,
+                                Shape.ARRAY,
+                                rank,
+                                tasks,
+                                4,
+                                0,
+                                1,
+                                image,
+                                2,
+                                null,
+                                null,
+                                false,
+                                false,
+                                false,
+                                9,
+                                0,
+                                0,
+                                null,
+                                0,
+                                10,
+                                List.of()),
+                        0);
         jobs.put(id, job);
         return job;
     }
 
     private void report(String machine, int serial, Report.Line... lines) {
         fleet.expect(machine, "box", "east", false, 0, 0);
-        fleet.beat(new Report(machine, "a:1", "box", "east", false, 1, serial, 10, null, List.of(lines)), now());
+        fleet.beat(
+                new Report(
+                        machine, "a:1", "box", "east", false, 1, serial, 10, null, List.of(lines)),
+                now());
     }
 
-    @Override public void start(Job job, int task, Machine machine) {
+    @Override
+    public void start(Job job, int task, Machine machine) {
         Attempt attempt = fleet.intend(job, task, job.begin(task), machine, now());
         ledger.add(attempt);
         fleet.ordered(attempt);
         said.add("start " + attempt.ref + " on " + machine.name);
     }
 
-    @Override public void stop(Attempt attempt, double drainS) {
+    @Override
+    public void stop(Attempt attempt, double drainS) {
         fleet.stop(attempt, drainS);
         said.add("stop " + attempt.ref);
     }
 
-    /** What is stopped for another team still counts against its own team's limit: it may be alive for a while. */
-    @Test void aStoppedTaskLeavesNoRoomUnderTheLimitUntilItIsGone() {
+    /**
+     * What is stopped for another team still counts against its own team's limit: it may be alive
+     * for a while.
+     */
+    @Test
+    void aStoppedTaskLeavesNoRoomUnderTheLimitUntilItIsGone() {
         types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
         report("m1", 1);
         Job array = job("run-000001", "batch", "red", Rank.STANDARD, "img", 3);
         start(array, 0, fleet.get("m1"));
         start(array, 1, fleet.get("m1"));
-        report("m1", 2, new Report.Line(new TaskRef("run-000001", 0), 1, Report.State.RUNNING, Report.Cause.NONE),
-                new Report.Line(new TaskRef("run-000001", 1), 1, Report.State.RUNNING, Report.Cause.NONE));
+        report(
+                "m1",
+                2,
+                new Report.Line(
+                        new TaskRef("run-000001", 0), 1, Report.State.RUNNING, Report.Cause.NONE),
+                new Report.Line(
+                        new TaskRef("run-000001", 1), 1, Report.State.RUNNING, Report.Cause.NONE));
         report("m2", 1);
-        // Wants its image at once, which only the full machine has; the array's last task would have room elsewhere.
+        // Wants its image at once, which only the full machine has; the array's last task would
+        // have room elsewhere.
         job("run-000002", "gate", "blue", Rank.PRODUCTION, "img", 1);
         said.clear();
         dispatcher.flush();
         assertEquals(List.of("stop run-000001/0"), said);
     }
 
-    /** A swarm that waits too long must not have the fleet to itself: one of it comes first, then what is guaranteed. */
-    @Test void ofAClassThatHasWaitedTooLongOneJobComesFirst() {
+    /**
+     * A swarm that waits too long must not have the fleet to itself: one of it comes first, then
+     * what is guaranteed.
+     */
+    @Test
+    void ofAClassThatHasWaitedTooLongOneJobComesFirst() {
         types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
         report("m1", 1);
         for (int i = 1; i <= 5; i++) {
@@ -103,13 +174,24 @@
         assertEquals(List.of("start run-000001/0 on m1", "start run-000009/0 on m1"), said);
     }
 
-    /** What a job does that fails everywhere says nothing of its machines; what fails here and succeeds elsewhere does. */
-    @Test void onlyFailuresOfJobsThatSucceedElsewhereMakeAMachineFaulty() {
+    /**
+     * What a job does that fails everywhere says nothing of its machines; what fails here and
+     * succeeds elsewhere does.
+     */
+    @Test
+    void onlyFailuresOfJobsThatSucceedElsewhereMakeAMachineFaulty() {
         for (int i = 1; i <= 2; i++) {
             Job job = job("run-00000" + i, "batch", "blue", Rank.STANDARD, "img", 3);
             report("m1", 10 * i);
             start(job, 0, fleet.get("m1"));
-            report("m1", 10 * i + 1, new Report.Line(new TaskRef(job.spec.id(), 0), 1, Report.State.ENDED, Report.Cause.ERROR));
+            report(
+                    "m1",
+                    10 * i + 1,
+                    new Report.Line(
+                            new TaskRef(job.spec.id(), 0),
+                            1,
+                            Report.State.ENDED,
+                            Report.Cause.ERROR));
         }
         assertFalse(fleet.get("m1").faulty());
         jobs.get("run-000001").markDone(1);
@@ -118,14 +200,44 @@
         assertTrue(fleet.get("m1").faulty());
     }
 
-    /** Its zone may be closed for long: the rest of its team must not stand back under the limit for what can begin nowhere. */
-    @Test void aJobThatCanBeginNowhereDoesNotHoldItsTeamBack() {
-        types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east", "west"))));
+    /**
+     * Its zone may be closed for long: the rest of its team must not stand back under the limit for
+     * what can begin nowhere.
+     */
+    @Test
+    void aJobThatCanBeginNowhereDoesNotHoldItsTeamBack() {
+        types.heard(
+                List.of(
+                        new MachineType(
+                                "box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east", "west"))));
         report("m1", 1);
         Job first = job("run-000001", "batch", "red", Rank.STANDARD, "img", 1);
         start(first, 0, fleet.get("m1"));
-        JobSpec elsewhere = new JobSpec("run-000002", "far", "red", Shape.ARRAY, Rank.STANDARD, 1, 8, 0, 1, "img", 2, null, "west", false, false,
-                false, 9, 0, 0, null, 0, 10, List.of());
+        JobSpec elsewhere =
+                new JobSpec(
+                        "run-000002",
+                        "far",
+                        "red",
+                        Shape.ARRAY,
+                        Rank.STANDARD,
+                        1,
+                        8,
+                        0,
+                        1,
+                        "img",
+                        2,
+                        null,
+                        "west",
+                        false,
+                        false,
+                        false,
+                        9,
+                        0,
+                        0,
+                        null,
+                        0,
+                        10,
+                        List.of());
         jobs.put(elsewhere.id(), new Job(elsewhere, 0));
         job("run-000003", "batch", "red", Rank.STANDARD, "img", 1);
         jobs.put("run-000003", new Job(jobs.get("run-000003").spec, 95));
@@ -136,8 +248,12 @@
         assertEquals(List.of("start run-000003/0 on m1"), said);
     }
 
-    /** The only machine must be tried again, though not at once: the job would wait beside it for ever. */
-    @Test void aMachineOnWhichAJobFailedIsAvoidedForAUnitAndNotForEver() {
+    /**
+     * The only machine must be tried again, though not at once: the job would wait beside it for
+     * ever.
+     */
+    @Test
+    void aMachineOnWhichAJobFailedIsAvoidedForAUnitAndNotForEver() {
         types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
         Job job = job("run-000001", "batch", "blue", Rank.STANDARD, "img", 1);
         job.failed("m1", now, 1, 60);
@@ -152,16 +268,47 @@
         assertEquals(List.of("start run-000001/0 on m1"), said);
     }
 
-    /** A replica is never completed, so that nothing else would ever clear its job: what was lost to bad machines would wait for ever. */
-    @Test void replicasLostToTwoBadMachinesAreStartedAgainBesideThoseThatLast() {
+    /**
+     * A replica is never completed, so that nothing else would ever clear its job: what was lost to
+     * bad machines would wait for ever.
+     */
+    @Test
+    void replicasLostToTwoBadMachinesAreStartedAgainBesideThoseThatLast() {
         types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
-        JobSpec spec = new JobSpec("run-000001", "gate", "blue", Shape.SERVICE, Rank.PRODUCTION, 3, 4, 0, 1, "img", 2, null, null, false, false,
-                false, 0, 0, 0, null, 0, 10, List.of());
+        JobSpec spec =
+                new JobSpec(
+                        "run-000001",
+                        "gate",
+                        "blue",
+                        Shape.SERVICE,
+                        Rank.PRODUCTION,
+                        3,
+                        4,
+                        0,
+                        1,
+                        "img",
+                        2,
+                        null,
+                        null,
+                        false,
+                        false,
+                        false,
+                        0,
+                        0,
+                        0,
+                        null,
+                        0,
+                        10,
+                        List.of());
         Job service = new Job(spec, 0);
         jobs.put(spec.id(), service);
         report("m1", 1);
         start(service, 0, fleet.get("m1"));
-        report("m1", 2, new Report.Line(new TaskRef(spec.id(), 0), 1, Report.State.RUNNING, Report.Cause.NONE));
+        report(
+                "m1",
+                2,
+                new Report.Line(
+                        new TaskRef(spec.id(), 0), 1, Report.State.RUNNING, Report.Cause.NONE));
         service.failed("bad1", now, 1, 60);
         service.failed("bad2", now, 1, 60);
         said.clear();
@@ -176,23 +323,31 @@
         assertEquals(List.of("start run-000001/1 on m2", "start run-000001/2 on m2"), said);
     }
 
-    @Override public double now() {
+    @Override
+    public double now() {
         return now;
     }
 
-    @Override public long wallMs() {
+    @Override
+    public long wallMs() {
         return 0;
     }
 
-    @Override public void post(Runnable command) { }
+    @Override
+    public void post(Runnable command) {}
 
-    @Override public void after(double seconds, Runnable command) { }
+    @Override
+    public void after(double seconds, Runnable command) {}
 
-    @Override public void started(Attempt attempt) { }
+    @Override
+    public void started(Attempt attempt) {}
 
-    @Override public void completed(Attempt attempt, double ranS) { }
+    @Override
+    public void completed(Attempt attempt, double ranS) {}
 
-    @Override public void gone(Attempt attempt, Report.Cause cause) { }
+    @Override
+    public void gone(Attempt attempt, Report.Cause cause) {}
 
-    @Override public void appeared(Machine machine) { }
+    @Override
+    public void appeared(Machine machine) {}
 }
--- a/src/test/java/io/pepperfield/node/LeaseRenewalTest.java
+++ b/src/test/java/io/pepperfield/node/LeaseRenewalTest.java
@@ -1,5 +1,9 @@
 package io.pepperfield.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import io.pepperfield.config.Settings;
 import io.pepperfield.fleet.Order;
 import io.pepperfield.fleet.Report;
@@ -12,28 +16,54 @@
 import io.pepperfield.jobs.Status;
 import io.pepperfield.peer.Relay;
 import io.pepperfield.store.Keys;
-import org.junit.jupiter.api.Test;
-
 import java.util.List;
+import org.junit.jupiter.api.Test;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
-/** Reports every 4 s, leases of 22 s, cancellations within 47 s: on what knowledge a lease is renewed, and for how long. */
+/**
+ * Reports every 4 s, leases of 22 s, cancellations within 47 s: on what knowledge a lease is
+ * renewed, and for how long.
+ */
 class LeaseRenewalTest {
 
     private double knownUpTo = 60;
     private final Catalog catalog = new Catalog(() -> knownUpTo);
-    private final LeaseRenewal renewal = new LeaseRenewal(new Settings.Workers(4, 22, 47), catalog, () -> knownUpTo);
+    private final LeaseRenewal renewal =
+            new LeaseRenewal(new Settings.Workers(4, 22, 47), catalog, () -> knownUpTo);
 
     private void accepted(String id) {
-        catalog.changed(Keys.JOB + id, JobMessages.durable(new JobSpec(id, "w", "t", JobSpec.Shape.ARRAY, JobSpec.Rank.STANDARD, 2, 1, 0, 1, "i", 1,
-                null, null, false, false, true, 1, 0, 0, null, 0, 8, List.of())));
+        catalog.changed(
+                Keys.JOB + id,
+                JobMessages.durable(
+                        new JobSpec(
+                                id,
+                                "w",
+                                "t",
+                                JobSpec.Shape.ARRAY,
+                                JobSpec.Rank.STANDARD,
+                                2,
+                                1,
+                                0,
+                                1,
+                                "i",
+                                1,
+                                null,
+                                null,
+                                false,
+                                false,
+                                true,
+                                1,
+                                0,
+                                0,
+                                null,
+                                0,
+                                8,
+                                List.of())));
     }
 
     private void alive(String id, String machine) {
-        catalog.changed(Keys.run(id, 0), RunRecord.write(List.of(new RunRecord(0, 3, RunRecord.State.LIVE, machine, 1))));
+        catalog.changed(
+                Keys.run(id, 0),
+                RunRecord.write(List.of(new RunRecord(0, 3, RunRecord.State.LIVE, machine, 1))));
     }
 
     private void cancelled(String id) {
@@ -48,40 +78,57 @@
         return new Report.Line(new TaskRef(id, 0), attempt, state, Report.Cause.NONE);
     }
 
-    @Test void aLeaseEndsBeforeWhatIsCancelledAfterwardsMustBeGone() {
+    @Test
+    void aLeaseEndsBeforeWhatIsCancelledAfterwardsMustBeGone() {
         assertTrue(renewal.allowed(70, 94.4));
         // Renewed then, it would end at 116.6 by a clock that may be slow: too close to 70 + 47.
         assertFalse(renewal.allowed(70, 94.6));
     }
 
-    @Test void whatIsShownIsStoppedAndWhatIsStillToBeginIsWaitedFor() {
+    @Test
+    void whatIsShownIsStoppedAndWhatIsStillToBeginIsWaitedFor() {
         accepted("run-000001");
         accepted("run-000002");
         alive("run-000001", "m1");
         alive("run-000002", "m1");
-        // The question sent at 60 was answered, and so is one sent at 70: the cancellation fell between.
+        // The question sent at 60 was answered, and so is one sent at 70: the cancellation fell
+        // between.
         cancelled("run-000001");
         knownUpTo = 70;
-        // Its run order may be held back, and nobody here can call it off: the machine must end by itself in time.
+        // Its run order may be held back, and nobody here can call it off: the machine must end by
+        // itself in time.
         assertEquals(60, renewal.settledByOwnKnowledge(report("m1")));
         assertEquals(List.of(), renewal.stops(report("m1")));
         // Another attempt of the same task says nothing about this one.
-        assertEquals(60, renewal.settledByOwnKnowledge(report("m1", line("run-000001", 2, Report.State.ENDED))));
-        // Where it runs it is stopped with the answer; where it has ended, a late order does nothing.
-        Report running = report("m1", line("run-000001", 3, Report.State.RUNNING), line("run-000002", 3, Report.State.RUNNING));
+        assertEquals(
+                60,
+                renewal.settledByOwnKnowledge(
+                        report("m1", line("run-000001", 2, Report.State.ENDED))));
+        // Where it runs it is stopped with the answer; where it has ended, a late order does
+        // nothing.
+        Report running =
+                report(
+                        "m1",
+                        line("run-000001", 3, Report.State.RUNNING),
+                        line("run-000002", 3, Report.State.RUNNING));
         assertEquals(70, renewal.settledByOwnKnowledge(running));
-        assertEquals(List.of(new Order.Stop(new TaskRef("run-000001", 0), 3, 0)), renewal.stops(running));
+        assertEquals(
+                List.of(new Order.Stop(new TaskRef("run-000001", 0), 3, 0)),
+                renewal.stops(running));
         Report ended = report("m1", line("run-000001", 3, Report.State.ENDED));
         assertEquals(70, renewal.settledByOwnKnowledge(ended));
         assertEquals(List.of(), renewal.stops(ended));
         // Other machines go on.
         assertEquals(70, renewal.settledByOwnKnowledge(report("m2")));
         // Proven gone, as the leader has written meanwhile.
-        catalog.changed(Keys.run("run-000001", 0), RunRecord.write(List.of(new RunRecord(0, 3, RunRecord.State.GONE, "", 0))));
+        catalog.changed(
+                Keys.run("run-000001", 0),
+                RunRecord.write(List.of(new RunRecord(0, 3, RunRecord.State.GONE, "", 0))));
         assertEquals(70, renewal.settledByOwnKnowledge(report("m1")));
     }
 
-    @Test void anIntentThatIsReadAfterItsJobsCancellationCountsToo() {
+    @Test
+    void anIntentThatIsReadAfterItsJobsCancellationCountsToo() {
         accepted("run-000001");
         cancelled("run-000001");
         alive("run-000001", "m1");
@@ -89,11 +136,13 @@
         assertEquals(60, renewal.settledByOwnKnowledge(report("m1")));
     }
 
-    @Test void aLeadersAnswerThatStopsSomethingSettlesNothing() {
+    @Test
+    void aLeadersAnswerThatStopsSomethingSettlesNothing() {
         // Whether it arrives nobody knows; the next one without a stop says that it did.
         assertTrue(Relay.settledUpTo(true, 70) < 0);
         assertEquals(70, Relay.settledUpTo(false, 70));
         assertTrue(Order.anyStop(Json.read("[{\"verb\":\"run\"},{\"verb\":\"stop\"}]".getBytes())));
-        assertFalse(Order.anyStop(Json.read("[{\"verb\":\"run\"},{\"verb\":\"clear\"}]".getBytes())));
+        assertFalse(
+                Order.anyStop(Json.read("[{\"verb\":\"run\"},{\"verb\":\"clear\"}]".getBytes())));
     }
 }
--- a/src/test/java/io/pepperfield/node/LoopbackTest.java
+++ b/src/test/java/io/pepperfield/node/LoopbackTest.java
@@ -1,5 +1,7 @@
 package io.pepperfield.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoopGroup;
@@ -17,10 +19,6 @@
 import io.pepperfield.standin.CloudStandIn;
 import io.pepperfield.standin.StateStandIn;
 import io.pepperfield.standin.WorkerStandIn;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Test;
-
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -35,13 +33,15 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 
 /** Three controllers over loopback, with stand-ins of everything else behind real sockets. */
 class LoopbackTest implements WorkerStandIn.Truth {
 
-    private final EventLoopGroup network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup network =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final HttpClient client = new HttpClient(network, 1 << 20);
     private final ScheduledExecutorService region = Executors.newSingleThreadScheduledExecutor();
     private final long zero = System.nanoTime();
@@ -60,29 +60,44 @@
     }
 
     private int listen(Handler handler) throws InterruptedException {
-        return new HttpServer(network, 200, (call, answer) -> region.execute(() -> handler.handle(call, answer))).start("127.0.0.1", 0);
+        return new HttpServer(
+                        network,
+                        200,
+                        (call, answer) -> region.execute(() -> handler.handle(call, answer)))
+                .start("127.0.0.1", 0);
     }
 
-    @BeforeEach void start() throws Exception {
+    @BeforeEach
+    void start() throws Exception {
         StateStandIn state = new StateStandIn(this::now, 10_000);
-        CloudStandIn cloud = new CloudStandIn(this::now, 6, new CloudStandIn.Machines() {
-            @Override public void boot(String name, String type, String zone, boolean spot) {
-                LoopbackTest.this.boot(name, type, zone, spot);
-            }
+        CloudStandIn cloud =
+                new CloudStandIn(
+                        this::now,
+                        6,
+                        new CloudStandIn.Machines() {
+                            @Override
+                            public void boot(String name, String type, String zone, boolean spot) {
+                                LoopbackTest.this.boot(name, type, zone, spot);
+                            }
 
-            @Override public void delete(String name) {
-                WorkerStandIn gone = workers.remove(name);
-                if (gone != null) {
-                    gone.die();
-                }
-            }
-        });
+                            @Override
+                            public void delete(String name) {
+                                WorkerStandIn gone = workers.remove(name);
+                                if (gone != null) {
+                                    gone.die();
+                                }
+                            }
+                        });
         int statePort = listen(state::handle);
         int cloudPort = listen((call, answer) -> answer.accept(cloud.handle(call)));
-        region.scheduleWithFixedDelay(() -> {
-            state.tick();
-            List.copyOf(workers.values()).forEach(WorkerStandIn::tick);
-        }, 20, 20, TimeUnit.MILLISECONDS);
+        region.scheduleWithFixedDelay(
+                () -> {
+                    state.tick();
+                    List.copyOf(workers.values()).forEach(WorkerStandIn::tick);
+                },
+                20,
+                20,
+                TimeUnit.MILLISECONDS);
         int[] free = new int[6];
         List<ServerSocket> held = new ArrayList<>();
         for (int i = 0; i < free.length; i++) {
@@ -96,15 +111,31 @@
             ports.add(free[i]);
         }
         for (int i = 0; i < 3; i++) {
-            StringBuilder toml = new StringBuilder("node = \"node-" + i + "\"\nzone = \"east\"\nbind = \"127.0.0.1:" + free[i]
-                    + "\"\npeer_listen = \"127.0.0.1:" + free[3 + i] + "\"\n");
+            StringBuilder toml =
+                    new StringBuilder(
+                            "node = \"node-"
+                                    + i
+                                    + "\"\nzone = \"east\"\nbind = \"127.0.0.1:"
+                                    + free[i]
+                                    + "\"\npeer_listen = \"127.0.0.1:"
+                                    + free[3 + i]
+                                    + "\"\n");
             for (int j = 0; j < 3; j++) {
                 if (j != i) {
-                    toml.append("[[members]]\nnode = \"node-").append(j).append("\"\nzone = \"east\"\naddr = \"127.0.0.1:").append(free[3 + j]).append("\"\n");
+                    toml.append("[[members]]\nnode = \"node-")
+                            .append(j)
+                            .append("\"\nzone = \"east\"\naddr = \"127.0.0.1:")
+                            .append(free[3 + j])
+                            .append("\"\n");
                 }
             }
-            toml.append("[endpoints]\ncloud = \"127.0.0.1:").append(cloudPort).append("\"\nstate = \"127.0.0.1:").append(statePort).append("\"\n")
-                    .append("""
+            toml.append("[endpoints]\ncloud = \"127.0.0.1:")
+                    .append(cloudPort)
+                    .append("\"\nstate = \"127.0.0.1:")
+                    .append(statePort)
+                    .append("\"\n")
+                    .append(
+                            """
                             [deployment]
                             size = 3
                             [[deployment.teams]]
@@ -128,7 +159,8 @@
                             mem_mb = 256
                             sockets = 400
                             """);
-            Settings settings = SettingsReader.parse("node-" + i, toml.toString(), Operators.DEFAULTS);
+            Settings settings =
+                    SettingsReader.parse("node-" + i, toml.toString(), Operators.DEFAULTS);
             Service service = new Service(settings);
             service.start();
             services.add(service);
@@ -143,22 +175,61 @@
         List<String> addresses = ports.stream().map(p -> "127.0.0.1:" + p).toList();
         WorkerStandIn[] made = new WorkerStandIn[1];
         // Bound off the region's own thread, which must not wait for the network's.
-        CompletableFuture.supplyAsync(() -> {
-            try {
-                return listen((call, answer) -> made[0].handle(call.path(), call.body(), answer));
-            } catch (InterruptedException e) {
-                throw new IllegalStateException(e);
-            }
-        }).thenAccept(port -> region.execute(() -> {
-            made[0] = new WorkerStandIn(name, type, zone, spot, "127.0.0.1:" + port, this::now,
-                    (h, p, c, method, path, body, deadline, finish) ->
-                            client.send(h, p, c, method, path, body, deadline, o -> region.execute(() -> finish.accept(o))),
-                    names, addresses, 0.5, 4, this);
-            workers.put(name, made[0]);
-        }));
+        CompletableFuture.supplyAsync(
+                        () -> {
+                            try {
+                                return listen(
+                                        (call, answer) ->
+                                                made[0].handle(call.path(), call.body(), answer));
+                            } catch (InterruptedException e) {
+                                throw new IllegalStateException(e);
+                            }
+                        })
+                .thenAccept(
+                        port ->
+                                region.execute(
+                                        () -> {
+                                            made[0] =
+                                                    new WorkerStandIn(
+                                                            name,
+                                                            type,
+                                                            zone,
+                                                            spot,
+                                                            "127.0.0.1:" + port,
+                                                            this::now,
+                                                            (h,
+                                                                    p,
+                                                                    c,
+                                                                    method,
+                                                                    path,
+                                                                    body,
+                                                                    deadline,
+                                                                    finish) ->
+                                                                    client.send(
+                                                                            h,
+                                                                            p,
+                                                                            c,
+                                                                            method,
+                                                                            path,
+                                                                            body,
+                                                                            deadline,
+                                                                            o ->
+                                                                                    region.execute(
+                                                                                            () ->
+                                                                                                    finish
+                                                                                                            .accept(
+                                                                                                                    o))),
+                                                            names,
+                                                            addresses,
+                                                            0.5,
+                                                            4,
+                                                            this);
+                                            workers.put(name, made[0]);
+                                        }));
     }
 
-    @AfterEach void stop() throws InterruptedException {
+    @AfterEach
+    void stop() throws InterruptedException {
         services.forEach(Service::stop);
         for (Thread owner : owners) {
             owner.join();
@@ -174,27 +245,60 @@
     }
 
     /** Asks again and again, as users do, until the answer is as wanted. */
-    private JsonNode until(int node, String method, String path, byte[] body, Predicate<Outcome.Answered> wanted) throws Exception {
+    private JsonNode until(
+            int node, String method, String path, byte[] body, Predicate<Outcome.Answered> wanted)
+            throws Exception {
         CompletableFuture<JsonNode> found = new CompletableFuture<>();
         again(node, method, path, body, wanted, found);
         return found.get(60, TimeUnit.SECONDS);
     }
 
-    private void again(int node, String method, String path, byte[] body, Predicate<Outcome.Answered> wanted, CompletableFuture<JsonNode> found) {
-        client.send("127.0.0.1", ports.get(node), 4, method, path, body, 5000, outcome -> {
-            if (outcome instanceof Outcome.Answered answer && wanted.test(answer)) {
-                found.complete(answer.json());
-            } else if (!found.isDone()) {
-                region.schedule(() -> again(node, method, path, body, wanted, found), 100, TimeUnit.MILLISECONDS);
-            }
-        });
+    private void again(
+            int node,
+            String method,
+            String path,
+            byte[] body,
+            Predicate<Outcome.Answered> wanted,
+            CompletableFuture<JsonNode> found) {
+        client.send(
+                "127.0.0.1",
+                ports.get(node),
+                4,
+                method,
+                path,
+                body,
+                5000,
+                outcome -> {
+                    if (outcome instanceof Outcome.Answered answer && wanted.test(answer)) {
+                        found.complete(answer.json());
+                    } else if (!found.isDone()) {
+                        region.schedule(
+                                () -> again(node, method, path, body, wanted, found),
+                                100,
+                                TimeUnit.MILLISECONDS);
+                    }
+                });
     }
 
     private static ObjectNode job(int number) {
-        return Json.object().put("nameId", String.format("run-%06d", number)).put("workload", "batch").put("owner", "red")
-                .put("shape", "sweep").put("rank", "standard").put("shards", 3).put("vcpus", 2.0).put("accelerators", 0.0)
-                .put("memGb", 2.0).put("bundle", "img").put("pullGb", 0.1).put("together", false).put("spread", false)
-                .put("reclaimable", true).put("expectedS", 1.0).put("snapshotEveryS", 0.0).put("snapshotS", 0.0);
+        return Json.object()
+                .put("nameId", String.format("run-%06d", number))
+                .put("workload", "batch")
+                .put("owner", "red")
+                .put("shape", "sweep")
+                .put("rank", "standard")
+                .put("shards", 3)
+                .put("vcpus", 2.0)
+                .put("accelerators", 0.0)
+                .put("memGb", 2.0)
+                .put("bundle", "img")
+                .put("pullGb", 0.1)
+                .put("together", false)
+                .put("spread", false)
+                .put("reclaimable", true)
+                .put("expectedS", 1.0)
+                .put("snapshotEveryS", 0.0)
+                .put("snapshotS", 0.0);
     }
 
     private int status(int node, ObjectNode job) {
@@ -205,9 +309,18 @@
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
-    @Test void answersJobsAndSurvivesTheLeader() throws Exception {
+    @Test
+    void answersJobsAndSurvivesTheLeader() throws Exception {
         until(0, "POST", "/api/jobs", Json.write(job(1)), a -> a.status() == 201);
-        for (String bad : List.of("", "{", "[]", "7", "{\"nameId\":\"run-000002\"}", "{} {}", "{\"nameId\":1}")) {
+        for (String bad :
+                List.of(
+                        "",
+                        "{",
+                        "[]",
+                        "7",
+                        "{\"nameId\":\"run-000002\"}",
+                        "{} {}",
+                        "{\"nameId\":1}")) {
             assertEquals(400, ask(0, "POST", "/api/jobs", bytes(bad)).status(), bad);
         }
         assertEquals(400, status(0, job(2).put("nameId", "../etc")));
@@ -229,36 +342,72 @@
         assertEquals(405, ask(1, "DELETE", "/api/jobs/run-000001", null).status());
         // A known id gets 200 whatever its body says, from any node.
         assertEquals(200, status(2, job(1).put("shards", -5)));
-        until(1, "GET", "/api/jobs/run-000001", null, a -> a.json().path("status").asText().equals("done"));
-        assertEquals("done", ask(2, "POST", "/api/jobs/run-000001/cancel", new byte[0]).json().path("status").asText());
+        until(
+                1,
+                "GET",
+                "/api/jobs/run-000001",
+                null,
+                a -> a.json().path("status").asText().equals("done"));
+        assertEquals(
+                "done",
+                ask(2, "POST", "/api/jobs/run-000001/cancel", new byte[0])
+                        .json()
+                        .path("status")
+                        .asText());
 
-        int leader = Integer.parseInt(ask(0, "GET", "/api/nodes", null).json().path("leader").asText().substring(5));
+        int leader =
+                Integer.parseInt(
+                        ask(0, "GET", "/api/nodes", null)
+                                .json()
+                                .path("leader")
+                                .asText()
+                                .substring(5));
         services.get(leader).stop();
         int other = (leader + 1) % 3;
         until(other, "POST", "/api/jobs", Json.write(job(3)), a -> a.status() == 201);
-        until((leader + 2) % 3, "GET", "/api/jobs/run-000003", null, a -> a.json().path("status").asText().equals("done"));
+        until(
+                (leader + 2) % 3,
+                "GET",
+                "/api/jobs/run-000003",
+                null,
+                a -> a.json().path("status").asText().equals("done"));
         assertEquals(201, status(other, job(4).put("shape", "standing")));
-        assertEquals("cancelled", ask(other, "POST", "/api/jobs/run-000004/cancel", new byte[0]).json().path("status").asText());
-        assertEquals("cancelled", ask((leader + 2) % 3, "GET", "/api/jobs/run-000004", null).json().path("status").asText());
+        assertEquals(
+                "cancelled",
+                ask(other, "POST", "/api/jobs/run-000004/cancel", new byte[0])
+                        .json()
+                        .path("status")
+                        .asText());
+        assertEquals(
+                "cancelled",
+                ask((leader + 2) % 3, "GET", "/api/jobs/run-000004", null)
+                        .json()
+                        .path("status")
+                        .asText());
     }
 
-    @Override public double runS(String task) {
+    @Override
+    public double runS(String task) {
         return 0.5;
     }
 
-    @Override public void begins(WorkerStandIn worker, String task) { }
+    @Override
+    public void begins(WorkerStandIn worker, String task) {}
 
-    @Override public void ends(WorkerStandIn worker, String task, boolean completed) {
+    @Override
+    public void ends(WorkerStandIn worker, String task, boolean completed) {
         if (completed) {
             done.add(task);
         }
     }
 
-    @Override public boolean fails(String task) {
+    @Override
+    public boolean fails(String task) {
         return false;
     }
 
-    @Override public boolean isDone(String task) {
+    @Override
+    public boolean isDone(String task) {
         return done.contains(task);
     }
 }
--- a/src/test/java/io/pepperfield/node/MeetingsTest.java
+++ b/src/test/java/io/pepperfield/node/MeetingsTest.java
@@ -1,5 +1,7 @@
 package io.pepperfield.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import io.pepperfield.standin.Region;
 import io.pepperfield.standin.Scenario;
 import io.pepperfield.standin.Trouble.CancelAtEnd;
@@ -32,16 +34,16 @@
 import io.pepperfield.standin.Trouble.Swarm;
 import io.pepperfield.standin.Trouble.Way;
 import io.pepperfield.standin.Trouble.ZoneCut;
+import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import java.util.List;
-import java.util.Set;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-
-/** Days on which troubles meet, in the simulated region. Of more seeds each with {@code -Dpepperfield.seeds=20}. */
+/**
+ * Days on which troubles meet, in the simulated region. Of more seeds each with {@code
+ * -Dpepperfield.seeds=20}.
+ */
 class MeetingsTest {
 
     private static void play(Scenario scenario, long seed) {
@@ -62,205 +64,402 @@
         assertEquals(List.of(), region.reusedRentalNames(), day);
     }
 
-    /** The old leader hears of no cancellation any more, while its workers go on reporting to it. */
-    @ParameterizedTest @CsvSource({"1, 0.5", "2, 1", "3, 2"})
+    /**
+     * The old leader hears of no cancellation any more, while its workers go on reporting to it.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, 0.5", "2, 1", "3, 2"})
     void theStateServiceRefusesTheLeaderAndThenEverybodyWhileUsersCancel(long seed, double apartS) {
-        play(Scenario.jobs(20, 2)
-                .at(40, new StateCut(Controllers.LEADER, Way.REFUSE, apartS + 1))
-                .at(40.1, new CancelNow(6, 0))
-                .at(40 + apartS, new StateOutage(1.5 * Region.CANCEL_S)), seed);
+        play(
+                Scenario.jobs(20, 2)
+                        .at(40, new StateCut(Controllers.LEADER, Way.REFUSE, apartS + 1))
+                        .at(40.1, new CancelNow(6, 0))
+                        .at(40 + apartS, new StateOutage(1.5 * Region.CANCEL_S)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void oneTaskJobsComeFourASecondAndAQuarterIsCancelled(long seed) {
         play(Scenario.jobs(6, 4).at(20, new Swarm(4, 60)), seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2, 3})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
     void transactionsWithoutAnAnswerAreCarriedOutAfterNewerOnes(long seed) {
-        play(Scenario.jobs(24, 2).at(20, new LateWrites(0.2, 40, false)).at(35, new CancelNow(4, 0)), seed);
+        play(
+                Scenario.jobs(24, 2)
+                        .at(20, new LateWrites(0.2, 40, false))
+                        .at(35, new CancelNow(4, 0)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2, 3})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
     void answersToTransactionsAreLostWhileUsersLookClosely(long seed) {
-        play(Scenario.jobs(24, 2).at(10, new CloseLooks(60)).at(15, new LateWrites(0.2, 40, true)).at(35, new CancelNow(4, 0)), seed);
+        play(
+                Scenario.jobs(24, 2)
+                        .at(10, new CloseLooks(60))
+                        .at(15, new LateWrites(0.2, 40, true))
+                        .at(35, new CancelNow(4, 0)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2, 3})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
     void leadersChangeTenTimesInTwoMinutesAndInAnOutage(long seed) {
-        play(Scenario.jobs(40, 3).at(30, new LeaderChanges(10, 120)).at(70, new StateOutage(15)), seed);
+        play(
+                Scenario.jobs(40, 3).at(30, new LeaderChanges(10, 120)).at(70, new StateOutage(15)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void aZoneWithWorkersAndAControllerIsCutOffForLongerThanALease(long seed) {
-        play(Scenario.jobs(24, 2).at(35, new ZoneCut("east", Controllers.afterLeader(1), 2 * Region.LEASE_S)).at(37, new CancelNow(4, 0)), seed);
+        play(
+                Scenario.jobs(24, 2)
+                        .at(35, new ZoneCut("east", Controllers.afterLeader(1), 2 * Region.LEASE_S))
+                        .at(37, new CancelNow(4, 0)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void aZoneWithTheLeaderIsCutOffForLongerThanALease(long seed) {
-        play(Scenario.jobs(24, 2).at(35, new ZoneCut("west", Controllers.LEADER, 2 * Region.LEASE_S)).at(37, new CancelNow(4, 0)), seed);
+        play(
+                Scenario.jobs(24, 2)
+                        .at(35, new ZoneCut("west", Controllers.LEADER, 2 * Region.LEASE_S))
+                        .at(37, new CancelNow(4, 0)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void allControllersAreAwayForLongerThanALease(long seed) {
-        play(Scenario.jobs(24, 2).at(35, new CancelNow(4, 0)).at(35.2, new NodeCrash(Controllers.ALL, 1.5 * Region.LEASE_S)), seed);
+        play(
+                Scenario.jobs(24, 2)
+                        .at(35, new CancelNow(4, 0))
+                        .at(35.2, new NodeCrash(Controllers.ALL, 1.5 * Region.LEASE_S)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void newMachinesGetWorkAtOnceWhileWritesLagAndTheLeaderEnds(long seed) {
-        play(Scenario.jobs(30, 1).at(9, new QuickBoots(60), new LateWrites(0.3, 40, false)).at(14, new NodeCrash(Controllers.LEADER, 3))
-                .at(30, new NodeCrash(Controllers.LEADER, 0.2)), seed);
+        play(
+                Scenario.jobs(30, 1)
+                        .at(9, new QuickBoots(60), new LateWrites(0.3, 40, false))
+                        .at(14, new NodeCrash(Controllers.LEADER, 3))
+                        .at(30, new NodeCrash(Controllers.LEADER, 0.2)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void theStateServiceAnswersSlowlyWhileUsersCancelAndAsk(long seed) {
-        play(Scenario.jobs(24, 2).at(25, new StateSlow(0.5, 40), new ManyQuestions(40)).at(35, new CancelNow(4, 0)).at(50, new CancelNow(4, 0)), seed);
+        play(
+                Scenario.jobs(24, 2)
+                        .at(25, new StateSlow(0.5, 40), new ManyQuestions(40))
+                        .at(35, new CancelNow(4, 0))
+                        .at(50, new CancelNow(4, 0)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void theStateServiceRefusesTheLeaderForLongAndThenEverybodyWhileUsersAsk(long seed) {
-        play(Scenario.jobs(24, 2).at(30, new ManyQuestions(60), new StateCut(Controllers.LEADER, Way.REFUSE, 1)).at(30.2, new CancelNow(3, 0))
-                .at(36, new StateCut(Controllers.LEADER, Way.REFUSE, 8)).at(37, new CancelNow(3, 0)).at(42, new StateOutage(1.5 * Region.CANCEL_S)), seed);
-    }
-
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+        play(
+                Scenario.jobs(24, 2)
+                        .at(
+                                30,
+                                new ManyQuestions(60),
+                                new StateCut(Controllers.LEADER, Way.REFUSE, 1))
+                        .at(30.2, new CancelNow(3, 0))
+                        .at(36, new StateCut(Controllers.LEADER, Way.REFUSE, 8))
+                        .at(37, new CancelNow(3, 0))
+                        .at(42, new StateOutage(1.5 * Region.CANCEL_S)),
+                seed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void anOldReportReachesEveryControllerJustAsANewLeaderBegins(long seed) {
-        play(Scenario.jobs(30, 2).at(20, new LateReports(0.3, 60, true)).at(35, new NodeCrash(Controllers.LEADER, 5))
-                .at(50, new MachineReboot(Machines.count(2))).at(55, new NodeCrash(Controllers.LEADER, 0.2)), seed);
+        play(
+                Scenario.jobs(30, 2)
+                        .at(20, new LateReports(0.3, 60, true))
+                        .at(35, new NodeCrash(Controllers.LEADER, 5))
+                        .at(50, new MachineReboot(Machines.count(2)))
+                        .at(55, new NodeCrash(Controllers.LEADER, 0.2)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void thereIsMoreWorkThanRoomOverSlowLinks(long seed) {
-        play(Scenario.jobs(60, 0.5).at(10, new SlowLinks(0.15, 50)).at(20, new Swarm(4, 20)).at(30, new CancelNow(6, 0)), seed);
+        play(
+                Scenario.jobs(60, 0.5)
+                        .at(10, new SlowLinks(0.15, 50))
+                        .at(20, new Swarm(4, 20))
+                        .at(30, new CancelNow(6, 0)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void aLeaderIsCutFromStateServiceAndPeersWhileJobsAreCancelledThroughTheNextOne(long seed) {
-        play(Scenario.jobs(24, 2).at(35, new NodeCut(Controllers.LEADER, Set.of(Side.STATE, Side.PEERS), Way.HOLD, 2 * Region.CANCEL_S))
-                .at(38, new CancelNow(4, 0)).at(45, new CancelNow(4, 0)), seed);
-    }
-
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+        play(
+                Scenario.jobs(24, 2)
+                        .at(
+                                35,
+                                new NodeCut(
+                                        Controllers.LEADER,
+                                        Set.of(Side.STATE, Side.PEERS),
+                                        Way.HOLD,
+                                        2 * Region.CANCEL_S))
+                        .at(38, new CancelNow(4, 0))
+                        .at(45, new CancelNow(4, 0)),
+                seed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void controllersHandOverAndBackAllEndAndOneIsBackWithinASecond(long seed) {
-        play(Scenario.jobs(30, 2).at(25, new LeaderChanges(4, 16)).at(45, new NodeCrash(Controllers.node(0), 0.3),
-                new NodeCrash(Controllers.node(1), 15), new NodeCrash(Controllers.node(2), 15)).at(46, new CancelNow(3, 0)), seed);
-    }
-
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+        play(
+                Scenario.jobs(30, 2)
+                        .at(25, new LeaderChanges(4, 16))
+                        .at(
+                                45,
+                                new NodeCrash(Controllers.node(0), 0.3),
+                                new NodeCrash(Controllers.node(1), 15),
+                                new NodeCrash(Controllers.node(2), 15))
+                        .at(46, new CancelNow(3, 0)),
+                seed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void teamsAreAtTheirLimitWhileCancelledTasksAreOutOfReachAndTheLeaderChanges(long seed) {
-        play(Scenario.jobs(42, 0.6).at(30, new MachineCut(Machines.share(0.4), 1.5 * Region.LEASE_S)).at(30.5, new CancelNow(8, 2 * Region.LEASE_S))
-                .at(31, new NodeCrash(Controllers.LEADER, 2)), seed);
+        play(
+                Scenario.jobs(42, 0.6)
+                        .at(30, new MachineCut(Machines.share(0.4), 1.5 * Region.LEASE_S))
+                        .at(30.5, new CancelNow(8, 2 * Region.LEASE_S))
+                        .at(31, new NodeCrash(Controllers.LEADER, 2)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void teamsAreAtTheirLimitWhileSomeMachinesCannotBeAskedAndTheLeaderChanges(long seed) {
-        play(Scenario.jobs(42, 0.6).at(30, new NodeCrash(Controllers.LEADER, 3), new MachineCut(Machines.count(4), 2 * Region.LEASE_S))
-                .at(32, new CancelNow(6, 0)), seed);
-    }
-
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+        play(
+                Scenario.jobs(42, 0.6)
+                        .at(
+                                30,
+                                new NodeCrash(Controllers.LEADER, 3),
+                                new MachineCut(Machines.count(4), 2 * Region.LEASE_S))
+                        .at(32, new CancelNow(6, 0)),
+                seed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void usersLookCloselyAtAllNodesAndSomeCancelAtOnce(long seed) {
-        play(Scenario.jobs(30, 2).at(8, new CloseLooks(70)).at(35, new CancelNow(5, 0)).at(40, new NodeCrash(Controllers.LEADER, 0.3)), seed);
+        play(
+                Scenario.jobs(30, 2)
+                        .at(8, new CloseLooks(70))
+                        .at(35, new CancelNow(5, 0))
+                        .at(40, new NodeCrash(Controllers.LEADER, 0.3)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void tasksOfSmallJobsEndFarApartAcrossChangesOfLeader(long seed) {
         play(Scenario.jobs(36, 2).at(25, new LeaderChanges(6, 60)), seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void workersReachNoControllerWhileDirectCommandsReachThem(long seed) {
-        play(Scenario.jobs(24, 2).at(30, new MachineMute(Machines.share(0.5), 2 * Region.LEASE_S)).at(32, new CancelNow(4, 0)), seed);
+        play(
+                Scenario.jobs(24, 2)
+                        .at(30, new MachineMute(Machines.share(0.5), 2 * Region.LEASE_S))
+                        .at(32, new CancelNow(4, 0)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void aReportIsHeldBackUntilANewLeaderHasActed(long seed) {
-        play(Scenario.jobs(30, 2).at(25, new LateReports(0.4, 30, false)).at(35, new NodeCrash(Controllers.LEADER, 3))
-                .at(48, new NodeCrash(Controllers.LEADER, 3)), seed);
+        play(
+                Scenario.jobs(30, 2)
+                        .at(25, new LateReports(0.4, 30, false))
+                        .at(35, new NodeCrash(Controllers.LEADER, 3))
+                        .at(48, new NodeCrash(Controllers.LEADER, 3)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void oldReportsArriveAfterNewerOnesOfLaterSessionsAndAttempts(long seed) {
-        play(Scenario.jobs(30, 2).at(20, new LateReports(0.5, 50, false)).at(30, new MachineDeaf(Machines.share(0.4), 1.5 * Region.LEASE_S))
-                .at(50, new MachineReboot(Machines.count(3))).at(52, new CancelNow(4, 0)), seed);
+        play(
+                Scenario.jobs(30, 2)
+                        .at(20, new LateReports(0.5, 50, false))
+                        .at(30, new MachineDeaf(Machines.share(0.4), 1.5 * Region.LEASE_S))
+                        .at(50, new MachineReboot(Machines.count(3)))
+                        .at(52, new CancelNow(4, 0)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void commandsAreHeldUpAndMachinesGoOn(long seed) {
-        play(Scenario.jobs(30, 2).at(20, new CommandsHeld(Machines.share(1), 4, 30)).at(30, new MachineHang(Machines.share(0.4), 4))
-                .at(31, new CancelNow(5, 0)), seed);
+        play(
+                Scenario.jobs(30, 2)
+                        .at(20, new CommandsHeld(Machines.share(1), 4, 30))
+                        .at(30, new MachineHang(Machines.share(0.4), 4))
+                        .at(31, new CancelNow(5, 0)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void jobsBoundToAZoneLoseTheirMachines(long seed) {
-        play(Scenario.jobs(30, 2).at(35, new MachineDie(Machines.zone("east"))).at(55, new MachineDie(Machines.zone("west"))), seed);
+        play(
+                Scenario.jobs(30, 2)
+                        .at(35, new MachineDie(Machines.zone("east")))
+                        .at(55, new MachineDie(Machines.zone("west"))),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void aLeaderEndsWhileMachinesCannotBeReachedOrDoNotHear(long seed) {
-        play(Scenario.jobs(24, 2).at(30, new MachineCut(Machines.count(3), 1.5 * Region.LEASE_S))
-                .at(31, new MachineDeaf(Machines.count(3), Region.LEASE_S)).at(32, new NodeCrash(Controllers.LEADER, 4)).at(33, new CancelNow(4, 0)), seed);
+        play(
+                Scenario.jobs(24, 2)
+                        .at(30, new MachineCut(Machines.count(3), 1.5 * Region.LEASE_S))
+                        .at(31, new MachineDeaf(Machines.count(3), Region.LEASE_S))
+                        .at(32, new NodeCrash(Controllers.LEADER, 4))
+                        .at(33, new CancelNow(4, 0)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void jobsAreCancelledWhileAControllersWorkChangesHands(long seed) {
-        play(Scenario.jobs(30, 2).at(30, new NodeCrash(Controllers.afterLeader(1), 10)).at(30.5, new CancelNow(4, 0))
-                .at(45, new NodeFreeze(Controllers.afterLeader(2), 8)).at(46, new CancelNow(4, 0)).at(53.2, new CancelNow(3, 0)), seed);
-    }
-
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+        play(
+                Scenario.jobs(30, 2)
+                        .at(30, new NodeCrash(Controllers.afterLeader(1), 10))
+                        .at(30.5, new CancelNow(4, 0))
+                        .at(45, new NodeFreeze(Controllers.afterLeader(2), 8))
+                        .at(46, new CancelNow(4, 0))
+                        .at(53.2, new CancelNow(3, 0)),
+                seed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void cancellationsAndQuestionsMeetTheEndOfTheLastTask(long seed) {
         play(Scenario.jobs(40, 1.5).at(10, new CancelAtEnd(0.5, 70), new CloseLooks(70)), seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void aRunOrderIsHeldForLongerThanACancellationMayTake(long seed) {
-        play(Scenario.jobs(30, 1).at(15, new CommandsHeld(Machines.share(0.6), 1.2 * Region.CANCEL_S, 15)).at(20, new CancelNow(6, 0))
-                .at(20.5, new StateOutage(1.5 * Region.CANCEL_S)).at(21, new NodeCrash(Controllers.LEADER, 2 * Region.CANCEL_S)), seed);
-    }
-
-    /** Nothing tells a machine that hangs to stop: it has to be returned, or its lease to end and its worker to go on. */
-    @ParameterizedTest @CsvSource({"1, 3", "2, 3", "3, 3", "1, 8", "2, 8", "3, 8", "6001, 6", "7002, 6"})
+        play(
+                Scenario.jobs(30, 1)
+                        .at(15, new CommandsHeld(Machines.share(0.6), 1.2 * Region.CANCEL_S, 15))
+                        .at(20, new CancelNow(6, 0))
+                        .at(20.5, new StateOutage(1.5 * Region.CANCEL_S))
+                        .at(21, new NodeCrash(Controllers.LEADER, 2 * Region.CANCEL_S)),
+                seed);
+    }
+
+    /**
+     * Nothing tells a machine that hangs to stop: it has to be returned, or its lease to end and
+     * its worker to go on.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, 3", "2, 3", "3, 3", "1, 8", "2, 8", "3, 8", "6001, 6", "7002, 6"})
     void jobsAreCancelledWhoseMachinesHang(long seed, int jobs) {
         play(Scenario.jobs(30, 1).at(30, new CancelNow(jobs, 1.25 * Region.CANCEL_S)), seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void mostMachinesHangForLongerThanACancellationMayTake(long seed) {
-        play(Scenario.jobs(24, 2).at(35, new MachineHang(Machines.share(0.7), 1.5 * Region.CANCEL_S)).at(35.5, new CancelNow(6, 0)), seed);
+        play(
+                Scenario.jobs(24, 2)
+                        .at(35, new MachineHang(Machines.share(0.7), 1.5 * Region.CANCEL_S))
+                        .at(35.5, new CancelNow(6, 0)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void machinesAreDeafWhileJobsAreCancelledAndTheStateServiceAndTheLeaderEnd(long seed) {
-        play(Scenario.jobs(24, 2).at(33, new MachineDeaf(Machines.share(1), 0.6 * Region.LEASE_S)).at(34, new CancelNow(6, 0))
-                .at(36, new StateOutage(1.5 * Region.CANCEL_S), new NodeCrash(Controllers.LEADER, 5)), seed);
-    }
-
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+        play(
+                Scenario.jobs(24, 2)
+                        .at(33, new MachineDeaf(Machines.share(1), 0.6 * Region.LEASE_S))
+                        .at(34, new CancelNow(6, 0))
+                        .at(
+                                36,
+                                new StateOutage(1.5 * Region.CANCEL_S),
+                                new NodeCrash(Controllers.LEADER, 5)),
+                seed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void oddRequestsChangeNothing(long seed) {
-        play(Scenario.jobs(24, 2).at(9, new OddRequests(60)).at(30, new NodeCrash(Controllers.LEADER, 1)).at(40, new StateOutage(5)), seed);
+        play(
+                Scenario.jobs(24, 2)
+                        .at(9, new OddRequests(60))
+                        .at(30, new NodeCrash(Controllers.LEADER, 1))
+                        .at(40, new StateOutage(5)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void pipelinesAreServedInTheirOrder(long seed) {
         play(Scenario.jobs(8, 4).at(10, new Pipelines(12, 40)), seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void pipelinesMeetLeadersThatChangeLateWritesAndAnOutage(long seed) {
-        play(Scenario.jobs(12, 4).at(10, new Pipelines(15, 60), new LateWrites(0.15, 60, false)).at(30, new LeaderChanges(5, 40))
-                .at(45, new StateOutage(12)).at(50, new CancelNow(4, 0)), seed);
+        play(
+                Scenario.jobs(12, 4)
+                        .at(10, new Pipelines(15, 60), new LateWrites(0.15, 60, false))
+                        .at(30, new LeaderChanges(5, 40))
+                        .at(45, new StateOutage(12))
+                        .at(50, new CancelNow(4, 0)),
+                seed);
     }
 
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void pipelinesAreCancelledWhileUsersLookCloselyAndTheLeaderIsRefused(long seed) {
-        play(Scenario.jobs(12, 4).at(10, new Pipelines(15, 50), new CloseLooks(60)).at(25, new CancelAtEnd(0.3, 40))
-                .at(35, new StateCut(Controllers.LEADER, Way.REFUSE, 2)).at(35.1, new CancelNow(6, 0)).at(36, new StateOutage(1.5 * Region.CANCEL_S)), seed);
-    }
-
-    @ParameterizedTest @ValueSource(longs = {1, 2})
+        play(
+                Scenario.jobs(12, 4)
+                        .at(10, new Pipelines(15, 50), new CloseLooks(60))
+                        .at(25, new CancelAtEnd(0.3, 40))
+                        .at(35, new StateCut(Controllers.LEADER, Way.REFUSE, 2))
+                        .at(35.1, new CancelNow(6, 0))
+                        .at(36, new StateOutage(1.5 * Region.CANCEL_S)),
+                seed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
     void pipelinesMeetMachinesThatAreDeafMuteOrHangAndAllControllersEnd(long seed) {
-        play(Scenario.jobs(8, 4).at(10, new Pipelines(15, 50), new LateReports(0.2, 50, false)).at(25, new MachineDeaf(Machines.share(0.3), 8))
-                .at(30, new MachineMute(Machines.count(2), 10)).at(35, new CancelNow(4, 10)).at(40, new NodeCrash(Controllers.ALL, 4)), seed);
+        play(
+                Scenario.jobs(8, 4)
+                        .at(10, new Pipelines(15, 50), new LateReports(0.2, 50, false))
+                        .at(25, new MachineDeaf(Machines.share(0.3), 8))
+                        .at(30, new MachineMute(Machines.count(2), 10))
+                        .at(35, new CancelNow(4, 10))
+                        .at(40, new NodeCrash(Controllers.ALL, 4)),
+                seed);
     }
 }
--- a/src/test/java/io/pepperfield/node/SimulationTest.java
+++ b/src/test/java/io/pepperfield/node/SimulationTest.java
@@ -1,21 +1,20 @@
 package io.pepperfield.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import io.pepperfield.standin.Region;
 import io.pepperfield.standin.WorkerStandIn;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import java.util.List;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNotEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 /**
- * Three controllers in a simulated region, with every rule of the protocol checked as things happen. Longer with
- * {@code -Dpepperfield.seeds=500}.
+ * Three controllers in a simulated region, with every rule of the protocol checked as things
+ * happen. Longer with {@code -Dpepperfield.seeds=500}.
  */
 class SimulationTest {
 
@@ -29,7 +28,8 @@
         return region;
     }
 
-    @Test void aQuietDayEndsWithEveryJobOver() {
+    @Test
+    void aQuietDayEndsWithEveryJobOver() {
         Region region = region(1, 12, 3);
         region.world.at(30, region::askForNothing);
         region.world.run(220);
@@ -39,7 +39,8 @@
         assertEquals(0, region.runningTasks());
     }
 
-    @Test void anOutageOfTheStateServiceCostsNoRunningWork() {
+    @Test
+    void anOutageOfTheStateServiceCostsNoRunningWork() {
         Region region = region(2, 6, 1);
         region.world.at(24, () -> region.stateOutage(34));
         region.world.run(150);
@@ -47,10 +48,12 @@
         assertEquals(List.of(), region.unfinished());
     }
 
-    @Test void aMachineThatDoesNotHearGetsNoWorkAndIsReturned() {
+    @Test
+    void aMachineThatDoesNotHearGetsNoWorkAndIsReturned() {
         Region region = region(3, 20, 3);
         region.world.run(45);
-        WorkerStandIn deaf = region.machines().stream().filter(WorkerStandIn::busy).findFirst().orElseThrow();
+        WorkerStandIn deaf =
+                region.machines().stream().filter(WorkerStandIn::busy).findFirst().orElseThrow();
         deaf.deafen(400);
         region.world.run(45 + 3 * Region.LEASE_S);
         assertFalse(region.machines().contains(deaf), "still rented");
@@ -59,7 +62,8 @@
         assertEquals(List.of(), region.unfinished());
     }
 
-    @Test void aLeaderCutFromAllButItsWorkersLetsThemGoWithinTheirLeases() {
+    @Test
+    void aLeaderCutFromAllButItsWorkersLetsThemGoWithinTheirLeases() {
         Region region = region(4, 12, 2);
         region.world.run(40);
         assertTrue(region.runningTasks() > 8, "tasks " + region.runningTasks());
@@ -68,12 +72,14 @@
         int alone = region.leaderIndex();
         region.isolate(alone, 70);
         region.world.run(50);
-        // It can answer nobody: it leaves the load balancer and ends the connections that were opened before.
+        // It can answer nobody: it leaves the load balancer and ends the connections that were
+        // opened before.
         assertEquals(503, region.answer(alone, "GET", "/up").status());
         assertTrue(region.answer(alone, "GET", "/api/jobs/run-999998").close());
         region.world.run(68);
         assertNotEquals(leader, region.leader());
-        // No lease ran out, and no machine was given up for a silence that was the old leader's doing.
+        // No lease ran out, and no machine was given up for a silence that was the old leader's
+        // doing.
         assertEquals(lostBefore, region.lostTasks());
         region.world.run(250);
         assertEquals(List.of(), region.broken);
@@ -81,7 +87,8 @@
         assertEquals(List.of(), region.unanswered());
     }
 
-    @Test void aLeaderThatStoodStillActsOnNothingItKnewBefore() {
+    @Test
+    void aLeaderThatStoodStillActsOnNothingItKnewBefore() {
         Region region = region(7, 16, 2);
         region.world.run(40);
         for (int i = 0; i < 6; i++) {
@@ -95,28 +102,37 @@
         assertEquals(List.of(), region.unanswered());
     }
 
-    @Test void aZoneOutOfHearingIsNotReturnedByALeaderThatNeverHeardIt() {
+    @Test
+    void aZoneOutOfHearingIsNotReturnedByALeaderThatNeverHeardIt() {
         Region region = region(8, 12, 2);
         region.world.run(40);
         int leader = region.leaderIndex();
         region.cutZone("east", (leader + 1) % 3, 40 + 2.5 * Region.LEASE_S);
-        // The next leader begins while half of the fleet is silent, after those machines had booted.
+        // The next leader begins while half of the fleet is silent, after those machines had
+        // booted.
         region.world.at(41, () -> region.crash(leader, 5));
         region.world.run(41);
         // Now, since the earlier leader may still have returned a surplus of its own.
-        List<String> zone = region.machines().stream().filter(w -> w.zone.equals("east")).map(w -> w.name).toList();
+        List<String> zone =
+                region.machines().stream()
+                        .filter(w -> w.zone.equals("east"))
+                        .map(w -> w.name)
+                        .toList();
         assertTrue(zone.size() >= 3, "machines " + zone);
         region.world.run(44);
         assertNotEquals("node-" + leader, region.leader());
         region.world.run(40 + 2.5 * Region.LEASE_S);
-        assertTrue(region.machines().stream().map(w -> w.name).toList().containsAll(zone), "returned some of " + zone);
+        assertTrue(
+                region.machines().stream().map(w -> w.name).toList().containsAll(zone),
+                "returned some of " + zone);
         region.world.run(250);
         assertEquals(List.of(), region.broken);
         assertEquals(List.of(), region.unfinished());
         assertEquals(List.of(), region.unanswered());
     }
 
-    @Test void theOneControllerInsideACutGoesOnForItsZone() {
+    @Test
+    void theOneControllerInsideACutGoesOnForItsZone() {
         Region region = region(9, 0, 1);
         region.world.run(10);
         int inside = (region.leaderIndex() + 1) % 3;
@@ -137,7 +153,8 @@
         assertEquals(503, region.report(inside, "east").status());
     }
 
-    @Test void aZonesOwnReportsAloneTellThatItIsCutOff() {
+    @Test
+    void aZonesOwnReportsAloneTellThatItIsCutOff() {
         ZoneWatch watch = new ZoneWatch();
         for (int i = 0; i < 200; i++) {
             watch.heard(i % 2 == 0);
@@ -157,11 +174,13 @@
         assertFalse(only.cutOff());
     }
 
-    @Test void cancelledTasksEndInTimeThoughNobodyLeads() {
+    @Test
+    void cancelledTasksEndInTimeThoughNobodyLeads() {
         Region region = region(6, 12, 2);
         region.world.run(36);
         assertTrue(region.runningTasks() > 4, "tasks " + region.runningTasks());
-        // The others know of the cancellations, but give no stops; their answers must not keep the tasks alive.
+        // The others know of the cancellations, but give no stops; their answers must not keep the
+        // tasks alive.
         region.nobodyLeads(36 + 3 * Region.CANCEL_S);
         region.cancelAll();
         region.world.run(36 + 2 * Region.CANCEL_S);
@@ -172,7 +191,8 @@
         assertEquals(List.of(), region.unfinished());
     }
 
-    @Test void processesThatAreBackAtOnceInMidElectionLeadNobodyAstray() {
+    @Test
+    void processesThatAreBackAtOnceInMidElectionLeadNobodyAstray() {
         Region region = region(5, 16, 2);
         region.world.copies = 0.05;
         for (int i = 0; i < 30; i++) {
@@ -188,7 +208,8 @@
         assertEquals(List.of(), region.unanswered());
     }
 
-    @Test void aSwarmAndALargeArrayOfGuestsAreServedFromFewChanges() {
+    @Test
+    void aSwarmAndALargeArrayOfGuestsAreServedFromFewChanges() {
         Region region = region(21, 8, 3);
         region.world.run(30);
         int before = region.changes();
@@ -198,7 +219,8 @@
         }
         region.world.at(31, () -> region.submitGuests(2000, 400, 2));
         region.world.run(41);
-        // The submissions alone are one each; intents of their own would be as many again, and completions too.
+        // The submissions alone are one each; intents of their own would be as many again, and
+        // completions too.
         assertTrue(region.changes() - before < 330, "changes " + (region.changes() - before));
         region.world.run(160);
         assertEquals(List.of(), region.broken);
@@ -206,7 +228,8 @@
         assertEquals(List.of(), region.unanswered());
     }
 
-    @Test void jobsThatFailEverywhereHoldUpNobodyAndCostNoMachine() {
+    @Test
+    void jobsThatFailEverywhereHoldUpNobodyAndCostNoMachine() {
         Region region = region(22, 0, 3);
         for (int i = 1; i <= 8; i++) {
             int number = i;
@@ -222,14 +245,18 @@
         region.world.run(100);
         // One task at a time, after pauses that have grown by now.
         assertTrue(region.starts() - starts <= 5 * 5, "starts " + (region.starts() - starts));
-        assertEquals(rentals, region.rentals(), "rented although only what fails was waiting, or returned as faulty what is not");
+        assertEquals(
+                rentals,
+                region.rentals(),
+                "rented although only what fails was waiting, or returned as faulty what is not");
         region.world.run(200);
         assertEquals(List.of(), region.broken);
         assertEquals(List.of(), region.unfinished());
         assertEquals(0, region.runningTasks());
     }
 
-    @Test void machinesThatComeLateAreWaitedForAndThoseThatNeverComeReplaced() {
+    @Test
+    void machinesThatComeLateAreWaitedForAndThoseThatNeverComeReplaced() {
         Region late = new Region(23);
         late.boots(4, 0, 60);
         late.world.at(10, () -> late.submitGuests(1, 64, 20));
@@ -238,7 +265,9 @@
         late.world.run(140);
         usual.world.run(140);
         assertEquals(List.of(), late.unfinished());
-        assertTrue(late.rentals() <= usual.rentals() + 1, "a second fleet: " + late.rentals() + " machines, usually " + usual.rentals());
+        assertTrue(
+                late.rentals() <= usual.rentals() + 1,
+                "a second fleet: " + late.rentals() + " machines, usually " + usual.rentals());
         Region never = new Region(24);
         never.boots(1, 1, 14);
         never.world.at(10, () -> never.submitGuests(1, 64, 5));
@@ -246,7 +275,8 @@
         assertEquals(List.of(), never.unfinished());
     }
 
-    @Test void aLeaderThatItsWorkersDoNotReachGivesTheLeadAwayOnce() {
+    @Test
+    void aLeaderThatItsWorkersDoNotReachGivesTheLeadAwayOnce() {
         Region region = region(25, 16, 2);
         region.world.run(40);
         // What workers do tells of a controller only while some of them are its own.
@@ -261,7 +291,8 @@
         region.world.run(cut + 5 * Region.LEASE_S);
         assertNotEquals("node-" + leader, region.leader());
         int next = region.leaderIndex();
-        // In this region a lease is hardly longer than a worker's patience: some run out until the partition has moved, none later.
+        // In this region a lease is hardly longer than a worker's patience: some run out until the
+        // partition has moved, none later.
         int lost = region.lostTasks();
         region.world.run(cut + 10 * Region.LEASE_S);
         assertEquals(next, region.leaderIndex(), "given to and fro");
@@ -271,7 +302,8 @@
         assertEquals(List.of(), region.unfinished());
     }
 
-    @Test void questionsAboutUnknownJobsLeaveRoomForTheOthers() {
+    @Test
+    void questionsAboutUnknownJobsLeaveRoomForTheOthers() {
         Region region = region(27, 4, 1);
         region.world.run(30);
         // 1,000 sockets: 125 questions at once, of which 62 about jobs that nobody submitted.
@@ -279,7 +311,8 @@
         assertEquals(200, region.answer(1, "GET", "/api/jobs/run-000001").status());
     }
 
-    @Test void manyTimesAsManyQuestionsWhileAControllerIsSilentAreAllAnswered() {
+    @Test
+    void manyTimesAsManyQuestionsWhileAControllerIsSilentAreAllAnswered() {
         Region region = region(26, 20, 1);
         region.world.run(35);
         int silent = region.leaderIndex();
@@ -293,12 +326,14 @@
         assertEquals(List.of(), region.unanswered());
     }
 
-    @ParameterizedTest @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22})
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22})
     void noRuleBreaksWhateverFails(long seed) {
         run(seed);
     }
 
-    @Test void noRuleBreaksOverManySeedsIfAskedFor() {
+    @Test
+    void noRuleBreaksOverManySeedsIfAskedFor() {
         for (long seed = 1000; seed < 1000 + Integer.getInteger("pepperfield.seeds", 3); seed++) {
             run(seed);
         }
--- a/src/test/java/io/pepperfield/node/SizerTest.java
+++ b/src/test/java/io/pepperfield/node/SizerTest.java
@@ -1,5 +1,7 @@
 package io.pepperfield.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import io.pepperfield.cloud.Cloud;
 import io.pepperfield.cloud.MachineType;
 import io.pepperfield.cloud.Renting;
@@ -16,61 +18,129 @@
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.JobSpec.Rank;
 import io.pepperfield.jobs.JobSpec.Shape;
+import io.pepperfield.standin.Transactions;
 import io.pepperfield.steering.Pool;
 import io.pepperfield.store.Replica;
 import io.pepperfield.store.StateService;
 import io.pepperfield.store.Sync;
 import io.pepperfield.store.Writer;
-import io.pepperfield.standin.Transactions;
-import org.junit.jupiter.api.Test;
-
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-
-/** What is rented where: boxes of 8 CPUs in the east and the west, a team with a limit of 24 CPUs. */
+/**
+ * What is rented where: boxes of 8 CPUs in the east and the west, a team with a limit of 24 CPUs.
+ */
 class SizerTest implements Loop, Fleet.Listener, Writer.Lead, Cloud {
 
     private static final Pool BOX = new Pool("box", false);
 
-    private final Settings settings = new Settings("node-0", "east", null, null, List.of(), null, null,
-            new Settings.Deployment(1, List.of("east", "west"), 5, Map.of("red", new Settings.Team("red", 8, 24, 0, 0)), List.of(),
-                    new Settings.Workers(1, 6, 20), new Settings.State(100, 50, 8, 32), new Settings.Cloud(2, 2),
-                    new Settings.Quota(1, 256, 1000)), Operators.DEFAULTS);
+    private final Settings settings =
+            new Settings(
+                    "node-0",
+                    "east",
+                    null,
+                    null,
+                    List.of(),
+                    null,
+                    null,
+                    new Settings.Deployment(
+                            1,
+                            List.of("east", "west"),
+                            5,
+                            Map.of("red", new Settings.Team("red", 8, 24, 0, 0)),
+                            List.of(),
+                            new Settings.Workers(1, 6, 20),
+                            new Settings.State(100, 50, 8, 32),
+                            new Settings.Cloud(2, 2),
+                            new Settings.Quota(1, 256, 1000)),
+                    Operators.DEFAULTS);
     private final Transactions state = new Transactions();
-    private final Replica replica = new Replica((key, data, stamp) -> { });
-    private final Writer writer = new Writer(state, state, replica, new Sync(state, state, replica, 1, 1), this, 32, 1, 2);
+    private final Replica replica = new Replica((key, data, stamp) -> {});
+    private final Writer writer =
+            new Writer(
+                    state, state, replica, new Sync(state, state, replica, 1, 1), this, 32, 1, 2);
     private final Fleet fleet = new Fleet(this, 10, 3);
     private final Renting renting = new Renting(this, this, writer, fleet, 10, 1, 60, () -> true);
     private final Types types = new Types(settings);
     private final Ledger ledger = new Ledger();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
-    private final Sizer sizer = new Sizer(new ClusterState(this, settings, new Aims(List.of()), types, fleet, ledger, jobs, renting,
-            new Boots(types, 60), new Latencies()));
+    private final Sizer sizer =
+            new Sizer(
+                    new ClusterState(
+                            this,
+                            settings,
+                            new Aims(List.of()),
+                            types,
+                            fleet,
+                            ledger,
+                            jobs,
+                            renting,
+                            new Boots(types, 60),
+                            new Latencies()));
     private final List<String> rented = new ArrayList<>();
     private final Map<String, Integer> serials = new HashMap<>();
     private double now = 1;
     private Consumer<Rented> answer;
 
     SizerTest() {
-        types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east", "west"))));
+        types.heard(
+                List.of(
+                        new MachineType(
+                                "box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east", "west"))));
     }
 
     private Job job(Shape shape, int tasks, String zone, boolean together, boolean spread) {
-        Job job = new Job(new JobSpec("run-00000" + (jobs.size() + 1), "batch", "red", shape, Rank.STANDARD, tasks, 8, 0, 1, "img", 1, null, zone,
-                together, spread, false, 90, 0, 0, null, 0, 10, List.of()), 0);
+        Job job =
+                new Job(
+                        new JobSpec(
+                                "run-00000" + (jobs.size() + 1),
+                                "batch",
+                                "red",
+                                shape,
+                                Rank.STANDARD,
+                                tasks,
+                                8,
+                                0,
+                                1,
+                                "img",
+                                1,
+                                null,
+                                zone,
+                                together,
+                                spread,
+                                false,
+                                90,
+                                0,
+                                0,
+                                null,
+                                0,
+                                10,
+                                List.of()),
+                        0);
         jobs.put(job.spec.id(), job);
         return job;
     }
 
     private Machine up(String name, String zone, Report.Line... lines) {
         fleet.expect(name, "box", zone, false, 0, 0);
-        fleet.beat(new Report(name, "a:1", "box", zone, false, 1, serials.merge(name, 1, Integer::sum), 10, null, List.of(lines)), now);
+        fleet.beat(
+                new Report(
+                        name,
+                        "a:1",
+                        "box",
+                        zone,
+                        false,
+                        1,
+                        serials.merge(name, 1, Integer::sum),
+                        10,
+                        null,
+                        List.of(lines)),
+                now);
         return fleet.get(name);
     }
 
@@ -78,14 +148,23 @@
         Attempt attempt = fleet.intend(job, task, job.begin(task), up(machine, zone), now);
         ledger.add(attempt);
         fleet.ordered(attempt);
-        up(machine, zone, new Report.Line(new TaskRef(job.spec.id(), task), 1, Report.State.RUNNING, Report.Cause.NONE));
+        up(
+                machine,
+                zone,
+                new Report.Line(
+                        new TaskRef(job.spec.id(), task),
+                        1,
+                        Report.State.RUNNING,
+                        Report.Cause.NONE));
     }
 
     /** Some steps in half a unit, in which all machines report; what was asked for in them. */
     private List<String> steer() {
         List<String> before = List.copyOf(rented);
         for (double until = now + 30; now < until; now += 0.5) {
-            fleet.machines().stream().filter(Machine::up).forEach(machine -> up(machine.name, machine.zone(), lines(machine)));
+            fleet.machines().stream()
+                    .filter(Machine::up)
+                    .forEach(machine -> up(machine.name, machine.zone(), lines(machine)));
             sizer.tick(now);
             writer.flush();
             for (Consumer<StateService.TxnResult> done; (done = state.underWay) != null; ) {
@@ -97,18 +176,21 @@
     }
 
     private static Report.Line[] lines(Machine machine) {
-        return machine.attempts().stream().map(a -> new Report.Line(a.ref, a.number, Report.State.RUNNING, Report.Cause.NONE))
+        return machine.attempts().stream()
+                .map(a -> new Report.Line(a.ref, a.number, Report.State.RUNNING, Report.Cause.NONE))
                 .toArray(Report.Line[]::new);
     }
 
-    @Test void aJobBoundToAZoneIsNotLeftToIdleMachinesOfAnother() {
+    @Test
+    void aJobBoundToAZoneIsNotLeftToIdleMachinesOfAnother() {
         up("m1", "west");
         up("m2", "west");
         job(Shape.ARRAY, 1, "east", false, false);
         assertEquals(List.of("1 in east"), steer(), "once, as it is under way");
     }
 
-    @Test void whatIsComingThereCountsAndWhatNeverComesIsReplaced() {
+    @Test
+    void whatIsComingThereCountsAndWhatNeverComesIsReplaced() {
         up("m1", "west");
         job(Shape.ARRAY, 1, "east", false, false);
         fleet.expect("m2", "box", "east", false, now, now);
@@ -118,14 +200,16 @@
         assertEquals(List.of("1 in east"), steer());
     }
 
-    @Test void anArrayThatMustStayTogetherIsFollowedToItsZone() {
+    @Test
+    void anArrayThatMustStayTogetherIsFollowedToItsZone() {
         Job array = job(Shape.ARRAY, 2, null, true, false);
         runs(array, 0, "m1", "east");
         up("m2", "west");
         assertEquals(List.of("1 in east"), steer());
     }
 
-    @Test void aGangThatMustStayTogetherIsCompletedInTheZoneThatLacksLeast() {
+    @Test
+    void aGangThatMustStayTogetherIsCompletedInTheZoneThatLacksLeast() {
         job(Shape.GANG, 3, null, true, false);
         up("m1", "east");
         up("m2", "west");
@@ -133,21 +217,24 @@
         assertEquals(List.of("1 in west"), steer());
     }
 
-    @Test void replicasThatMayOnlyGoToTheOtherZoneGetAMachineThere() {
+    @Test
+    void replicasThatMayOnlyGoToTheOtherZoneGetAMachineThere() {
         Job service = job(Shape.SERVICE, 2, null, false, true);
         runs(service, 0, "m1", "east");
         up("m2", "east");
         assertEquals(List.of("1 in west"), steer());
     }
 
-    @Test void replicasThatMayStillGoToEitherZoneRentNothingBesideTheCount() {
+    @Test
+    void replicasThatMayStillGoToEitherZoneRentNothingBesideTheCount() {
         job(Shape.SERVICE, 2, null, false, true);
         up("m1", "east");
         up("m2", "east");
         assertEquals(List.of(), steer());
     }
 
-    @Test void aZoneThatHasRefusedIsNotAskedAgainForAUnit() {
+    @Test
+    void aZoneThatHasRefusedIsNotAskedAgainForAUnit() {
         up("m1", "west");
         job(Shape.ARRAY, 1, "east", false, false);
         assertEquals(List.of("1 in east"), steer());
@@ -157,7 +244,8 @@
         assertEquals(List.of("1 in east"), steer());
     }
 
-    @Test void aTeamAtItsLimitGetsNoMachineThatItCouldNotUse() {
+    @Test
+    void aTeamAtItsLimitGetsNoMachineThatItCouldNotUse() {
         Job first = job(Shape.ARRAY, 3, null, false, false);
         runs(first, 0, "m1", "west");
         runs(first, 1, "m2", "west");
@@ -167,44 +255,64 @@
         assertEquals(List.of(), steer());
     }
 
-    @Override public double now() {
+    @Override
+    public double now() {
         return now;
     }
 
-    @Override public long wallMs() {
+    @Override
+    public long wallMs() {
         return 0;
     }
 
-    @Override public void post(Runnable command) {
+    @Override
+    public void post(Runnable command) {
         command.run();
     }
 
-    @Override public void after(double seconds, Runnable command) { }
+    @Override
+    public void after(double seconds, Runnable command) {}
 
-    @Override public void started(Attempt attempt) { }
+    @Override
+    public void started(Attempt attempt) {}
 
-    @Override public void completed(Attempt attempt, double ranS) { }
+    @Override
+    public void completed(Attempt attempt, double ranS) {}
 
-    @Override public void gone(Attempt attempt, Report.Cause cause) { }
+    @Override
+    public void gone(Attempt attempt, Report.Cause cause) {}
 
-    @Override public void appeared(Machine machine) { }
+    @Override
+    public void appeared(Machine machine) {}
 
-    @Override public boolean confirmed() {
+    @Override
+    public boolean confirmed() {
         return true;
     }
 
-    @Override public StateService.Guard guard() {
+    @Override
+    public StateService.Guard guard() {
         return new StateService.Guard("leader", 1);
     }
 
-    @Override public void types(Consumer<List<MachineType>> done) { }
-
-    @Override public void rent(String request, String type, String zone, boolean spot, int count, Consumer<Rented> done) {
+    @Override
+    public void types(Consumer<List<MachineType>> done) {}
+
+    @Override
+    public void rent(
+            String request,
+            String type,
+            String zone,
+            boolean spot,
+            int count,
+            Consumer<Rented> done) {
         rented.add(count + " in " + zone);
         answer = done;
     }
 
-    @Override public void release(List<String> names, Consumer<Boolean> done) { }
+    @Override
+    public void release(List<String> names, Consumer<Boolean> done) {}
 
-    @Override public void list(Consumer<List<Listed>> done) { }
+    @Override
+    public void list(Consumer<List<Listed>> done) {}
 }
--- a/src/test/java/io/pepperfield/node/WatchTest.java
+++ b/src/test/java/io/pepperfield/node/WatchTest.java
@@ -1,5 +1,8 @@
 package io.pepperfield.node;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import io.pepperfield.cloud.Cloud;
 import io.pepperfield.cloud.MachineType;
 import io.pepperfield.cloud.Renting;
@@ -12,24 +15,40 @@
 import io.pepperfield.fleet.Ledger;
 import io.pepperfield.fleet.Machine;
 import io.pepperfield.fleet.Report;
-import org.junit.jupiter.api.Test;
-
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
-/** Which silent machines are given up: twelve in the east and twelve in the west, reports every second, leases of six. */
+/**
+ * Which silent machines are given up: twelve in the east and twelve in the west, reports every
+ * second, leases of six.
+ */
 class WatchTest implements Loop, Fleet.Listener {
 
-    private final Settings settings = new Settings("node-0", "east", null, null, List.of(), null, null,
-            new Settings.Deployment(1, List.of("east", "west"), 5, Map.of(), List.of(), new Settings.Workers(1, 6, 20),
-                    new Settings.State(100, 50, 8, 32), new Settings.Cloud(2, 2), new Settings.Quota(1, 256, 1000)), Operators.DEFAULTS);
+    private final Settings settings =
+            new Settings(
+                    "node-0",
+                    "east",
+                    null,
+                    null,
+                    List.of(),
+                    null,
+                    null,
+                    new Settings.Deployment(
+                            1,
+                            List.of("east", "west"),
+                            5,
+                            Map.of(),
+                            List.of(),
+                            new Settings.Workers(1, 6, 20),
+                            new Settings.State(100, 50, 8, 32),
+                            new Settings.Cloud(2, 2),
+                            new Settings.Quota(1, 256, 1000)),
+                    Operators.DEFAULTS);
     private final TreeSet<String> released = new TreeSet<>();
     private final Fleet fleet = new Fleet(this, 10, 3);
     private final Map<String, Integer> serials = new HashMap<>();
@@ -40,23 +59,62 @@
     private double now;
 
     WatchTest() {
-        types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east", "west"))));
-        Cloud cloud = new Cloud() {
-            @Override public void types(Consumer<List<MachineType>> done) { }
+        types.heard(
+                List.of(
+                        new MachineType(
+                                "box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east", "west"))));
+        Cloud cloud =
+                new Cloud() {
+                    @Override
+                    public void types(Consumer<List<MachineType>> done) {}
 
-            @Override public void rent(String request, String type, String zone, boolean spot, int count, Consumer<Rented> done) { }
+                    @Override
+                    public void rent(
+                            String request,
+                            String type,
+                            String zone,
+                            boolean spot,
+                            int count,
+                            Consumer<Rented> done) {}
 
-            @Override public void release(List<String> names, Consumer<Boolean> done) {
-                released.addAll(names);
-                done.accept(true);
-            }
+                    @Override
+                    public void release(List<String> names, Consumer<Boolean> done) {
+                        released.addAll(names);
+                        done.accept(true);
+                    }
 
-            @Override public void list(Consumer<List<Listed>> done) { }
-        };
+                    @Override
+                    public void list(Consumer<List<Listed>> done) {}
+                };
         Renting renting = new Renting(this, cloud, null, fleet, 10, 1, 10, () -> true);
-        ClusterState cluster = new ClusterState(this, settings, new Aims(List.of()), types, fleet, new Ledger(), new HashMap<>(), renting,
-                boots, new Latencies());
-        watch = new Watch(cluster, null, new HttpWorkers(this, (host, port, connections, method, path, body, deadlineMs, done) -> { }, 1), null);
+        ClusterState cluster =
+                new ClusterState(
+                        this,
+                        settings,
+                        new Aims(List.of()),
+                        types,
+                        fleet,
+                        new Ledger(),
+                        new HashMap<>(),
+                        renting,
+                        boots,
+                        new Latencies());
+        watch =
+                new Watch(
+                        cluster,
+                        null,
+                        new HttpWorkers(
+                                this,
+                                (host,
+                                        port,
+                                        connections,
+                                        method,
+                                        path,
+                                        body,
+                                        deadlineMs,
+                                        done) -> {},
+                                1),
+                        null);
     }
 
     private void tick() {
@@ -78,13 +136,27 @@
 
     private void report(String name, String zone) {
         fleet.expect(name, "box", zone, false, 0, now);
-        fleet.beat(new Report(name, "a:1", "box", zone, false, 1, serials.merge(name, 1, Integer::sum), 10, null, List.of()), now);
+        fleet.beat(
+                new Report(
+                        name,
+                        "a:1",
+                        "box",
+                        zone,
+                        false,
+                        1,
+                        serials.merge(name, 1, Integer::sum),
+                        10,
+                        null,
+                        List.of()),
+                now);
     }
 
-    @Test void aZonesSilenceIsTakenForACutUntilItsMachinesHadTimeToComeBack() {
+    @Test
+    void aZonesSilenceIsTakenForACutUntilItsMachinesHadTimeToComeBack() {
         run(10, "east", "west");
         run(25, "east");
-        // The cut ends: most are heard again, and the others have been silent for longer than a lease.
+        // The cut ends: most are heard again, and the others have been silent for longer than a
+        // lease.
         for (int i = 0; i < 8; i++) {
             report("west" + i, "west");
         }
@@ -94,7 +166,8 @@
         assertEquals(List.of(), new ArrayList<>(released));
     }
 
-    @Test void aFewSilentMachinesAreReturnedAndAZoneThatNeverComesBackIsToo() {
+    @Test
+    void aFewSilentMachinesAreReturnedAndAZoneThatNeverComesBackIsToo() {
         run(10, "east", "west");
         report("east12", "east");
         run(14, "east", "west");
@@ -105,7 +178,8 @@
         assertEquals(13, released.size());
     }
 
-    @Test void machinesOfASlowZoneAreWaitedForAndOneThatNeverComesIsNot() {
+    @Test
+    void machinesOfASlowZoneAreWaitedForAndOneThatNeverComesIsNot() {
         // Nominal 5 s. In the west all come late; in the east all but one are up in time.
         for (int i = 0; i < 6; i++) {
             fleet.expect("west" + i, "box", "west", false, 0, 0);
@@ -124,11 +198,15 @@
             tick();
             // Counted on or a second fleet would be rented for one that is about to come.
             assertTrue(boots.coming(fleet.get("west0"), now), "at " + now);
-            assertTrue(now <= 12 || fleet.get("never") == null || !boots.coming(fleet.get("never"), now));
+            assertTrue(
+                    now <= 12
+                            || fleet.get("never") == null
+                            || !boots.coming(fleet.get("never"), now));
         }
         assertEquals(List.of("never"), new ArrayList<>(released));
         assertTrue(boots.late(types.get("box"), "west"));
-        // A leader that begins now has seen no boot at all: what is up speaks for the east, where a few stragglers are no news.
+        // A leader that begins now has seen no boot at all: what is up speaks for the east, where a
+        // few stragglers are no news.
         Boots next = new Boots(types, 60);
         for (int i = 0; i < 3; i++) {
             fleet.expect("straggler" + i, "box", "east", false, 0, now);
@@ -148,25 +226,33 @@
         assertEquals(5, boots.expected(types.get("box"), "west"));
     }
 
-    @Override public double now() {
+    @Override
+    public double now() {
         return now;
     }
 
-    @Override public long wallMs() {
+    @Override
+    public long wallMs() {
         return 0;
     }
 
-    @Override public void post(Runnable command) {
+    @Override
+    public void post(Runnable command) {
         posted.add(command);
     }
 
-    @Override public void after(double seconds, Runnable command) { }
+    @Override
+    public void after(double seconds, Runnable command) {}
 
-    @Override public void started(Attempt attempt) { }
+    @Override
+    public void started(Attempt attempt) {}
 
-    @Override public void completed(Attempt attempt, double ranS) { }
+    @Override
+    public void completed(Attempt attempt, double ranS) {}
 
-    @Override public void gone(Attempt attempt, Report.Cause cause) { }
+    @Override
+    public void gone(Attempt attempt, Report.Cause cause) {}
 
-    @Override public void appeared(Machine machine) { }
+    @Override
+    public void appeared(Machine machine) {}
 }
--- a/src/test/java/io/pepperfield/peer/PartitionsTest.java
+++ b/src/test/java/io/pepperfield/peer/PartitionsTest.java
@@ -1,30 +1,31 @@
 package io.pepperfield.peer;
 
-import io.pepperfield.http.Json;
-import org.junit.jupiter.api.Test;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.pepperfield.http.Json;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+import org.junit.jupiter.api.Test;
 
 /** Whose partition a machine is in, and which messages of which life of a process count. */
 class PartitionsTest {
 
-    private static final Set<String> FIVE = Set.of("worker-0", "worker-1", "worker-2", "worker-3", "worker-4");
+    private static final Set<String> FIVE =
+            Set.of("worker-0", "worker-1", "worker-2", "worker-3", "worker-4");
     private static final Set<String> FOUR = Set.of("worker-0", "worker-1", "worker-2", "worker-4");
 
     private static String machine(int i) {
         return String.format("host-%06d", i);
     }
 
-    @Test void onlyTheMachinesOfAnEndedControllerMove() {
+    @Test
+    void onlyTheMachinesOfAnEndedControllerMove() {
         Map<String, Integer> sizes = new HashMap<>();
         for (int i = 0; i < 1000; i++) {
             String before = Partitions.owner(machine(i), FIVE);
@@ -33,27 +34,48 @@
             assertEquals(before.equals("worker-3"), !before.equals(after), machine(i));
         }
         // Even enough that no partition outgrows its sockets.
-        sizes.forEach((node, size) -> assertTrue(size > 1000 / 5 * 2 / 3 && size < 1000 / 5 * 4 / 3, node + " has " + size));
+        sizes.forEach(
+                (node, size) ->
+                        assertTrue(
+                                size > 1000 / 5 * 2 / 3 && size < 1000 / 5 * 4 / 3,
+                                node + " has " + size));
         assertEquals("", Partitions.owner(machine(1), List.of()));
     }
 
-    @Test void whatIsNoMessageOfThisVersionIsRefusedWhole() {
-        String good = "{\"node\":\"worker-1\",\"life\":\"a\",\"seq\":1,\"epoch\":7,\"beats\":[[\"host-1\",1,2,3,7]],\"more\":{}}";
-        assertEquals(1, RelayMessages.batch(Json.read(good.getBytes(StandardCharsets.UTF_8))).beats().size());
-        for (String bad : List.of("", "{}", "[]", good.replace("\"beats\"", "\"reports\""), good.replace("1,2,3,7", "1,2"),
-                good.replace("\"seq\":1", "\"seq\":\"1\""), good.substring(0, 40))) {
+    @Test
+    void whatIsNoMessageOfThisVersionIsRefusedWhole() {
+        String good =
+                "{\"node\":\"worker-1\",\"life\":\"a\",\"seq\":1,\"epoch\":7,\"beats\":[[\"host-1\",1,2,3,7]],\"more\":{}}";
+        assertEquals(
+                1,
+                RelayMessages.batch(Json.read(good.getBytes(StandardCharsets.UTF_8)))
+                        .beats()
+                        .size());
+        for (String bad :
+                List.of(
+                        "",
+                        "{}",
+                        "[]",
+                        good.replace("\"beats\"", "\"reports\""),
+                        good.replace("1,2,3,7", "1,2"),
+                        good.replace("\"seq\":1", "\"seq\":\"1\""),
+                        good.substring(0, 40))) {
             assertNull(RelayMessages.batch(Json.read(bad.getBytes(StandardCharsets.UTF_8))), bad);
         }
     }
 
-    @Test void aReportInAnotherEncodingDoesNotSpoilTheOthers() {
+    @Test
+    void aReportInAnotherEncodingDoesNotSpoilTheOthers() {
         String text = "{\"host\":\"host-1\"}";
         assertEquals(text, RelayMessages.raw(text.getBytes(StandardCharsets.UTF_16BE)).rawValue());
         assertEquals(text, RelayMessages.raw(text.getBytes(StandardCharsets.UTF_8)).rawValue());
     }
 
-    /** Reports of 30 machines, each at its partition's owner unless that one is out of their reach. */
-    private static Set<String> reports(Reachability reachability, double from, double until, String cut) {
+    /**
+     * Reports of 30 machines, each at its partition's owner unless that one is out of their reach.
+     */
+    private static Set<String> reports(
+            Reachability reachability, double from, double until, String cut) {
         Set<String> owners = FIVE;
         for (double now = from; now < until; now += 0.5) {
             owners = reachability.owners(FIVE, now);
@@ -65,10 +87,14 @@
         return owners;
     }
 
-    @Test void aControllerThatItsWorkersDoNotReachLosesItsPartAndDoesNotSwing() {
+    @Test
+    void aControllerThatItsWorkersDoNotReachLosesItsPartAndDoesNotSwing() {
         Reachability reachability = new Reachability(2, 12);
         assertEquals(FIVE, reports(reachability, 0, 20, "nobody"));
-        assertEquals(FIVE, reports(reachability, 20, 25, "worker-3"), "a period or two may pass without");
+        assertEquals(
+                FIVE,
+                reports(reachability, 20, 25, "worker-3"),
+                "a period or two may pass without");
         assertEquals(FOUR, reports(reachability, 25, 28, "worker-3"));
         assertEquals(FOUR, reports(reachability, 28, 37, "worker-3"));
         // Tried again after a lease, and again after two: each try costs its workers time.
@@ -80,9 +106,11 @@
         assertEquals(FIVE, reports(reachability, 157, 300, "nobody"));
     }
 
-    @Test void newMachinesThatTurnUpAnywhereMakeNobodyDeaf() {
+    @Test
+    void newMachinesThatTurnUpAnywhereMakeNobodyDeaf() {
         Reachability reachability = new Reachability(2, 12);
-        // Nobody has a machine for long, as when the first ones of a day boot; then each is a stray for a period and more.
+        // Nobody has a machine for long, as when the first ones of a day boot; then each is a stray
+        // for a period and more.
         for (double now = 0; now < 20; now++) {
             reachability.owners(FIVE, now);
         }
@@ -90,7 +118,8 @@
         assertEquals(FIVE, reports(reachability, 24.5, 60, "nobody"));
     }
 
-    @Test void whileTheLeaderRefusesAllWorkersNobodyIsDeaf() {
+    @Test
+    void whileTheLeaderRefusesAllWorkersNobodyIsDeaf() {
         Reachability reachability = new Reachability(2, 12);
         reports(reachability, 0, 20, "nobody");
         reports(reachability, 20, 24, "worker-3");
@@ -102,7 +131,8 @@
         assertEquals(FIVE, reports(reachability, 38, 60, "nobody"));
     }
 
-    @Test void aControllerThatIsBackHasTimeToBeFound() {
+    @Test
+    void aControllerThatIsBackHasTimeToBeFound() {
         Reachability reachability = new Reachability(2, 12);
         reports(reachability, 0, 20, "nobody");
         reachability.owners(FOUR, 21);
@@ -111,11 +141,13 @@
         assertEquals(FIVE, reports(reachability, 35, 80, "nobody"));
     }
 
-    @Test void aLateMessageOfAnEarlierProcessIsNotTheNewOnes() {
+    @Test
+    void aLateMessageOfAnEarlierProcessIsNotTheNewOnes() {
         Members members = new Members("worker-0", 2);
         assertTrue(members.heard("worker-1", "first", 7, 10));
         assertFalse(members.heard("worker-1", "first", 7, 10.1), "a copy");
-        assertTrue(members.heard("worker-1", "second", 1, 10.2), "back within a fraction of a second");
+        assertTrue(
+                members.heard("worker-1", "second", 1, 10.2), "back within a fraction of a second");
         assertFalse(members.heard("worker-1", "first", 8, 30), "held back until now");
         assertEquals(Set.of("worker-0"), members.live(30));
         assertTrue(members.heard("worker-1", "second", 2, 31));
--- a/src/test/java/io/pepperfield/placement/PlacerTest.java
+++ b/src/test/java/io/pepperfield/placement/PlacerTest.java
@@ -5,8 +5,6 @@
 import io.pepperfield.jobs.JobSpec.Rank;
 import io.pepperfield.jobs.JobSpec.Shape;
 import io.pepperfield.standin.Trace;
-import org.junit.jupiter.api.Test;
-
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -17,6 +15,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import org.junit.jupiter.api.Test;
 
 class PlacerTest {
 
@@ -24,36 +23,99 @@
     private final List<Room> rooms = new ArrayList<>();
     private final Map<String, Share> shares = new HashMap<>();
 
-    @Test void choices() throws IOException {
+    @Test
+    void choices() throws IOException {
         Trace.check("placement.txt", this::play);
     }
 
     private List<String> play(String[] words) {
         Map<String, String> f = new HashMap<>();
-        Arrays.stream(words).filter(w -> w.contains("=")).forEach(w -> f.put(w.substring(0, w.indexOf('=')), w.substring(w.indexOf('=') + 1)));
+        Arrays.stream(words)
+                .filter(w -> w.contains("="))
+                .forEach(
+                        w ->
+                                f.put(
+                                        w.substring(0, w.indexOf('=')),
+                                        w.substring(w.indexOf('=') + 1)));
         switch (words[0]) {
             case "new" -> {
                 requests.clear();
                 rooms.clear();
                 shares.clear();
             }
-            case "team" -> shares.put(words[1], new Share(new Settings.Team(words[1], number(f, "guaranteed", 0), number(f, "most", 0), 0, 0),
-                    number(f, "used", 0), 0, number(f, "lasting", 0), 0));
-            case "machine" -> rooms.add(new Room(words[1], "box", f.getOrDefault("zone", "east"), f.containsKey("spot"),
-                    Set.of(f.getOrDefault("has", "nothing")), number(f, "cpus", 8), 0, 64, new Capacity(number(f, "most", 64), 0, 64)));
+            case "team" ->
+                    shares.put(
+                            words[1],
+                            new Share(
+                                    new Settings.Team(
+                                            words[1],
+                                            number(f, "guaranteed", 0),
+                                            number(f, "most", 0),
+                                            0,
+                                            0),
+                                    number(f, "used", 0),
+                                    0,
+                                    number(f, "lasting", 0),
+                                    0));
+            case "machine" ->
+                    rooms.add(
+                            new Room(
+                                    words[1],
+                                    "box",
+                                    f.getOrDefault("zone", "east"),
+                                    f.containsKey("spot"),
+                                    Set.of(f.getOrDefault("has", "nothing")),
+                                    number(f, "cpus", 8),
+                                    0,
+                                    64,
+                                    new Capacity(number(f, "most", 64), 0, 64)));
             case "job" -> {
-                Shape shape = Shape.valueOf(f.getOrDefault("shape", "array").toUpperCase(Locale.ROOT));
+                Shape shape =
+                        Shape.valueOf(f.getOrDefault("shape", "array").toUpperCase(Locale.ROOT));
                 int waiting = (int) number(f, "waiting", 1);
                 Map<String, Integer> perZone = new HashMap<>();
                 if (f.containsKey("live")) {
                     perZone.put(f.get("live"), 1);
                 }
-                JobSpec job = new JobSpec(words[1], "w", f.getOrDefault("team", "red"), shape,
-                        Rank.valueOf(f.getOrDefault("rank", "standard").toUpperCase(Locale.ROOT)), (int) number(f, "tasks", waiting),
-                        number(f, "cpus", 4), 0, 1, f.getOrDefault("image", "img"), 1, null, f.get("zone"), f.containsKey("together"),
-                        f.containsKey("spread"), f.containsKey("spot"), 1, 0, 0, null, 0, 10, List.of());
-                Set<String> avoid = f.containsKey("avoid") ? new HashSet<>(Set.of(f.get("avoid"))) : new HashSet<>();
-                PlacementRequest request = new PlacementRequest(job, waiting, f.containsKey("within"), requests.size(), perZone, avoid);
+                JobSpec job =
+                        new JobSpec(
+                                words[1],
+                                "w",
+                                f.getOrDefault("team", "red"),
+                                shape,
+                                Rank.valueOf(
+                                        f.getOrDefault("rank", "standard")
+                                                .toUpperCase(Locale.ROOT)),
+                                (int) number(f, "tasks", waiting),
+                                number(f, "cpus", 4),
+                                0,
+                                1,
+                                f.getOrDefault("image", "img"),
+                                1,
+                                null,
+                                f.get("zone"),
+                                f.containsKey("together"),
+                                f.containsKey("spread"),
+                                f.containsKey("spot"),
+                                1,
+                                0,
+                                0,
+                                null,
+                                0,
+                                10,
+                                List.of());
+                Set<String> avoid =
+                        f.containsKey("avoid")
+                                ? new HashSet<>(Set.of(f.get("avoid")))
+                                : new HashSet<>();
+                PlacementRequest request =
+                        new PlacementRequest(
+                                job,
+                                waiting,
+                                f.containsKey("within"),
+                                requests.size(),
+                                perZone,
+                                avoid);
                 request.overdue(f.containsKey("overdue"));
                 request.promised(f.containsKey("promised"));
                 request.waited(number(f, "waited", 0));
@@ -61,8 +123,12 @@
             }
             default -> {
                 Map<String, Integer> counts = new LinkedHashMap<>();
-                Placer.place(requests, rooms, shares).forEach(c -> counts.merge(c.job() + " on " + c.machine(), 1, Integer::sum));
-                return counts.entrySet().stream().map(e -> e.getValue() + " of " + e.getKey()).toList();
+                Placer.place(requests, rooms, shares)
+                        .forEach(
+                                c -> counts.merge(c.job() + " on " + c.machine(), 1, Integer::sum));
+                return counts.entrySet().stream()
+                        .map(e -> e.getValue() + " of " + e.getKey())
+                        .toList();
             }
         }
         return List.of();
--- a/src/test/java/io/pepperfield/predict/PredictorTest.java
+++ b/src/test/java/io/pepperfield/predict/PredictorTest.java
@@ -2,19 +2,19 @@
 
 import io.pepperfield.standin.Trace;
 import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
-import org.junit.jupiter.api.Test;
-
 import java.io.IOException;
 import java.util.List;
 import java.util.Locale;
 import java.util.OptionalDouble;
+import org.junit.jupiter.api.Test;
 
 class PredictorTest {
 
     private PeerTimes times = new PeerTimes();
     private final DoubleArrayList running = new DoubleArrayList();
 
-    @Test void policies() throws IOException {
+    @Test
+    void policies() throws IOException {
         Trace.check("predictor.txt", this::play);
     }
 
@@ -33,7 +33,8 @@
             case "finished" -> times.finished(Double.parseDouble(words[1]), size(words, 2));
             case "interval" -> times.learn();
             default -> {
-                double predicted = Predictor.runTime(times, running, words[0].equals("ready"), size(words, 1));
+                double predicted =
+                        Predictor.runTime(times, running, words[0].equals("ready"), size(words, 1));
                 return List.of(String.format(Locale.ROOT, "%.2f", predicted));
             }
         }
@@ -41,6 +42,8 @@
     }
 
     private static OptionalDouble size(String[] words, int at) {
-        return words.length > at ? OptionalDouble.of(Double.parseDouble(words[at])) : OptionalDouble.empty();
+        return words.length > at
+                ? OptionalDouble.of(Double.parseDouble(words[at]))
+                : OptionalDouble.empty();
     }
 }
--- a/src/test/java/io/pepperfield/predict/ReadyTimesTest.java
+++ b/src/test/java/io/pepperfield/predict/ReadyTimesTest.java
@@ -1,27 +1,38 @@
 package io.pepperfield.predict;
 
-import org.junit.jupiter.api.Test;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
+import org.junit.jupiter.api.Test;
 
 /** When the jobs of a workflow become ready, from how long each still takes. */
 class ReadyTimesTest {
 
-    @Test void theLongestWayCounts() {
-        Map<String, List<String>> needs = Map.of("first", List.of(), "short", List.of("first"), "long", List.of("first"), "last", List.of("short", "long"));
-        Map<String, Double> remaining = Map.of("first", 5.0, "short", 1.0, "long", 8.0, "last", 2.0);
+    @Test
+    void theLongestWayCounts() {
+        Map<String, List<String>> needs =
+                Map.of(
+                        "first",
+                        List.of(),
+                        "short",
+                        List.of("first"),
+                        "long",
+                        List.of("first"),
+                        "last",
+                        List.of("short", "long"));
+        Map<String, Double> remaining =
+                Map.of("first", 5.0, "short", 1.0, "long", 8.0, "last", 2.0);
         ReadyTimes times = new ReadyTimes(needs::get, remaining::get);
         assertEquals(0, times.readyIn("first"));
         assertEquals(5, times.readyIn("short"));
         assertEquals(13, times.readyIn("last"));
     }
 
-    @Test void longChainsAndWideFansCostLittle() {
+    @Test
+    void longChainsAndWideFansCostLittle() {
         Map<String, List<String>> needs = new HashMap<>(Map.of("0", List.of()));
         for (int i = 1; i <= 20_000; i++) {
             needs.put("" + i, List.of("" + (i - 1)));
--- a/src/test/java/io/pepperfield/standin/CloudStandIn.java
+++ b/src/test/java/io/pepperfield/standin/CloudStandIn.java
@@ -6,7 +6,6 @@
 import io.pepperfield.http.Call;
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Reply;
-
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -23,7 +22,7 @@
         void delete(String name);
     }
 
-    private record Rented(String name, String zone, boolean spot, double at) { }
+    private record Rented(String name, String zone, boolean spot, double at) {}
 
     private final DoubleSupplier clock;
     private final Machines machines;
@@ -31,8 +30,13 @@
     private final Map<String, List<String>> requests = new LinkedHashMap<>();
     private final Map<String, Rented> rented = new LinkedHashMap<>();
     private final Map<String, String> asked = new LinkedHashMap<>();
-    /** Names that were used for two requests: the cloud would take the second for a repeat of the first. */
+
+    /**
+     * Names that were used for two requests: the cloud would take the second for a repeat of the
+     * first.
+     */
     public final List<String> reused = new ArrayList<>();
+
     private int next;
     private boolean out;
 
@@ -58,17 +62,29 @@
         switch (call.path()) {
             case "/machine_types" -> {
                 ObjectNode types = Json.object();
-                ObjectNode type = types.putArray("flavours").addObject().put("label", "box").put("vcpus", 8).put("accelerators", 0)
-                        .put("memGb", 32).put("localGb", 20).put("fetchGbPerS", 1).put("hourly", 1).put("spotPrice", 0.4).put("readyS", 5);
+                ObjectNode type =
+                        types.putArray("flavours")
+                                .addObject()
+                                .put("label", "box")
+                                .put("vcpus", 8)
+                                .put("accelerators", 0)
+                                .put("memGb", 32)
+                                .put("localGb", 20)
+                                .put("fetchGbPerS", 1)
+                                .put("hourly", 1)
+                                .put("spotPrice", 0.4)
+                                .put("readyS", 5);
                 type.putArray("sites").add("east").add("west");
                 return Reply.json(200, types);
             }
             case "/rentals/release" -> {
-                body.path("hosts").forEach(host -> {
-                    if (rented.remove(host.asText()) != null) {
-                        machines.delete(host.asText());
-                    }
-                });
+                body.path("hosts")
+                        .forEach(
+                                host -> {
+                                    if (rented.remove(host.asText()) != null) {
+                                        machines.delete(host.asText());
+                                    }
+                                });
                 return Reply.json(200, Json.object());
             }
             case "/rentals" -> {
@@ -91,8 +107,18 @@
             names = new ArrayList<>();
             for (int i = 0; i < body.path("howMany").asInt() && rented.size() < capacity; i++) {
                 String name = String.format("host-%06d", next++);
-                rented.put(name, new Rented(name, body.path("site").asText(), body.path("reclaimable").asBoolean(), clock.getAsDouble()));
-                machines.boot(name, "box", body.path("site").asText(), body.path("reclaimable").asBoolean());
+                rented.put(
+                        name,
+                        new Rented(
+                                name,
+                                body.path("site").asText(),
+                                body.path("reclaimable").asBoolean(),
+                                clock.getAsDouble()));
+                machines.boot(
+                        name,
+                        "box",
+                        body.path("site").asText(),
+                        body.path("reclaimable").asBoolean());
                 names.add(name);
             }
             if (names.isEmpty()) {
@@ -112,8 +138,14 @@
         for (Rented r : rented.values()) {
             double age = clock.getAsDouble() - r.at;
             if (age > 2) {
-                hosts.addObject().put("nameId", r.name).put("addr", "").put("flavour", "box").put("site", r.zone)
-                        .put("reclaimable", r.spot).put("status", "running").put("ageS", age);
+                hosts.addObject()
+                        .put("nameId", r.name)
+                        .put("addr", "")
+                        .put("flavour", "box")
+                        .put("site", r.zone)
+                        .put("reclaimable", r.spot)
+                        .put("status", "running")
+                        .put("ageS", age);
             }
         }
         return Reply.json(200, reply);
