--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -7,7 +7,6 @@
 import io.pepperfield.http.Call;
 import io.pepperfield.http.Reply;
 import io.pepperfield.peer.Partitions;
-
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
@@ -18,8 +17,9 @@
 import java.util.stream.Collectors;
 
 /**
- * A simulated region: three real controllers over stand-ins of everything else, in simulated time. Every rule of the
- * protocol is checked as things happen; what breaks one is kept in {@link #broken}.
+ * A simulated region: three real controllers over stand-ins of everything else, in simulated time.
+ * Every rule of the protocol is checked as things happen; what breaks one is kept in {@link
+ * #broken}.
  */
 public final class Region {
 
@@ -27,7 +27,8 @@
     public static final double LEASE_S = 6;
     public static final double CANCEL_S = 20;
     static final int NODES = 3;
-    private static final Map<String, Double> LIMITS = Map.of("red", 24.0, "blue", 24.0, "guests", Double.POSITIVE_INFINITY);
+    private static final Map<String, Double> LIMITS =
+            Map.of("red", 24.0, "blue", 24.0, "guests", Double.POSITIVE_INFINITY);
 
     private interface Handler {
         void handle(String from, Call call, Consumer<Reply> answer);
@@ -61,7 +62,8 @@
         machines.reported = copies::reported;
         cloud = new CloudStandIn(world::now, 14, machines);
         world.listen("10.2.0.1:2379", host(stateLink::handle));
-        world.listen("10.2.0.2:8443", host((from, call, answer) -> answer.accept(cloud.handle(call))));
+        world.listen(
+                "10.2.0.2:8443", host((from, call, answer) -> answer.accept(cloud.handle(call))));
         for (int i = 0; i < NODES; i++) {
             SimNode node = new SimNode(i, world, settings(i), broken);
             nodes.add(node);
@@ -69,32 +71,39 @@
             world.listen("10.0.0." + (i + 1) + ":8081", node.peerSide());
             node.start();
         }
-        everySoOften(0.05, () -> {
-            state.tick();
-            machines.tick();
-            machines.check();
-            watchLeader();
-        });
+        everySoOften(
+                0.05,
+                () -> {
+                    state.tick();
+                    machines.tick();
+                    machines.check();
+                    watchLeader();
+                });
         everySoOften(1, users::check);
     }
 
     private static SimWorld.Host host(Handler handler) {
         return new SimWorld.Host() {
-            @Override public void request(String from, String method, String path, byte[] body, Consumer<Reply> answer) {
+            @Override
+            public void request(
+                    String from, String method, String path, byte[] body, Consumer<Reply> answer) {
                 handler.handle(from, SimWorld.call(method, path, body), answer);
             }
 
-            @Override public boolean alive() {
+            @Override
+            public boolean alive() {
                 return true;
             }
         };
     }
 
     private void everySoOften(double seconds, Runnable run) {
-        world.after(seconds, () -> {
-            run.run();
-            everySoOften(seconds, run);
-        });
+        world.after(
+                seconds,
+                () -> {
+                    run.run();
+                    everySoOften(seconds, run);
+                });
     }
 
     /** What a team's tasks may use of CPUs together. */
@@ -106,7 +115,9 @@
         List<Settings.Member> members = new ArrayList<>();
         for (int i = 0; i < NODES; i++) {
             if (i != index) {
-                members.add(new Settings.Member("node-" + i, "east", new Address("10.0.0." + (i + 1), 8081)));
+                members.add(
+                        new Settings.Member(
+                                "node-" + i, "east", new Address("10.0.0." + (i + 1), 8081)));
             }
         }
         Map<String, Settings.Team> teams = new LinkedHashMap<>();
@@ -114,15 +125,30 @@
             teams.put(team, new Settings.Team(team, 12, limit(team), 0, 0));
         }
         teams.put("guests", new Settings.Team("guests", 0, limit("guests"), 0, 0));
-        Settings.Deployment deployment = new Settings.Deployment(NODES, List.of("east", "west"), 5, teams,
-                // Services should find their image, so that placing and stopping have their second way to go.
-                List.of(new Settings.Objective("wait", "gate", 0.5, 0.9, 0)),
-                new Settings.Workers(REPORT_S, LEASE_S, CANCEL_S), new Settings.State(150, 60, 8, 32), new Settings.Cloud(20, 2),
-                new Settings.Quota(1, 256, 1000));
+        Settings.Deployment deployment =
+                new Settings.Deployment(
+                        NODES,
+                        List.of("east", "west"),
+                        5,
+                        teams,
+                        // Services should find their image, so that placing and stopping have their
+                        // second way to go.
+                        List.of(new Settings.Objective("wait", "gate", 0.5, 0.9, 0)),
+                        new Settings.Workers(REPORT_S, LEASE_S, CANCEL_S),
+                        new Settings.State(150, 60, 8, 32),
+                        new Settings.Cloud(20, 2),
+                        new Settings.Quota(1, 256, 1000));
         Operators operators = new Operators(10, 0.2, 0.2, 0.85, 0.85, 3);
-        return new Settings("node-" + index, "east", new Address("10.0.0." + (index + 1), 8080),
-                new Address("10.0.0." + (index + 1), 8081), members, new Address("10.2.0.2", 8443), new Address("10.2.0.1", 2379),
-                deployment, operators);
+        return new Settings(
+                "node-" + index,
+                "east",
+                new Address("10.0.0." + (index + 1), 8080),
+                new Address("10.0.0." + (index + 1), 8081),
+                members,
+                new Address("10.2.0.2", 8443),
+                new Address("10.2.0.1", 2379),
+                deployment,
+                operators);
     }
 
     // ---- scenarios
@@ -133,7 +159,9 @@
             int number = i + 1;
             world.at(Scenario.FIRST_JOB_S + i * scenario.everyS(), () -> submitOneOfAll(number));
         }
-        scenario.troubles().forEach(planned -> world.at(planned.at(), () -> troubles.begin(planned.trouble())));
+        scenario.troubles()
+                .forEach(
+                        planned -> world.at(planned.at(), () -> troubles.begin(planned.trouble())));
         users.calmAt = scenario.calmAt();
     }
 
@@ -148,15 +176,36 @@
 
     // ---- users
 
-    /** Submits a job and follows it to its end; a third of the arrays and all services are cancelled at some time. */
+    /**
+     * Submits a job and follows it to its end; a third of the arrays and all services are cancelled
+     * at some time.
+     */
     public void submit(int number) {
         boolean service = world.random.nextInt(4) == 0;
         int tasks = service ? 1 + world.random.nextInt(3) : 1 + world.random.nextInt(8);
-        double cancelAt = service || world.random.nextInt(3) == 0 ? world.now() + 5 + 60 * world.random.nextDouble() : JobPlan.NEVER;
+        double cancelAt =
+                service || world.random.nextInt(3) == 0
+                        ? world.now() + 5 + 60 * world.random.nextDouble()
+                        : JobPlan.NEVER;
         double runS = 2 + 8 * world.random.nextDouble();
         boolean spot = !service && world.random.nextBoolean();
-        users.submit(new JobPlan(JobPlan.id(number), service ? "gate" : "batch", team(), service ? "production" : "standard", service, tasks,
-                service ? 2 : 4, List.of(runS), spot, service, false, null, false, cancelAt, List.of()));
+        users.submit(
+                new JobPlan(
+                        JobPlan.id(number),
+                        service ? "gate" : "batch",
+                        team(),
+                        service ? "production" : "standard",
+                        service,
+                        tasks,
+                        service ? 2 : 4,
+                        List.of(runS),
+                        spot,
+                        service,
+                        false,
+                        null,
+                        false,
+                        cancelAt,
+                        List.of()));
     }
 
     private String team() {
@@ -165,23 +214,52 @@
 
     /** An array of two or three tasks that end far apart. */
     public void submitUneven(int number) {
-        users.submit(JobPlan.array(number, "batch", team(), "standard", 2 + world.random.nextInt(2), 2, List.of(1.5, 45.0, 12.0), true));
+        users.submit(
+                JobPlan.array(
+                        number,
+                        "batch",
+                        team(),
+                        "standard",
+                        2 + world.random.nextInt(2),
+                        2,
+                        List.of(1.5, 45.0, 12.0),
+                        true));
     }
 
     /** An array of which each task may only run in one zone. */
     public void submitBound(int number) {
-        users.submit(JobPlan.array(number, "batch", team(), "urgent", 1 + world.random.nextInt(4), 2, List.of(6.0, 14.0), true)
-                .boundTo(world.random.nextBoolean() ? "east" : "west"));
+        users.submit(
+                JobPlan.array(
+                                number,
+                                "batch",
+                                team(),
+                                "urgent",
+                                1 + world.random.nextInt(4),
+                                2,
+                                List.of(6.0, 14.0),
+                                true)
+                        .boundTo(world.random.nextBoolean() ? "east" : "west"));
     }
 
     /** An array whose tasks must all be in one zone, whichever it is. */
     public void submitTogether(int number) {
-        users.submit(JobPlan.array(number, "batch", team(), "standard", 2 + world.random.nextInt(5), 2, List.of(4.0, 11.0, 20.0), true).inOneZone());
+        users.submit(
+                JobPlan.array(
+                                number,
+                                "batch",
+                                team(),
+                                "standard",
+                                2 + world.random.nextInt(5),
+                                2,
+                                List.of(4.0, 11.0, 20.0),
+                                true)
+                        .inOneZone());
     }
 
     /**
-     * A pipeline of five jobs: two need the first, one needs both, and the last needs that and the first. Each is submitted as soon as
-     * those that it needs are accepted; of one pipeline in three the last only when the others are over, of one in three a job is cancelled.
+     * A pipeline of five jobs: two need the first, one needs both, and the last needs that and the
+     * first. Each is submitted as soon as those that it needs are accepted; of one pipeline in
+     * three the last only when the others are over, of one in three a job is cancelled.
      */
     public void submitPipeline(int number) {
         List<JobPlan> jobs = new ArrayList<>();
@@ -189,28 +267,61 @@
         int cancelled = world.random.nextInt(3 * needs.length);
         String team = team();
         for (int i = 0; i < needs.length; i++) {
-            JobPlan plan = JobPlan.array(number + i, "batch", team, i == 4 ? "urgent" : "best_effort", 1 + world.random.nextInt(4), 2,
-                    List.of(2 + 4 * world.random.nextDouble()), true).after(Arrays.stream(needs[i]).mapToObj(n -> JobPlan.id(number + n)).toList());
-            jobs.add(i == cancelled ? plan.cancelledAt(world.now() + 30 * world.random.nextDouble()) : plan);
+            JobPlan plan =
+                    JobPlan.array(
+                                    number + i,
+                                    "batch",
+                                    team,
+                                    i == 4 ? "urgent" : "best_effort",
+                                    1 + world.random.nextInt(4),
+                                    2,
+                                    List.of(2 + 4 * world.random.nextDouble()),
+                                    true)
+                            .after(
+                                    Arrays.stream(needs[i])
+                                            .mapToObj(n -> JobPlan.id(number + n))
+                                            .toList());
+            jobs.add(
+                    i == cancelled
+                            ? plan.cancelledAt(world.now() + 30 * world.random.nextDouble())
+                            : plan);
         }
         users.submitPipeline(jobs, world.random.nextInt(3) == 0);
     }
 
     /** A single small task, of one in four its user calls off. */
     public void submitSingle(int number) {
-        JobPlan plan = JobPlan.array(number, "batch", world.random.nextBoolean() ? "guests" : team(), "standard", 1, 1,
-                List.of(1 + 6 * world.random.nextDouble()), true);
-        users.submit(world.random.nextInt(4) == 0 ? plan.cancelledAt(world.now() + 8 * world.random.nextDouble()) : plan);
+        JobPlan plan =
+                JobPlan.array(
+                        number,
+                        "batch",
+                        world.random.nextBoolean() ? "guests" : team(),
+                        "standard",
+                        1,
+                        1,
+                        List.of(1 + 6 * world.random.nextDouble()),
+                        true);
+        users.submit(
+                world.random.nextInt(4) == 0
+                        ? plan.cancelledAt(world.now() + 8 * world.random.nextDouble())
+                        : plan);
     }
 
-    /** An array of a team without a guarantee or a limit: many small short tasks of the lowest rank. */
+    /**
+     * An array of a team without a guarantee or a limit: many small short tasks of the lowest rank.
+     */
     public void submitGuests(int number, int tasks, double runS) {
-        users.submit(JobPlan.array(number, "idle", "guests", "best_effort", tasks, 0.25, List.of(runS), true));
+        users.submit(
+                JobPlan.array(
+                        number, "idle", "guests", "best_effort", tasks, 0.25, List.of(runS), true));
     }
 
     /** An array whose tasks fail on every machine until its user cancels it. */
     public void submitMistake(int number, double cancelAt) {
-        users.submit(JobPlan.array(number, "batch", "red", "standard", 12, 2, List.of(1.0), true).withMistake().cancelledAt(cancelAt));
+        users.submit(
+                JobPlan.array(number, "batch", "red", "standard", 12, 2, List.of(1.0), true)
+                        .withMistake()
+                        .cancelledAt(cancelAt));
     }
 
     /** Asks about a job that nobody submitted. */
@@ -271,7 +382,18 @@
             case 19 -> freeze(node, until + 2 * LEASE_S);
             case 15 -> {
                 stateOutage(until);
-                world.after(1, () -> List.of(0, 1, 2).forEach(i -> crash(i, 0.2 + 3 * world.random.nextDouble())));
+                world.after(
+                        1,
+                        () ->
+                                List.of(0, 1, 2)
+                                        .forEach(
+                                                i ->
+                                                        crash(
+                                                                i,
+                                                                0.2
+                                                                        + 3
+                                                                                * world.random
+                                                                                        .nextDouble())));
             }
             default -> {
                 if (worker != null) {
@@ -281,7 +403,10 @@
         }
     }
 
-    /** Machines that are rented until then take so many times as long to boot, and that part of them never comes up. */
+    /**
+     * Machines that are rented until then take so many times as long to boot, and that part of them
+     * never comes up.
+     */
     public void boots(double factor, double never, double until) {
         machines.boots(factor, never, until);
     }
@@ -295,12 +420,20 @@
         nodes.get(index).freeze(until);
     }
 
-    /** A zone's machines and one controller inside are cut off from everything else, and go on with each other. */
+    /**
+     * A zone's machines and one controller inside are cut off from everything else, and go on with
+     * each other.
+     */
     public void cutZone(String zone, int inside, double until) {
-        List<String> within = new ArrayList<>(List.of("node-" + inside, "10.0.0." + (inside + 1) + ":"));
-        machines.all().stream().filter(w -> w.zone.equals(zone)).forEach(w -> within.addAll(List.of(w.name, w.address)));
+        List<String> within =
+                new ArrayList<>(List.of("node-" + inside, "10.0.0." + (inside + 1) + ":"));
+        machines.all().stream()
+                .filter(w -> w.zone.equals(zone))
+                .forEach(w -> within.addAll(List.of(w.name, w.address)));
         List<String> without = new ArrayList<>(List.of("10.2.0.1", "10.2.0.2", "users"));
-        machines.all().stream().filter(w -> !w.zone.equals(zone)).forEach(w -> without.addAll(List.of(w.name, w.address)));
+        machines.all().stream()
+                .filter(w -> !w.zone.equals(zone))
+                .forEach(w -> without.addAll(List.of(w.name, w.address)));
         for (int other = 0; other < NODES; other++) {
             if (other != inside) {
                 without.addAll(List.of("node-" + other, "10.0.0." + (other + 1) + ":"));
@@ -311,7 +444,9 @@
 
     /** A third of the machines hang, as when a rack stands still. */
     public void hangSome(double until) {
-        machines.all().stream().filter(w -> world.random.nextInt(3) == 0).forEach(w -> w.hang(until));
+        machines.all().stream()
+                .filter(w -> world.random.nextInt(3) == 0)
+                .forEach(w -> w.hang(until));
     }
 
     /** Cut from the state service and the other controllers, but not from the workers. */
@@ -330,7 +465,10 @@
         world.cut("host-", "10.0.0." + (index + 1) + ":", until);
     }
 
-    /** The leader ends for good, and until then nobody else can be elected, although the state service answers. */
+    /**
+     * The leader ends for good, and until then nobody else can be elected, although the state
+     * service answers.
+     */
     public void nobodyLeads(double until) {
         int leader = leaderIndex();
         state.noGrants = true;
@@ -341,21 +479,25 @@
     public void stateOutage(double until) {
         state.outage(true);
         stateOutUntil = Math.max(stateOutUntil, until);
-        world.at(until, () -> {
-            if (world.now() >= stateOutUntil) {
-                state.outage(false);
-            }
-        });
+        world.at(
+                until,
+                () -> {
+                    if (world.now() >= stateOutUntil) {
+                        state.outage(false);
+                    }
+                });
     }
 
     void cloudOutage(double until) {
         cloud.outage(true);
         cloudOutUntil = Math.max(cloudOutUntil, until);
-        world.at(until, () -> {
-            if (world.now() >= cloudOutUntil) {
-                cloud.outage(false);
-            }
-        });
+        world.at(
+                until,
+                () -> {
+                    if (world.now() >= cloudOutUntil) {
+                        cloud.outage(false);
+                    }
+                });
     }
 
     // ---- who leads
@@ -368,8 +510,11 @@
 
     /** How many machines are in that node's partition while all take part. */
     public long partition(int index) {
-        Set<String> all = nodes.stream().map(node -> "node-" + node.index).collect(Collectors.toSet());
-        return machines.all().stream().filter(w -> Partitions.owner(w.name, all).equals("node-" + index)).count();
+        Set<String> all =
+                nodes.stream().map(node -> "node-" + node.index).collect(Collectors.toSet());
+        return machines.all().stream()
+                .filter(w -> Partitions.owner(w.name, all).equals("node-" + index))
+                .count();
     }
 
     /** Which of the nodes leads. */
@@ -403,7 +548,10 @@
         return machines.starts;
     }
 
-    /** How often a task has begun after its user was told that its job is cancelled: commands under way may do that for a while. */
+    /**
+     * How often a task has begun after its user was told that its job is cancelled: commands under
+     * way may do that for a while.
+     */
     public int startsAfterCancel() {
         return machines.startsAfterCancel;
     }
@@ -439,16 +587,28 @@
         return cloud.reused;
     }
 
-    /** What a node answers, without the network between; null where it has said nothing within two seconds. */
+    /**
+     * What a node answers, without the network between; null where it has said nothing within two
+     * seconds.
+     */
     public Reply answer(int node, String method, String path) {
         return answer(node, method, path, null);
     }
 
-    /** So many questions at once about jobs that nobody submitted: how many got 404, and how many were told to come back. */
+    /**
+     * So many questions at once about jobs that nobody submitted: how many got 404, and how many
+     * were told to come back.
+     */
     public List<Integer> floodOfUnknown(int node, int questions) {
         int[] got = new int[600];
         for (int i = 0; i < questions; i++) {
-            nodes.get(node).request("users", "GET", "/api/jobs/run-9" + (10_000 + i), null, reply -> got[reply.status()]++);
+            nodes.get(node)
+                    .request(
+                            "users",
+                            "GET",
+                            "/api/jobs/run-9" + (10_000 + i),
+                            null,
+                            reply -> got[reply.status()]++);
         }
         world.run(world.now() + 2);
         return List.of(got[404], got[503]);
@@ -470,7 +630,10 @@
 
     // ---- what is left at the end
 
-    /** Asks every node about every accepted job; what was not answered with 200 within the time that users wait. */
+    /**
+     * Asks every node about every accepted job; what was not answered with 200 within the time that
+     * users wait.
+     */
     public List<String> unanswered() {
         world.lost = 0;
         world.late = 0;
@@ -482,7 +645,10 @@
         return users.unfinished();
     }
 
-    /** Accepted jobs that are neither over nor running, and those that waited for 90 s of calm though there was room for them. */
+    /**
+     * Accepted jobs that are neither over nor running, and those that waited for 90 s of calm
+     * though there was room for them.
+     */
     public List<String> leftOver() {
         return users.leftOver();
     }
--- a/src/test/java/io/pepperfield/standin/ReportCopies.java
+++ b/src/test/java/io/pepperfield/standin/ReportCopies.java
@@ -31,7 +31,10 @@
         if (forNext) {
             kept.add(body);
         } else {
-            world.after(Trouble.LateReports.LEAST_S + world.random.nextDouble() * (Trouble.LateReports.MOST_S - Trouble.LateReports.LEAST_S),
+            world.after(
+                    Trouble.LateReports.LEAST_S
+                            + world.random.nextDouble()
+                                    * (Trouble.LateReports.MOST_S - Trouble.LateReports.LEAST_S),
                     () -> deliver(body));
         }
     }
@@ -43,6 +46,8 @@
     }
 
     private void deliver(byte[] body) {
-        nodes.stream().filter(SimNode::alive).forEach(node -> node.request("", "POST", "/agent/beat", body, reply -> { }));
+        nodes.stream()
+                .filter(SimNode::alive)
+                .forEach(node -> node.request("", "POST", "/agent/beat", body, reply -> {}));
     }
 }
--- a/src/test/java/io/pepperfield/standin/SimJob.java
+++ b/src/test/java/io/pepperfield/standin/SimJob.java
@@ -11,16 +11,24 @@
     final JobPlan plan;
     boolean accepted;
     boolean cancelAsked;
+
     /** When its user was told that it is cancelled. */
     double cancelledAt = Double.NaN;
+
     /** The last status that its user heard; a final one stays. */
     String last = "";
+
     double answeredAt;
     boolean saidForgotten;
     boolean saidRanCancelled;
-    /** Since when it has waited although there was room, or when it was seen without need to wait. */
+
+    /**
+     * Since when it has waited although there was room, or when it was seen without need to wait.
+     */
     double waitsSince;
+
     final Set<Integer> completed = new HashSet<>();
+
     /** Where its tasks are now, by their numbers. */
     final Map<Integer, WorkerStandIn> on = new TreeMap<>();
 
--- a/src/test/java/io/pepperfield/standin/SimMachines.java
+++ b/src/test/java/io/pepperfield/standin/SimMachines.java
@@ -5,7 +5,6 @@
 import io.pepperfield.http.Outcome;
 import io.pepperfield.http.Reply;
 import io.pepperfield.http.Sender;
-
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -22,9 +21,10 @@
     static final double CPUS = 8;
     private static final double SLACK = 1e-6;
     private static final List<String> NAMES = List.of("node-0", "node-1", "node-2");
-    private static final List<String> ADDRESSES = List.of("10.0.0.1:8080", "10.0.0.2:8080", "10.0.0.3:8080");
+    private static final List<String> ADDRESSES =
+            List.of("10.0.0.1:8080", "10.0.0.2:8080", "10.0.0.3:8080");
 
-    private record Held(double until, double forS) { }
+    private record Held(double until, double forS) {}
 
     private final SimWorld world;
     private final List<String> broken;
@@ -37,10 +37,13 @@
     private double bootsUntil;
     private double bootFactor;
     private double neverBoots;
+
     /** Told of every report that leaves a machine. */
-    Consumer<byte[]> reported = body -> { };
+    Consumer<byte[]> reported = body -> {};
+
     /** Told of every job whose last task has ended. */
-    Consumer<SimJob> completed = job -> { };
+    Consumer<SimJob> completed = job -> {};
+
     int starts;
     int startsAfterCancel;
     int lostTasks;
@@ -61,23 +64,30 @@
 
     // ---- machines come and go
 
-    @Override public void boot(String name, String type, String zone, boolean spot) {
+    @Override
+    public void boot(String name, String type, String zone, boolean spot) {
         String address = "10.1.0.1:" + port++;
         boolean trouble = world.now() < bootsUntil;
         if (trouble && world.random.nextDouble() < neverBoots) {
             return;
         }
-        world.after((1 + 5 * world.random.nextDouble()) * (trouble ? bootFactor : 1), () -> begin(name, type, zone, spot, address));
+        world.after(
+                (1 + 5 * world.random.nextDouble()) * (trouble ? bootFactor : 1),
+                () -> begin(name, type, zone, spot, address));
     }
 
-    /** Machines that are rented until then take so many times as long to boot, and that part of them never comes up. */
+    /**
+     * Machines that are rented until then take so many times as long to boot, and that part of them
+     * never comes up.
+     */
     void boots(double factor, double never, double until) {
         bootsUntil = until;
         bootFactor = factor;
         neverBoots = never;
     }
 
-    @Override public void delete(String name) {
+    @Override
+    public void delete(String name) {
         deleted.add(name);
         WorkerStandIn worker = workers.remove(name);
         if (worker != null) {
@@ -88,30 +98,53 @@
     /** The machine loses power and is back at once, with a worker that knows nothing of before. */
     void reboot(WorkerStandIn worker) {
         worker.die();
-        world.after(0.3, () -> begin(worker.name, worker.type, worker.zone, worker.spot, worker.address));
+        world.after(
+                0.3,
+                () -> begin(worker.name, worker.type, worker.zone, worker.spot, worker.address));
     }
 
     private void begin(String name, String type, String zone, boolean spot, String address) {
         if (deleted.contains(name)) {
             return;
         }
-        WorkerStandIn worker = new WorkerStandIn(name, type, zone, spot, address, world::now, reports(name), NAMES, ADDRESSES,
-                Region.REPORT_S, Region.LEASE_S, this);
+        WorkerStandIn worker =
+                new WorkerStandIn(
+                        name,
+                        type,
+                        zone,
+                        spot,
+                        address,
+                        world::now,
+                        reports(name),
+                        NAMES,
+                        ADDRESSES,
+                        Region.REPORT_S,
+                        Region.LEASE_S,
+                        this);
         workers.put(name, worker);
-        world.listen(address, new SimWorld.Host() {
-            @Override public void request(String from, String method, String path, byte[] body, Consumer<Reply> answer) {
-                Held hold = held.get(name);
-                if (hold != null && world.now() < hold.until && path.equals("/orders")) {
-                    world.after(hold.forS, () -> deliver(worker, path, body, answer));
-                } else {
-                    deliver(worker, path, body, answer);
-                }
-            }
-
-            @Override public boolean alive() {
-                return worker.alive();
-            }
-        });
+        world.listen(
+                address,
+                new SimWorld.Host() {
+                    @Override
+                    public void request(
+                            String from,
+                            String method,
+                            String path,
+                            byte[] body,
+                            Consumer<Reply> answer) {
+                        Held hold = held.get(name);
+                        if (hold != null && world.now() < hold.until && path.equals("/orders")) {
+                            world.after(hold.forS, () -> deliver(worker, path, body, answer));
+                        } else {
+                            deliver(worker, path, body, answer);
+                        }
+                    }
+
+                    @Override
+                    public boolean alive() {
+                        return worker.alive();
+                    }
+                });
     }
 
     private void deliver(WorkerStandIn worker, String path, byte[] body, Consumer<Reply> answer) {
@@ -128,7 +161,9 @@
         return (host, at, connections, method, path, body, deadlineMs, done) -> {
             if (world.now() < mutedUntil.getOrDefault(name, 0.0)) {
                 // No connection comes about, and one that was given up never does later.
-                world.after(deadlineMs / 1000.0, () -> done.accept(new Outcome.NotSent("no connection")));
+                world.after(
+                        deadlineMs / 1000.0,
+                        () -> done.accept(new Outcome.NotSent("no connection")));
                 return;
             }
             reported.accept(body);
@@ -145,11 +180,16 @@
     }
 
     List<WorkerStandIn> choose(Trouble.Machines which) {
-        List<WorkerStandIn> there = new ArrayList<>(workers.values().stream().filter(WorkerStandIn::alive)
-                .filter(w -> which.zone() == null || w.zone.equals(which.zone())).toList());
+        List<WorkerStandIn> there =
+                new ArrayList<>(
+                        workers.values().stream()
+                                .filter(WorkerStandIn::alive)
+                                .filter(w -> which.zone() == null || w.zone.equals(which.zone()))
+                                .toList());
         Collections.shuffle(there, world.random);
         there.sort((a, b) -> Boolean.compare(b.busy(), a.busy()));
-        int count = which.count() > 0 ? which.count() : (int) Math.ceil(which.share() * there.size());
+        int count =
+                which.count() > 0 ? which.count() : (int) Math.ceil(which.share() * there.size());
         return there.subList(0, Math.min(count, there.size()));
     }
 
@@ -163,7 +203,8 @@
         return jobs.get(SimJob.idOf(task));
     }
 
-    @Override public double runS(String task) {
+    @Override
+    public double runS(String task) {
         SimJob job = of(task);
         if (job == null) {
             return Double.NaN;
@@ -172,15 +213,18 @@
         return job.plan.service() ? -1 : times.get(SimJob.number(task) % times.size());
     }
 
-    @Override public boolean fails(String task) {
+    @Override
+    public boolean fails(String task) {
         return of(task).plan.mistaken();
     }
 
-    @Override public boolean isDone(String task) {
+    @Override
+    public boolean isDone(String task) {
         return of(task).completed.contains(SimJob.number(task));
     }
 
-    @Override public void begins(WorkerStandIn worker, String task) {
+    @Override
+    public void begins(WorkerStandIn worker, String task) {
         SimJob job = of(task);
         JobPlan plan = job.plan;
         starts++;
@@ -217,10 +261,14 @@
 
     /** What tasks of that team take of the machines that they are on. */
     private double used(String team) {
-        return jobs.values().stream().filter(job -> job.plan.team().equals(team)).mapToDouble(job -> job.on.size() * job.plan.cpus()).sum();
+        return jobs.values().stream()
+                .filter(job -> job.plan.team().equals(team))
+                .mapToDouble(job -> job.on.size() * job.plan.cpus())
+                .sum();
     }
 
-    @Override public void ends(WorkerStandIn worker, String task, boolean done) {
+    @Override
+    public void ends(WorkerStandIn worker, String task, boolean done) {
         SimJob job = of(task);
         job.on.remove(SimJob.number(task), worker);
         lostTasks += done || job.cancelAsked ? 0 : 1;
@@ -233,17 +281,31 @@
         broken.add(world.now() + " " + what);
     }
 
-    /** A cancelled task counts until it has exited, was killed or its machine is gone; one on a machine that hangs does too. */
+    /**
+     * A cancelled task counts until it has exited, was killed or its machine is gone; one on a
+     * machine that hangs does too.
+     */
     void check() {
         for (SimJob job : jobs.values()) {
-            if (!job.saidRanCancelled && !job.on.isEmpty() && world.now() > job.cancelledAt + Region.CANCEL_S) {
-                says("ran_cancelled: " + job.plan.id() + " " + job.on.keySet() + ", cancelled at " + job.cancelledAt);
+            if (!job.saidRanCancelled
+                    && !job.on.isEmpty()
+                    && world.now() > job.cancelledAt + Region.CANCEL_S) {
+                says(
+                        "ran_cancelled: "
+                                + job.plan.id()
+                                + " "
+                                + job.on.keySet()
+                                + ", cancelled at "
+                                + job.cancelledAt);
                 job.saidRanCancelled = true;
             }
         }
     }
 
-    /** Whether one more task of that job could run now, on a machine that works and with the room that its team has left. */
+    /**
+     * Whether one more task of that job could run now, on a machine that works and with the room
+     * that its team has left.
+     */
     boolean fits(SimJob job) {
         JobPlan plan = job.plan;
         if (used(plan.team()) + plan.cpus() > Region.limit(plan.team()) + SLACK) {
@@ -251,8 +313,11 @@
         }
         for (WorkerStandIn worker : workers.values()) {
             long here = job.on.values().stream().filter(w -> w.zone.equals(worker.zone)).count();
-            boolean may = (plan.spot() || !worker.spot) && (plan.zone() == null || plan.zone().equals(worker.zone))
-                    && !(plan.spread() && here >= (plan.tasks() + 1) / 2) && !(plan.together() && here < job.on.size());
+            boolean may =
+                    (plan.spot() || !worker.spot)
+                            && (plan.zone() == null || plan.zone().equals(worker.zone))
+                            && !(plan.spread() && here >= (plan.tasks() + 1) / 2)
+                            && !(plan.together() && here < job.on.size());
             if (may && worker.alive() && free(worker) + SLACK >= plan.cpus()) {
                 return true;
             }
@@ -261,13 +326,27 @@
     }
 
     private double free(WorkerStandIn worker) {
-        return CPUS - worker.tasks().stream().map(this::of).mapToDouble(job -> job == null ? 0 : job.plan.cpus()).sum();
+        return CPUS
+                - worker.tasks().stream()
+                        .map(this::of)
+                        .mapToDouble(job -> job == null ? 0 : job.plan.cpus())
+                        .sum();
     }
 
     /** The report of an idle machine that there is not. */
     static byte[] madeUpReport(String zone, int serial) {
-        JsonNode report = Json.object().put("host", "made-up-" + zone).put("addr", "10.9.0.1:1").put("flavour", "box").put("site", zone)
-                .put("reclaimable", false).put("tenure", 1).put("serial", serial).put("epoch", 0).putNull("warningS").set("shards", Json.array());
+        JsonNode report =
+                Json.object()
+                        .put("host", "made-up-" + zone)
+                        .put("addr", "10.9.0.1:1")
+                        .put("flavour", "box")
+                        .put("site", zone)
+                        .put("reclaimable", false)
+                        .put("tenure", 1)
+                        .put("serial", serial)
+                        .put("epoch", 0)
+                        .putNull("warningS")
+                        .set("shards", Json.array());
         return Json.write(report);
     }
 }
--- a/src/test/java/io/pepperfield/standin/SimNode.java
+++ b/src/test/java/io/pepperfield/standin/SimNode.java
@@ -12,7 +12,6 @@
 import io.pepperfield.peer.Peers;
 import io.pepperfield.peer.Relay;
 import io.pepperfield.store.HttpStateService;
-
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -32,6 +31,7 @@
     private Peers peers;
     private int life;
     private double frozenUntil;
+
     /** When it last sent something that the state service or another controller has answered. */
     private double heardOf;
 
@@ -45,44 +45,74 @@
     void start() {
         alive = true;
         int mine = ++life;
-        Loop loop = new Loop() {
-            @Override public double now() {
-                return world.now();
-            }
+        Loop loop =
+                new Loop() {
+                    @Override
+                    public double now() {
+                        return world.now();
+                    }
 
-            @Override public long wallMs() {
-                return 1_000_000_000L + Math.round(world.now() * 1000);
-            }
+                    @Override
+                    public long wallMs() {
+                        return 1_000_000_000L + Math.round(world.now() * 1000);
+                    }
 
-            @Override public void post(Runnable command) {
-                after(0, command);
-            }
+                    @Override
+                    public void post(Runnable command) {
+                        after(0, command);
+                    }
 
-            @Override public void after(double seconds, Runnable command) {
-                world.after(Math.max(seconds, 0), () -> awake(mine, () -> {
-                    command.run();
-                    controller.flush();
-                }));
-            }
-        };
+                    @Override
+                    public void after(double seconds, Runnable command) {
+                        world.after(
+                                Math.max(seconds, 0),
+                                () ->
+                                        awake(
+                                                mine,
+                                                () -> {
+                                                    command.run();
+                                                    controller.flush();
+                                                }));
+                    }
+                };
         heardOf = world.now();
         Sender out = world.from("node-" + index);
-        Sender sender = (host, port, connections, method, path, body, deadlineMs, done) -> {
-            if (method.equals("POST") && (path.endsWith("/orders") || path.startsWith("/rentals"))) {
-                mustBeAwake("sends " + path);
-            }
-            double sent = world.now();
-            out.send(host, port, connections, method, path, body, deadlineMs, outcome -> {
-                if (outcome instanceof Outcome.Answered answer && answer.status() == 200 && (port == 2379 || port == 8081)) {
-                    heardOf = Math.max(heardOf, sent);
-                }
-                done.accept(outcome);
-            });
-        };
+        Sender sender =
+                (host, port, connections, method, path, body, deadlineMs, done) -> {
+                    if (method.equals("POST")
+                            && (path.endsWith("/orders") || path.startsWith("/rentals"))) {
+                        mustBeAwake("sends " + path);
+                    }
+                    double sent = world.now();
+                    out.send(
+                            host,
+                            port,
+                            connections,
+                            method,
+                            path,
+                            body,
+                            deadlineMs,
+                            outcome -> {
+                                if (outcome instanceof Outcome.Answered answer
+                                        && answer.status() == 200
+                                        && (port == 2379 || port == 8081)) {
+                                    heardOf = Math.max(heardOf, sent);
+                                }
+                                done.accept(outcome);
+                            });
+                };
         HttpStateService state = new HttpStateService(loop, sender, settings.state());
         peers = new Peers(loop, settings, sender);
-        controller = new Controller(loop, settings, state, new HttpCloud(loop, sender, settings.cloud(), 20),
-                new HttpWorkers(loop, sender, Region.REPORT_S), peers, new Relay(loop, sender, settings), state::share);
+        controller =
+                new Controller(
+                        loop,
+                        settings,
+                        state,
+                        new HttpCloud(loop, sender, settings.cloud(), 20),
+                        new HttpWorkers(loop, sender, Region.REPORT_S),
+                        peers,
+                        new Relay(loop, sender, settings),
+                        state::share);
         controller.start();
     }
 
@@ -99,18 +129,30 @@
         frozenUntil = until;
     }
 
-    @Override public void request(String from, String method, String path, byte[] body, Consumer<Reply> answer) {
+    @Override
+    public void request(
+            String from, String method, String path, byte[] body, Consumer<Reply> answer) {
         take(controller::handle, SimWorld.call(method, path, body), answer);
     }
 
     /** After a pause longer than a grant nothing may rest on what it knew before. */
     private void mustBeAwake(String what) {
         if (frozenUntil > heardOf) {
-            broken.add(world.now() + " asleep: node-" + index + " " + what + " without a word since " + frozenUntil);
+            broken.add(
+                    world.now()
+                            + " asleep: node-"
+                            + index
+                            + " "
+                            + what
+                            + " without a word since "
+                            + frozenUntil);
         }
     }
 
-    /** At once, or in the order in which things came once the process goes on; never in another life of it. */
+    /**
+     * At once, or in the order in which things came once the process goes on; never in another life
+     * of it.
+     */
     private void awake(int in, Runnable then) {
         // A process that was killed does nothing more, whatever still comes for it.
         if (!alive || life != in) {
@@ -123,17 +165,21 @@
         }
     }
 
-    @Override public boolean alive() {
+    @Override
+    public boolean alive() {
         return alive;
     }
 
     SimWorld.Host peerSide() {
         return new SimWorld.Host() {
-            @Override public void request(String from, String method, String path, byte[] body, Consumer<Reply> answer) {
+            @Override
+            public void request(
+                    String from, String method, String path, byte[] body, Consumer<Reply> answer) {
                 take(peers::handle, SimWorld.call(method, path, body), answer);
             }
 
-            @Override public boolean alive() {
+            @Override
+            public boolean alive() {
                 return alive;
             }
         };
@@ -142,16 +188,21 @@
     /** An answer of a process that has ended meanwhile never leaves. */
     private void take(Handler by, Call call, Consumer<Reply> answer) {
         int mine = life;
-        awake(mine, () -> {
-            by.handle(call, reply -> {
-                if (alive && life == mine) {
-                    if (call.path().equals("/agent/beat") && reply.status() == 200) {
-                        mustBeAwake("renews a lease");
-                    }
-                    answer.accept(reply);
-                }
-            });
-            controller.flush();
-        });
+        awake(
+                mine,
+                () -> {
+                    by.handle(
+                            call,
+                            reply -> {
+                                if (alive && life == mine) {
+                                    if (call.path().equals("/agent/beat")
+                                            && reply.status() == 200) {
+                                        mustBeAwake("renews a lease");
+                                    }
+                                    answer.accept(reply);
+                                }
+                            });
+                    controller.flush();
+                });
     }
 }
--- a/src/test/java/io/pepperfield/standin/SimUsers.java
+++ b/src/test/java/io/pepperfield/standin/SimUsers.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Outcome;
-
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.LinkedHashMap;
@@ -16,10 +15,13 @@
 
     /** A job of which nothing is heard for so long once all is well counts as forgotten. */
     private static final double FORGOTTEN_S = 75;
+
     /** A job may wait so long although there is room for it. */
     private static final double WAIT_S = 90;
+
     /** Ids from here on are never accepted. */
     private static final int NOBODYS = 900_000;
+
     private static final double[] LOOKS_S = {0, 0.001, 0.004, 0.015, 0.06, 0.25, 1, 3};
 
     private final SimWorld world;
@@ -32,6 +34,7 @@
     private double cancelAtEndUntil;
     private double cancelAtEndShare;
     private int refusable = NOBODYS;
+
     /** When all troubles are over; only then users expect to be served. */
     double calmAt = Double.POSITIVE_INFINITY;
 
@@ -52,27 +55,38 @@
     void submit(JobPlan plan) {
         SimJob job = new SimJob(plan);
         jobs.put(plan.id(), job);
-        repeat(job, "POST", "/api/jobs", Json.write(plan.body()), () -> {
-            job.accepted = true;
-            job.waitsSince = world.now();
-            poll(job);
-            if (plan.cancelAt() < JobPlan.NEVER) {
-                world.at(Math.max(plan.cancelAt(), world.now()), () -> cancel(job));
-            }
-            if (world.now() < looksUntil) {
-                look(job);
-                if (world.random.nextInt(8) == 0) {
-                    cancel(job);
-                }
-            }
-        });
+        repeat(
+                job,
+                "POST",
+                "/api/jobs",
+                Json.write(plan.body()),
+                () -> {
+                    job.accepted = true;
+                    job.waitsSince = world.now();
+                    poll(job);
+                    if (plan.cancelAt() < JobPlan.NEVER) {
+                        world.at(Math.max(plan.cancelAt(), world.now()), () -> cancel(job));
+                    }
+                    if (world.now() < looksUntil) {
+                        look(job);
+                        if (world.random.nextInt(8) == 0) {
+                            cancel(job);
+                        }
+                    }
+                });
     }
 
-    /** One after the other, each as soon as those that it needs are accepted; the last perhaps only when these are over. */
+    /**
+     * One after the other, each as soon as those that it needs are accepted; the last perhaps only
+     * when these are over.
+     */
     void submitPipeline(List<JobPlan> plans, boolean lastIsLate) {
         JobPlan next = plans.get(0);
         boolean late = lastIsLate && plans.size() == 1;
-        boolean may = next.awaits().stream().map(jobs::get).allMatch(job -> late ? job.over() : job.accepted);
+        boolean may =
+                next.awaits().stream()
+                        .map(jobs::get)
+                        .allMatch(job -> late ? job.over() : job.accepted);
         if (may) {
             submit(next);
         }
@@ -82,28 +96,44 @@
         }
     }
 
-    /** The first moment at which a user was told that one of the jobs it needs is cancelled; infinite where there is none. */
+    /**
+     * The first moment at which a user was told that one of the jobs it needs is cancelled;
+     * infinite where there is none.
+     */
     private double cancelledBefore(SimJob job) {
         double first = Double.POSITIVE_INFINITY;
         for (String needed : job.plan.awaits()) {
             SimJob before = jobs.get(needed);
-            first = Math.min(first, Math.min(cancelledBefore(before), Double.isNaN(before.cancelledAt) ? Double.POSITIVE_INFINITY : before.cancelledAt));
+            first =
+                    Math.min(
+                            first,
+                            Math.min(
+                                    cancelledBefore(before),
+                                    Double.isNaN(before.cancelledAt)
+                                            ? Double.POSITIVE_INFINITY
+                                            : before.cancelledAt));
         }
         return first;
     }
 
     /** Whether its user or that of a job that it needs has asked to cancel it. */
     private boolean mayBeCancelled(SimJob job) {
-        return job.cancelAsked || job.plan.awaits().stream().map(jobs::get).anyMatch(this::mayBeCancelled);
+        return job.cancelAsked
+                || job.plan.awaits().stream().map(jobs::get).anyMatch(this::mayBeCancelled);
     }
 
     void cancel(SimJob job) {
         job.cancelAsked = true;
-        repeat(job, "POST", "/api/jobs/" + job.plan.id() + "/cancel", new byte[0], () -> {
-            if (world.now() < looksUntil) {
-                look(job);
-            }
-        });
+        repeat(
+                job,
+                "POST",
+                "/api/jobs/" + job.plan.id() + "/cancel",
+                new byte[0],
+                () -> {
+                    if (world.now() < looksUntil) {
+                        look(job);
+                    }
+                });
     }
 
     private void ended(SimJob job) {
@@ -117,29 +147,65 @@
 
     /** As users do: again after a second, at any node, until there is a proper answer. */
     private void repeat(SimJob job, String method, String path, byte[] body, Runnable done) {
-        ask(job, any(), method, path, body, 5000, status -> {
-            if (status > 0 && status < 429) {
-                done.run();
-            } else {
-                world.after(1, () -> repeat(job, method, path, body, done));
-            }
-        });
+        ask(
+                job,
+                any(),
+                method,
+                path,
+                body,
+                5000,
+                status -> {
+                    if (status > 0 && status < 429) {
+                        done.run();
+                    } else {
+                        world.after(1, () -> repeat(job, method, path, body, done));
+                    }
+                });
     }
 
     private void poll(SimJob job) {
-        ask(job, any(), "GET", "/api/jobs/" + job.plan.id(), null, 2000, status ->
-                world.after((2 + world.random.nextDouble()) / (world.now() < stormUntil ? 8 : 1), () -> poll(job)));
+        ask(
+                job,
+                any(),
+                "GET",
+                "/api/jobs/" + job.plan.id(),
+                null,
+                2000,
+                status ->
+                        world.after(
+                                (2 + world.random.nextDouble())
+                                        / (world.now() < stormUntil ? 8 : 1),
+                                () -> poll(job)));
     }
 
-    /** At all nodes again and again, from within a millisecond on; the submission is repeated among the questions. */
+    /**
+     * At all nodes again and again, from within a millisecond on; the submission is repeated among
+     * the questions.
+     */
     private void look(SimJob job) {
         for (double after : LOOKS_S) {
-            world.after(after, () -> {
-                for (int node = 0; node < Region.NODES; node++) {
-                    ask(job, node, "GET", "/api/jobs/" + job.plan.id(), null, 2000, status -> { });
-                }
-                ask(job, any(), "POST", "/api/jobs", Json.write(job.plan.body()), 5000, status -> { });
-            });
+            world.after(
+                    after,
+                    () -> {
+                        for (int node = 0; node < Region.NODES; node++) {
+                            ask(
+                                    job,
+                                    node,
+                                    "GET",
+                                    "/api/jobs/" + job.plan.id(),
+                                    null,
+                                    2000,
+                                    status -> {});
+                        }
+                        ask(
+                                job,
+                                any(),
+                                "POST",
+                                "/api/jobs",
+                                Json.write(job.plan.body()),
+                                5000,
+                                status -> {});
+                    });
         }
     }
 
@@ -147,37 +213,80 @@
         return world.random.nextInt(Region.NODES);
     }
 
-    /** Asks a node about a job, checks the answer, and goes on with its status, or 0 where none came. */
-    private void ask(SimJob job, int node, String method, String path, byte[] body, long deadlineMs, Consumer<Integer> then) {
+    /**
+     * Asks a node about a job, checks the answer, and goes on with its status, or 0 where none
+     * came.
+     */
+    private void ask(
+            SimJob job,
+            int node,
+            String method,
+            String path,
+            byte[] body,
+            long deadlineMs,
+            Consumer<Integer> then) {
         boolean accepted = job.accepted;
         String before = job.last;
         boolean orphan = world.now() > Region.CANCEL_S + cancelledBefore(job);
-        String asked = path.replace("/api/jobs", method) + " at " + world.now() + " from node-" + node;
-        send(node, method, path, body, deadlineMs, answer -> {
-            if (answer == null) {
-                then.accept(0);
-                return;
-            }
-            int status = answer.status();
-            if (status == 404 && accepted || status == 400 || status == 422) {
-                says("forgotten: " + job.plan.id() + " got " + status + ", " + asked);
-            } else if (status == 200 || status == 201) {
-                String told = answer.json().path("status").asText();
-                if (SimJob.isFinal(before) && !told.equals(before)) {
-                    says("went_back: " + job.plan.id() + " was " + before + ", is " + told + ", " + asked);
-                }
-                if (orphan && !SimJob.isFinal(told) && method.equals("GET")) {
-                    says("orphaned: " + job.plan.id() + " is " + told + ", " + asked);
-                }
-                heard(job, told);
-            }
-            then.accept(status);
-        });
+        String asked =
+                path.replace("/api/jobs", method) + " at " + world.now() + " from node-" + node;
+        send(
+                node,
+                method,
+                path,
+                body,
+                deadlineMs,
+                answer -> {
+                    if (answer == null) {
+                        then.accept(0);
+                        return;
+                    }
+                    int status = answer.status();
+                    if (status == 404 && accepted || status == 400 || status == 422) {
+                        says("forgotten: " + job.plan.id() + " got " + status + ", " + asked);
+                    } else if (status == 200 || status == 201) {
+                        String told = answer.json().path("status").asText();
+                        if (SimJob.isFinal(before) && !told.equals(before)) {
+                            says(
+                                    "went_back: "
+                                            + job.plan.id()
+                                            + " was "
+                                            + before
+                                            + ", is "
+                                            + told
+                                            + ", "
+                                            + asked);
+                        }
+                        if (orphan && !SimJob.isFinal(told) && method.equals("GET")) {
+                            says("orphaned: " + job.plan.id() + " is " + told + ", " + asked);
+                        }
+                        heard(job, told);
+                    }
+                    then.accept(status);
+                });
     }
 
-    private void send(int node, String method, String path, byte[] body, long deadlineMs, Consumer<Outcome.Answered> done) {
-        world.from("users").send("10.0.0." + (1 + node), 8080, 1, method, path, body, deadlineMs,
-                outcome -> done.accept(outcome instanceof Outcome.Answered answer ? answer : null));
+    private void send(
+            int node,
+            String method,
+            String path,
+            byte[] body,
+            long deadlineMs,
+            Consumer<Outcome.Answered> done) {
+        world.from("users")
+                .send(
+                        "10.0.0." + (1 + node),
+                        8080,
+                        1,
+                        method,
+                        path,
+                        body,
+                        deadlineMs,
+                        outcome ->
+                                done.accept(
+                                        outcome instanceof Outcome.Answered answer
+                                                ? answer
+                                                : null));
     }
 
     private void heard(SimJob job, String status) {
@@ -217,12 +326,22 @@
     }
 
     void cancelAll() {
-        jobs.values().stream().filter(job -> job.accepted && !job.last.equals("done")).toList().forEach(this::cancel);
+        jobs.values().stream()
+                .filter(job -> job.accepted && !job.last.equals("done"))
+                .toList()
+                .forEach(this::cancel);
     }
 
-    /** Cancels up to that many jobs that run, within that time; gives the machines on which they run. */
+    /**
+     * Cancels up to that many jobs that run, within that time; gives the machines on which they
+     * run.
+     */
     List<WorkerStandIn> cancelRunning(int count, double withinS) {
-        List<SimJob> running = new ArrayList<>(jobs.values().stream().filter(j -> j.accepted && !j.cancelAsked && !j.on.isEmpty()).toList());
+        List<SimJob> running =
+                new ArrayList<>(
+                        jobs.values().stream()
+                                .filter(j -> j.accepted && !j.cancelAsked && !j.on.isEmpty())
+                                .toList());
         Collections.shuffle(running, world.random);
         List<SimJob> chosen = running.subList(0, Math.min(count, running.size()));
         chosen.forEach(job -> world.after(withinS * world.random.nextDouble(), () -> cancel(job)));
@@ -238,26 +357,48 @@
     void oddRequest() {
         List<SimJob> known = jobs.values().stream().filter(job -> job.accepted).toList();
         SimJob job = known.isEmpty() ? null : known.get(world.random.nextInt(known.size()));
-        ObjectNode good = JobPlan.array(refusable++, "batch", "red", "standard", 1, 1, List.of(1.0), true).body();
+        ObjectNode good =
+                JobPlan.array(refusable++, "batch", "red", "standard", 1, 1, List.of(1.0), true)
+                        .body();
         switch (world.random.nextInt(9)) {
             case 0, 1 -> {
                 if (job != null) {
-                    ask(job, any(), "POST", "/api/jobs", Json.write(job.plan.body()), 5000, status -> { });
+                    ask(
+                            job,
+                            any(),
+                            "POST",
+                            "/api/jobs",
+                            Json.write(job.plan.body()),
+                            5000,
+                            status -> {});
                 }
             }
             case 2 -> {
                 if (job != null) {
                     ObjectNode other = job.plan.body();
                     other.put("vcpus", 1000).remove(world.random.nextBoolean() ? "rank" : "dueS");
-                    ask(job, any(), "POST", "/api/jobs", Json.write(other), 5000, status -> { });
+                    ask(job, any(), "POST", "/api/jobs", Json.write(other), 5000, status -> {});
                 }
             }
             case 3 -> {
                 if (job != null && job.over()) {
-                    ask(job, any(), "POST", "/api/jobs/" + job.plan.id() + "/cancel", new byte[0], 5000, status -> { });
+                    ask(
+                            job,
+                            any(),
+                            "POST",
+                            "/api/jobs/" + job.plan.id() + "/cancel",
+                            new byte[0],
+                            5000,
+                            status -> {});
                 }
             }
-            case 4 -> expect("POST", "/api/jobs/" + good.path("nameId").asText() + "/cancel", new byte[0], 404, "invented");
+            case 4 ->
+                    expect(
+                            "POST",
+                            "/api/jobs/" + good.path("nameId").asText() + "/cancel",
+                            new byte[0],
+                            404,
+                            "invented");
             case 5 -> askForNothing();
             case 6 -> refuse(good.put("vcpus", SimMachines.CPUS + 1), 422);
             case 7 -> refuse(good.put("owner", "nobody"), 422);
@@ -268,18 +409,42 @@
     /** A job that must not be accepted, and that nobody may know afterwards. */
     private void refuse(ObjectNode body, int status) {
         expect("POST", "/api/jobs", Json.write(body), status, "wrongly_accepted");
-        world.after(2, () -> expect("GET", "/api/jobs/" + body.path("nameId").asText(), null, 404, "invented"));
+        world.after(
+                2,
+                () ->
+                        expect(
+                                "GET",
+                                "/api/jobs/" + body.path("nameId").asText(),
+                                null,
+                                404,
+                                "invented"));
     }
 
     /** Any other answer breaks a rule, but for those that ask the user to come back. */
     private void expect(String method, String path, byte[] body, int status, String rule) {
         int node = any();
-        send(node, method, path, body, 5000, answer -> {
-            if (answer != null && answer.status() != status && answer.status() < 429) {
-                says((answer.status() < 300 ? rule : "wrong_answer") + ": " + answer.status() + " for " + method + " " + path + " at node-" + node
-                        + " instead of " + status);
-            }
-        });
+        send(
+                node,
+                method,
+                path,
+                body,
+                5000,
+                answer -> {
+                    if (answer != null && answer.status() != status && answer.status() < 429) {
+                        says(
+                                (answer.status() < 300 ? rule : "wrong_answer")
+                                        + ": "
+                                        + answer.status()
+                                        + " for "
+                                        + method
+                                        + " "
+                                        + path
+                                        + " at node-"
+                                        + node
+                                        + " instead of "
+                                        + status);
+                    }
+                });
     }
 
     // ---- what they expect once all is well
@@ -292,45 +457,81 @@
                 continue;
             }
             if (now - Math.max(calmAt, job.answeredAt) > FORGOTTEN_S && !job.saidForgotten) {
-                says("forgotten: no question about " + job.plan.id() + " answered since " + job.answeredAt);
+                says(
+                        "forgotten: no question about "
+                                + job.plan.id()
+                                + " answered since "
+                                + job.answeredAt);
                 job.saidForgotten = true;
             }
-            boolean ready = job.plan.awaits().stream().allMatch(needed -> jobs.get(needed).complete());
-            boolean waits = now > calmAt && ready && !job.over() && !job.plan.mistaken() && !job.complete() && job.on.isEmpty() && machines.fits(job);
+            boolean ready =
+                    job.plan.awaits().stream().allMatch(needed -> jobs.get(needed).complete());
+            boolean waits =
+                    now > calmAt
+                            && ready
+                            && !job.over()
+                            && !job.plan.mistaken()
+                            && !job.complete()
+                            && job.on.isEmpty()
+                            && machines.fits(job);
             if (!waits) {
                 job.waitsSince = now;
             } else if (now - job.waitsSince > WAIT_S) {
-                leftWaiting.add(job.plan.id() + " waits since " + job.waitsSince + " though there is room");
+                leftWaiting.add(
+                        job.plan.id() + " waits since " + job.waitsSince + " though there is room");
                 job.waitsSince = Double.POSITIVE_INFINITY;
             }
         }
     }
 
-    /** Jobs that are neither over nor running, and those that waited too long though there was room. */
+    /**
+     * Jobs that are neither over nor running, and those that waited too long though there was room.
+     */
     List<String> leftOver() {
         List<String> left = new ArrayList<>(leftWaiting);
-        jobs.values().stream().filter(job -> job.accepted && !job.over() && job.on.isEmpty())
+        jobs.values().stream()
+                .filter(job -> job.accepted && !job.over() && job.on.isEmpty())
                 .forEach(job -> left.add(job.plan.id() + " is " + job.last + " at the end"));
         return left;
     }
 
     List<String> unfinished() {
-        return jobs.values().stream().filter(job -> !job.over())
-                .map(job -> job.plan.id() + " " + job.last + " " + job.completed.size() + "/" + job.plan.tasks()).toList();
+        return jobs.values().stream()
+                .filter(job -> !job.over())
+                .map(
+                        job ->
+                                job.plan.id()
+                                        + " "
+                                        + job.last
+                                        + " "
+                                        + job.completed.size()
+                                        + "/"
+                                        + job.plan.tasks())
+                .toList();
     }
 
-    /** Asks every node about every accepted job; what was not answered with 200 within the time that users wait. */
+    /**
+     * Asks every node about every accepted job; what was not answered with 200 within the time that
+     * users wait.
+     */
     List<String> unanswered() {
         Map<String, SimJob> open = new LinkedHashMap<>();
         for (SimJob job : jobs.values()) {
             for (int node = 0; node < Region.NODES && job.accepted; node++) {
                 String question = job.plan.id() + " at node " + (node + 1);
                 open.put(question, job);
-                ask(job, node, "GET", "/api/jobs/" + job.plan.id(), null, 2000, status -> {
-                    if (status == 200) {
-                        open.remove(question);
-                    }
-                });
+                ask(
+                        job,
+                        node,
+                        "GET",
+                        "/api/jobs/" + job.plan.id(),
+                        null,
+                        2000,
+                        status -> {
+                            if (status == 200) {
+                                open.remove(question);
+                            }
+                        });
             }
         }
         world.run(world.now() + 3);
--- a/src/test/java/io/pepperfield/standin/SimWorld.java
+++ b/src/test/java/io/pepperfield/standin/SimWorld.java
@@ -4,7 +4,6 @@
 import io.pepperfield.http.Outcome;
 import io.pepperfield.http.Reply;
 import io.pepperfield.http.Sender;
-
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,7 +11,10 @@
 import java.util.Random;
 import java.util.function.Consumer;
 
-/** Simulated time and a simulated network: delays, losses, late deliveries and cuts, all drawn from one seed. */
+/**
+ * Simulated time and a simulated network: delays, losses, late deliveries and cuts, all drawn from
+ * one seed.
+ */
 public final class SimWorld {
 
     /** Whatever listens at an address. */
@@ -25,7 +27,8 @@
     }
 
     private record Event(double at, long order, Runnable run) implements Comparable<Event> {
-        @Override public int compareTo(Event other) {
+        @Override
+        public int compareTo(Event other) {
             return at != other.at ? Double.compare(at, other.at) : Long.compare(order, other.order);
         }
     }
@@ -39,9 +42,12 @@
     private double now;
     private double slowBy;
     private double slowUntil;
+
     /** Parts of all requests whose answer is lost, or which arrive only much later. */
     public double lost;
+
     public double late;
+
     /** Part of all reports of which a copy comes once more, seconds to well over a lease later. */
     public double copies;
 
@@ -74,7 +80,10 @@
         hosts.put(address, host);
     }
 
-    /** Cuts the way between two hosts (by name; a prefix cuts all that begin so) until then; packets are held back. */
+    /**
+     * Cuts the way between two hosts (by name; a prefix cuts all that begin so) until then; packets
+     * are held back.
+     */
     public void cut(String from, String to, double until) {
         cutUntil.merge(from + ">" + to, until, Math::max);
     }
@@ -108,10 +117,16 @@
         int mark = uri.indexOf('?');
         if (mark >= 0) {
             for (String pair : uri.substring(mark + 1).split("&")) {
-                query.put(pair.substring(0, pair.indexOf('=')), List.of(pair.substring(pair.indexOf('=') + 1)));
+                query.put(
+                        pair.substring(0, pair.indexOf('=')),
+                        List.of(pair.substring(pair.indexOf('=') + 1)));
             }
         }
-        return new Call(method, mark < 0 ? uri : uri.substring(0, mark), query, body == null ? new byte[0] : body);
+        return new Call(
+                method,
+                mark < 0 ? uri : uri.substring(0, mark),
+                query,
+                body == null ? new byte[0] : body);
     }
 
     /** Until then every message takes so much longer. */
@@ -129,15 +144,17 @@
         return (host, port, connections, method, path, body, deadlineMs, done) -> {
             String to = host + ":" + port;
             boolean[] over = new boolean[1];
-            Consumer<Outcome> finish = outcome -> {
-                if (!over[0]) {
-                    over[0] = true;
-                    done.accept(outcome);
-                }
-            };
+            Consumer<Outcome> finish =
+                    outcome -> {
+                        if (!over[0]) {
+                            over[0] = true;
+                            done.accept(outcome);
+                        }
+                    };
             double held = heldUntil(name, to);
             Host target = hosts.get(to);
-            if (held <= now && (target == null || !target.alive()) || last(refusedUntil, name, to) > now) {
+            if (held <= now && (target == null || !target.alive())
+                    || last(refusedUntil, name, to) > now) {
                 after(delay(), () -> finish.accept(new Outcome.NotSent("refused")));
                 return;
             }
@@ -145,26 +162,40 @@
             after(deadlineMs / 1000.0, () -> finish.accept(new Outcome.NoAnswer("deadline")));
             double wait = random.nextDouble() < late ? 5 + random.nextDouble() * 60 : delay();
             if (copies > 0 && path.equals("/agent/beat") && random.nextDouble() < copies) {
-                after(2 + random.nextDouble() * 58, () -> {
-                    Host there = hosts.get(to);
-                    if (there != null && there.alive()) {
-                        there.request(name, method, path, body, reply -> { });
-                    }
-                });
+                after(
+                        2 + random.nextDouble() * 58,
+                        () -> {
+                            Host there = hosts.get(to);
+                            if (there != null && there.alive()) {
+                                there.request(name, method, path, body, reply -> {});
+                            }
+                        });
             }
-            at(Math.max(held, now) + wait, () -> {
-                sent[0] = true;
-                Host there = hosts.get(to);
-                if (there == null || !there.alive()) {
-                    return;
-                }
-                there.request(name, method, path, body, reply -> {
-                    if (random.nextDouble() >= lost) {
-                        at(Math.max(heldUntil(name, to), now) + delay(),
-                                () -> finish.accept(new Outcome.Answered(reply.status(), reply.body())));
-                    }
-                });
-            });
+            at(
+                    Math.max(held, now) + wait,
+                    () -> {
+                        sent[0] = true;
+                        Host there = hosts.get(to);
+                        if (there == null || !there.alive()) {
+                            return;
+                        }
+                        there.request(
+                                name,
+                                method,
+                                path,
+                                body,
+                                reply -> {
+                                    if (random.nextDouble() >= lost) {
+                                        at(
+                                                Math.max(heldUntil(name, to), now) + delay(),
+                                                () ->
+                                                        finish.accept(
+                                                                new Outcome.Answered(
+                                                                        reply.status(),
+                                                                        reply.body())));
+                                    }
+                                });
+                    });
         };
     }
 }
--- a/src/test/java/io/pepperfield/standin/SimulatedLoop.java
+++ b/src/test/java/io/pepperfield/standin/SimulatedLoop.java
@@ -1,30 +1,36 @@
 package io.pepperfield.standin;
 
 import io.pepperfield.node.Loop;
-
 import java.util.PriorityQueue;
 
-/** An owner's loop in simulated time: nothing happens but what is due when the test lets time pass. */
+/**
+ * An owner's loop in simulated time: nothing happens but what is due when the test lets time pass.
+ */
 public final class SimulatedLoop implements Loop {
 
-    private record Timer(double at, Runnable run) { }
+    private record Timer(double at, Runnable run) {}
 
-    private final PriorityQueue<Timer> timers = new PriorityQueue<>((a, b) -> Double.compare(a.at, b.at));
+    private final PriorityQueue<Timer> timers =
+            new PriorityQueue<>((a, b) -> Double.compare(a.at, b.at));
     private double now;
 
-    @Override public double now() {
+    @Override
+    public double now() {
         return now;
     }
 
-    @Override public long wallMs() {
+    @Override
+    public long wallMs() {
         return 0;
     }
 
-    @Override public void post(Runnable command) {
+    @Override
+    public void post(Runnable command) {
         after(0, command);
     }
 
-    @Override public void after(double seconds, Runnable command) {
+    @Override
+    public void after(double seconds, Runnable command) {
         timers.add(new Timer(now + seconds, command));
     }
 
--- a/src/test/java/io/pepperfield/standin/StateStandIn.java
+++ b/src/test/java/io/pepperfield/standin/StateStandIn.java
@@ -6,7 +6,6 @@
 import io.pepperfield.http.Call;
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Reply;
-
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -16,14 +15,18 @@
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 
-/** The state service by its published protocol, in memory. Not thread-safe: its host calls it from one thread. */
+/**
+ * The state service by its published protocol, in memory. Not thread-safe: its host calls it from
+ * one thread.
+ */
 public final class StateStandIn {
 
-    private record Entry(JsonNode data, long stamp, long grant) { }
+    private record Entry(JsonNode data, long stamp, long grant) {}
 
-    private record Event(String key, JsonNode data, long stamp) { }
+    private record Event(String key, JsonNode data, long stamp) {}
 
-    private record Watch(String from, String prefix, long since, double until, Consumer<Reply> answer) { }
+    private record Watch(
+            String from, String prefix, long since, double until, Consumer<Reply> answer) {}
 
     private static final class Grant {
         final double ttl;
@@ -42,11 +45,14 @@
     private final Map<Long, Grant> grants = new HashMap<>();
     private final List<Watch> watches = new ArrayList<>();
     private long generation;
+
     /** Single keys written or deleted. */
     public int changes;
+
     private long nextGrant = 1;
     private long forgottenUpTo;
     private boolean out;
+
     /** Until when each of these gets 503, alone. */
     private final Map<String, Double> refusedUntil = new HashMap<>();
 
@@ -66,7 +72,10 @@
         }
     }
 
-    /** Answers one caller 503 until then, while others are served; its open watches wait, and its grants run out. */
+    /**
+     * Answers one caller 503 until then, while others are served; its open watches wait, and its
+     * grants run out.
+     */
     public void refuse(String from, double until) {
         refusedUntil.merge(from, until, Math::max);
     }
@@ -100,13 +109,18 @@
 
     private void end(long id) {
         grants.remove(id);
-        List<String> gone = entries.entrySet().stream().filter(e -> e.getValue().grant == id).map(Map.Entry::getKey).toList();
+        List<String> gone =
+                entries.entrySet().stream()
+                        .filter(e -> e.getValue().grant == id)
+                        .map(Map.Entry::getKey)
+                        .toList();
         if (!gone.isEmpty()) {
             generation++;
-            gone.forEach(key -> {
-                entries.remove(key);
-                events.add(new Event(key, null, generation));
-            });
+            gone.forEach(
+                    key -> {
+                        entries.remove(key);
+                        events.add(new Event(key, null, generation));
+                    });
         }
     }
 
@@ -116,7 +130,9 @@
             if (refused(watch.from)) {
                 continue;
             }
-            boolean news = events.stream().anyMatch(e -> e.stamp > watch.since && e.key.startsWith(watch.prefix));
+            boolean news =
+                    events.stream()
+                            .anyMatch(e -> e.stamp > watch.since && e.key.startsWith(watch.prefix));
             if (news || watch.until <= now) {
                 it.remove();
                 watch.answer.accept(since(watch.prefix, watch.since));
@@ -174,7 +190,10 @@
             return txn(body);
         }
         if (call.path().equals("/kv")) {
-            return range(call.parameter("starts", ""), call.parameter("since", ""), Integer.parseInt(call.parameter("limit", "1000")));
+            return range(
+                    call.parameter("starts", ""),
+                    call.parameter("since", ""),
+                    Integer.parseInt(call.parameter("limit", "1000")));
         }
         if (call.path().equals("/grants")) {
             if (noGrants) {
@@ -229,7 +248,8 @@
                 events.add(new Event(op.path("delete").asText(), null, generation));
             } else {
                 String key = op.path("set").asText();
-                entries.put(key, new Entry(op.get("data"), generation, op.path("claim").longValue()));
+                entries.put(
+                        key, new Entry(op.get("data"), generation, op.path("claim").longValue()));
                 events.add(new Event(key, op.get("data"), generation));
             }
         }
@@ -252,7 +272,10 @@
             if (pairs.size() == limit) {
                 return Reply.json(200, body.put("truncated", true));
             }
-            pairs.addObject().put("k", entry.getKey()).put("stamp", entry.getValue().stamp).set("data", entry.getValue().data);
+            pairs.addObject()
+                    .put("k", entry.getKey())
+                    .put("stamp", entry.getValue().stamp)
+                    .set("data", entry.getValue().data);
         }
         return Reply.json(200, body.put("truncated", false));
     }
--- a/src/test/java/io/pepperfield/standin/Trace.java
+++ b/src/test/java/io/pepperfield/standin/Trace.java
@@ -1,5 +1,8 @@
 package io.pepperfield.standin;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
@@ -7,16 +10,17 @@
 import java.util.List;
 import java.util.function.Function;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-
-/** A kept trace: lines that begin with ">" are events, the lines with "=" after each are the decisions they must lead to. */
+/**
+ * A kept trace: lines that begin with ">" are events, the lines with "=" after each are the
+ * decisions they must lead to.
+ */
 public final class Trace {
 
-    private Trace() { }
+    private Trace() {}
 
     /** Plays the trace; {@code play} gets the words of an event and gives its decisions. */
-    public static void check(String name, Function<String[], List<String>> play) throws IOException {
+    public static void check(String name, Function<String[], List<String>> play)
+            throws IOException {
         String text;
         try (InputStream in = Trace.class.getResourceAsStream("/traces/" + name)) {
             assertNotNull(in, name);
@@ -31,7 +35,10 @@
             if (line.startsWith(">")) {
                 if (event != null) {
                     events++;
-                    assertEquals(wanted, play.apply(event.substring(1).strip().split(" +")), name + " before line " + number + ": " + event);
+                    assertEquals(
+                            wanted,
+                            play.apply(event.substring(1).strip().split(" +")),
+                            name + " before line " + number + ": " + event);
                 }
                 event = line;
                 wanted = new ArrayList<>();
--- a/src/test/java/io/pepperfield/standin/Transactions.java
+++ b/src/test/java/io/pepperfield/standin/Transactions.java
@@ -2,52 +2,69 @@
 
 import io.pepperfield.node.Loop;
 import io.pepperfield.store.StateService;
-
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 
-/** A state service that only takes transactions, which the test answers when it likes, and a clock that the test sets. */
+/**
+ * A state service that only takes transactions, which the test answers when it likes, and a clock
+ * that the test sets.
+ */
 public final class Transactions implements StateService, Loop {
 
     /** The keys of each transaction. */
     public final List<List<String>> written = new ArrayList<>();
+
     /** The keys that each of them wants not to exist. */
     public final List<List<String>> absent = new ArrayList<>();
+
     private final List<Runnable> waiting = new ArrayList<>();
+
     /** To be called with the answer to the last one. */
     public Consumer<TxnResult> underWay;
+
     public double now;
 
-    @Override public void txn(Urgency urgency, List<Guard> guards, List<Change> changes, Consumer<TxnResult> done) {
+    @Override
+    public void txn(
+            Urgency urgency, List<Guard> guards, List<Change> changes, Consumer<TxnResult> done) {
         written.add(changes.stream().map(Change::key).toList());
         absent.add(guards.stream().filter(guard -> guard.stamp() == 0).map(Guard::key).toList());
         underWay = done;
     }
 
-    @Override public void range(String after, Consumer<ReadResult> done) { }
+    @Override
+    public void range(String after, Consumer<ReadResult> done) {}
 
-    @Override public void follow(long since, double holdS, Consumer<ReadResult> done) { }
+    @Override
+    public void follow(long since, double holdS, Consumer<ReadResult> done) {}
 
-    @Override public void grant(double ttlS, Consumer<GrantResult> done) { }
+    @Override
+    public void grant(double ttlS, Consumer<GrantResult> done) {}
 
-    @Override public void touch(long id, Consumer<GrantResult> done) { }
+    @Override
+    public void touch(long id, Consumer<GrantResult> done) {}
 
-    @Override public void endGrant(long id) { }
+    @Override
+    public void endGrant(long id) {}
 
-    @Override public double now() {
+    @Override
+    public double now() {
         return now;
     }
 
-    @Override public long wallMs() {
+    @Override
+    public long wallMs() {
         return 0;
     }
 
-    @Override public void post(Runnable command) {
+    @Override
+    public void post(Runnable command) {
         command.run();
     }
 
-    @Override public void after(double seconds, Runnable command) {
+    @Override
+    public void after(double seconds, Runnable command) {
         waiting.add(command);
     }
 
--- a/src/test/java/io/pepperfield/standin/TroublePlayer.java
+++ b/src/test/java/io/pepperfield/standin/TroublePlayer.java
@@ -2,7 +2,6 @@
 
 import io.pepperfield.standin.Trouble.Side;
 import io.pepperfield.standin.Trouble.Way;
-
 import java.util.function.Consumer;
 
 /** Makes the troubles of a scenario happen in a region. */
@@ -42,10 +41,12 @@
         } else if (trouble instanceof Trouble.MachineHang hang) {
             each(hang.which(), worker -> worker.hang(until));
         } else if (trouble instanceof Trouble.MachineCut cut) {
-            each(cut.which(), worker -> {
-                world.cut(worker.name, "10.", until);
-                world.cut("node-", worker.address, until);
-            });
+            each(
+                    cut.which(),
+                    worker -> {
+                        world.cut(worker.name, "10.", until);
+                        world.cut("node-", worker.address, until);
+                    });
         } else if (trouble instanceof Trouble.MachineDie die) {
             each(die.which(), WorkerStandIn::die);
         } else if (trouble instanceof Trouble.MachineReboot reboot) {
@@ -60,12 +61,15 @@
             each(crash.who(), node -> region.crash(node, crash.forS()));
         } else if (trouble instanceof Trouble.LeaderChanges changes) {
             for (int i = 0; i < changes.times(); i++) {
-                world.after(i * changes.forS() / changes.times(), () -> region.crash(region.lastLeader(), downS()));
+                world.after(
+                        i * changes.forS() / changes.times(),
+                        () -> region.crash(region.lastLeader(), downS()));
             }
         } else if (trouble instanceof Trouble.NodeFreeze freeze) {
             each(freeze.who(), node -> region.freeze(node, until));
         } else if (trouble instanceof Trouble.CancelNow cancel) {
-            users.cancelRunning(cancel.count(), Trouble.CancelNow.WITHIN_S).stream().limit(cancel.hangS() > 0 ? Trouble.CancelNow.MOST_HUNG : 0)
+            users.cancelRunning(cancel.count(), Trouble.CancelNow.WITHIN_S).stream()
+                    .limit(cancel.hangS() > 0 ? Trouble.CancelNow.MOST_HUNG : 0)
                     .forEach(worker -> worker.hang(world.now() + cancel.hangS()));
         } else if (trouble instanceof Trouble.CancelAtEnd cancel) {
             users.cancelAtEnd(cancel.share(), until);
@@ -86,7 +90,9 @@
         } else if (trouble instanceof Trouble.Pipelines pipelines) {
             for (int i = 0; i < pipelines.count(); i++) {
                 int number = 700_000 + 10 * i;
-                world.after(i * pipelines.forS() / pipelines.count(), () -> region.submitPipeline(number));
+                world.after(
+                        i * pipelines.forS() / pipelines.count(),
+                        () -> region.submitPipeline(number));
             }
         } else if (trouble instanceof Trouble.SlowLinks slow) {
             world.slow(slow.byS(), until);
@@ -99,7 +105,8 @@
 
     private double downS() {
         return Trouble.LeaderChanges.LEAST_DOWN_S
-                + world.random.nextDouble() * (Trouble.LeaderChanges.MOST_DOWN_S - Trouble.LeaderChanges.LEAST_DOWN_S);
+                + world.random.nextDouble()
+                        * (Trouble.LeaderChanges.MOST_DOWN_S - Trouble.LeaderChanges.LEAST_DOWN_S);
     }
 
     private void each(Trouble.Controllers who, Consumer<Integer> then) {
--- a/src/test/java/io/pepperfield/standin/WorkerStandIn.java
+++ b/src/test/java/io/pepperfield/standin/WorkerStandIn.java
@@ -7,17 +7,21 @@
 import io.pepperfield.http.Outcome;
 import io.pepperfield.http.Reply;
 import io.pepperfield.http.Sender;
-
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 
-/** One machine's worker by its published protocol. Its host calls {@link #tick} often, all from one thread. */
+/**
+ * One machine's worker by its published protocol. Its host calls {@link #tick} often, all from one
+ * thread.
+ */
 public final class WorkerStandIn {
 
-    /** What the region knows of tasks; told of everything that physically happens on the machine. */
+    /**
+     * What the region knows of tasks; told of everything that physically happens on the machine.
+     */
     public interface Truth {
         /** Seconds a task runs, negative for a replica, NaN for an unknown one. */
         double runS(String task);
@@ -70,8 +74,19 @@
     private double deafUntil;
     private boolean dead;
 
-    public WorkerStandIn(String name, String type, String zone, boolean spot, String address, DoubleSupplier clock, Sender sender,
-                         List<String> controllerNames, List<String> controllers, double reportS, double leaseS, Truth truth) {
+    public WorkerStandIn(
+            String name,
+            String type,
+            String zone,
+            boolean spot,
+            String address,
+            DoubleSupplier clock,
+            Sender sender,
+            List<String> controllerNames,
+            List<String> controllers,
+            double reportS,
+            double leaseS,
+            Truth truth) {
         this.name = name;
         this.type = type;
         this.zone = zone;
@@ -99,7 +114,10 @@
 
     /** The tasks that take room on it. */
     public List<String> tasks() {
-        return held.entrySet().stream().filter(e -> !e.getValue().status.equals("ended")).map(Map.Entry::getKey).toList();
+        return held.entrySet().stream()
+                .filter(e -> !e.getValue().status.equals("ended"))
+                .map(Map.Entry::getKey)
+                .toList();
     }
 
     public boolean alive() {
@@ -108,11 +126,12 @@
 
     public void die() {
         dead = true;
-        held.forEach((task, h) -> {
-            if (h.status.equals("running")) {
-                truth.ends(this, task, false);
-            }
-        });
+        held.forEach(
+                (task, h) -> {
+                    if (h.status.equals("running")) {
+                        truth.ends(this, task, false);
+                    }
+                });
         held.clear();
     }
 
@@ -139,11 +158,12 @@
             return;
         }
         if (now - answeredAt > leaseS) {
-            held.forEach((task, h) -> {
-                if (h.status.equals("running")) {
-                    truth.ends(this, task, false);
-                }
-            });
+            held.forEach(
+                    (task, h) -> {
+                        if (h.status.equals("running")) {
+                            truth.ends(this, task, false);
+                        }
+                    });
             held.clear();
             tenure++;
             answeredAt = now;
@@ -166,7 +186,9 @@
                 h.status = "running";
                 truth.begins(this, task);
             }
-        } else if (h.status.equals("running") && truth.runS(task) >= 0 && now - h.at > truth.runS(task)) {
+        } else if (h.status.equals("running")
+                && truth.runS(task) >= 0
+                && now - h.at > truth.runS(task)) {
             h.status = "ended";
             h.cause = truth.fails(task) ? "error" : "done";
             changed = true;
@@ -182,51 +204,74 @@
         serial++;
         long sentTenure = tenure;
         String[] address = controllers.get(target).split(":");
-        sender.send(address[0], Integer.parseInt(address[1]), 1, "POST", "/agent/beat", Json.write(body()), 4000, outcome -> {
-            inFlight = false;
-            double later = clock.getAsDouble();
-            if (dead) {
-                return;
-            }
-            if (deaf()) {
-                nextAt = later + 1;
-                target = (target + 1) % controllers.size();
-                return;
-            }
-            if (outcome instanceof Outcome.Answered answer && answer.status() == 200) {
-                JsonNode json = answer.json();
-                long seen = json.path("epoch").longValue();
-                // Dropped: a lower token, an answer to an earlier session, or one that came after the worker's patience.
-                if (!hung() && sentTenure == tenure && seen >= token && later - now <= 4) {
-                    changed |= seen > token;
-                    token = seen;
-                    answeredAt = now;
-                    execute(json.path("orders"), later);
-                }
-                return;
-            }
-            nextAt = later + 1;
-            if (outcome instanceof Outcome.Answered answer && answer.status() == 421
-                    && controllerNames.contains(answer.json().path("manager").asText())) {
-                target = controllerNames.indexOf(answer.json().path("manager").asText());
-                nextAt = later + 0.1;
-            } else {
-                target = (target + 1) % controllers.size();
-            }
-        });
+        sender.send(
+                address[0],
+                Integer.parseInt(address[1]),
+                1,
+                "POST",
+                "/agent/beat",
+                Json.write(body()),
+                4000,
+                outcome -> {
+                    inFlight = false;
+                    double later = clock.getAsDouble();
+                    if (dead) {
+                        return;
+                    }
+                    if (deaf()) {
+                        nextAt = later + 1;
+                        target = (target + 1) % controllers.size();
+                        return;
+                    }
+                    if (outcome instanceof Outcome.Answered answer && answer.status() == 200) {
+                        JsonNode json = answer.json();
+                        long seen = json.path("epoch").longValue();
+                        // Dropped: a lower token, an answer to an earlier session, or one that came
+                        // after the worker's patience.
+                        if (!hung() && sentTenure == tenure && seen >= token && later - now <= 4) {
+                            changed |= seen > token;
+                            token = seen;
+                            answeredAt = now;
+                            execute(json.path("orders"), later);
+                        }
+                        return;
+                    }
+                    nextAt = later + 1;
+                    if (outcome instanceof Outcome.Answered answer
+                            && answer.status() == 421
+                            && controllerNames.contains(answer.json().path("manager").asText())) {
+                        target = controllerNames.indexOf(answer.json().path("manager").asText());
+                        nextAt = later + 0.1;
+                    } else {
+                        target = (target + 1) % controllers.size();
+                    }
+                });
     }
 
     private ObjectNode body() {
-        ObjectNode body = Json.object().put("host", name).put("addr", address).put("flavour", type).put("site", zone)
-                .put("reclaimable", spot).put("tenure", tenure).put("serial", serial).put("epoch", token);
+        ObjectNode body =
+                Json.object()
+                        .put("host", name)
+                        .put("addr", address)
+                        .put("flavour", type)
+                        .put("site", zone)
+                        .put("reclaimable", spot)
+                        .put("tenure", tenure)
+                        .put("serial", serial)
+                        .put("epoch", token);
         body.putNull("warningS");
         ArrayNode shards = body.putArray("shards");
-        held.forEach((task, h) -> {
-            ObjectNode line = shards.addObject().put("shard", task).put("try", h.number).put("status", h.status);
-            if (!h.cause.isEmpty()) {
-                line.put("cause", h.cause);
-            }
-        });
+        held.forEach(
+                (task, h) -> {
+                    ObjectNode line =
+                            shards.addObject()
+                                    .put("shard", task)
+                                    .put("try", h.number)
+                                    .put("status", h.status);
+                    if (!h.cause.isEmpty()) {
+                        line.put("cause", h.cause);
+                    }
+                });
         return body;
     }
 
@@ -242,7 +287,8 @@
                     }
                     changed = true;
                     if (h != null) {
-                        // The stand-in holds one attempt of a task; a second one is refused and not kept.
+                        // The stand-in holds one attempt of a task; a second one is refused and not
+                        // kept.
                         continue;
                     }
                     Held begun = new Held(number, now);
@@ -282,7 +328,8 @@
         JsonNode message = Json.read(bytes);
         if (!message.has("epoch") || !message.has("tenure")) {
             answer.accept(Reply.empty(400));
-        } else if (message.path("epoch").longValue() < token || message.path("tenure").longValue() != tenure) {
+        } else if (message.path("epoch").longValue() < token
+                || message.path("tenure").longValue() != tenure) {
             answer.accept(Reply.json(409, body()));
         } else {
             token = message.path("epoch").longValue();
--- a/src/test/java/io/pepperfield/steering/ZoneShortageTest.java
+++ b/src/test/java/io/pepperfield/steering/ZoneShortageTest.java
@@ -1,19 +1,18 @@
 package io.pepperfield.steering;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.JobSpec.Rank;
 import io.pepperfield.jobs.JobSpec.Shape;
 import io.pepperfield.steering.ZoneShortage.Bound;
 import io.pepperfield.steering.ZoneShortage.Source;
 import io.pepperfield.steering.ZoneShortage.Standing;
-import org.junit.jupiter.api.Test;
-
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNull;
+import org.junit.jupiter.api.Test;
 
 /** Boxes of 8 CPUs, a unit of 60 s. */
 class ZoneShortageTest {
@@ -26,11 +25,34 @@
     }
 
     private static JobSpec job(Shape shape, int tasks, double cpus, String zone, boolean spread) {
-        return new JobSpec("run-000001", "batch", "red", shape, Rank.STANDARD, tasks, cpus, 0, 1, "img", 1, null, zone, false, spread, false, 90,
-                0, 0, null, 0, 10, List.of());
+        return new JobSpec(
+                "run-000001",
+                "batch",
+                "red",
+                shape,
+                Rank.STANDARD,
+                tasks,
+                cpus,
+                0,
+                1,
+                "img",
+                1,
+                null,
+                zone,
+                false,
+                spread,
+                false,
+                90,
+                0,
+                0,
+                null,
+                0,
+                10,
+                List.of());
     }
 
-    private static Map<Pool, Map<String, Integer>> shortage(Bound bound, List<Source> sources, Standing... standing) {
+    private static Map<Pool, Map<String, Integer>> shortage(
+            Bound bound, List<Source> sources, Standing... standing) {
         return ZoneShortage.of(List.of(bound), List.of(standing), sources, 60, 0.2);
     }
 
@@ -38,35 +60,57 @@
         return new Standing(BOX, zone, cpus, 0, 32);
     }
 
-    @Test void roomInPiecesThatAreTooSmallIsNone() {
+    @Test
+    void roomInPiecesThatAreTooSmallIsNone() {
         Bound whole = new Bound(job(Shape.ARRAY, 2, 8, "east", false), "east", 90, 2);
-        assertEquals(Map.of(BOX, Map.of("east", 2)), shortage(whole, SOURCES, standing("east", 4), standing("east", 4), standing("west", 8)));
-        assertEquals(Map.of(BOX, Map.of("east", 1)), shortage(whole, SOURCES, standing("east", 8), standing("west", 8)));
+        assertEquals(
+                Map.of(BOX, Map.of("east", 2)),
+                shortage(
+                        whole,
+                        SOURCES,
+                        standing("east", 4),
+                        standing("east", 4),
+                        standing("west", 8)));
+        assertEquals(
+                Map.of(BOX, Map.of("east", 1)),
+                shortage(whole, SOURCES, standing("east", 8), standing("west", 8)));
         assertEquals(Map.of(), shortage(whole, SOURCES, standing("east", 8), standing("east", 8)));
     }
 
-    @Test void shortTasksFollowEachOtherInASlotAndSoFillFewerMachines() {
+    @Test
+    void shortTasksFollowEachOtherInASlotAndSoFillFewerMachines() {
         JobSpec array = job(Shape.ARRAY, 40, 4, "east", false);
         // Six of 10 s in a slot, two slots in a machine.
-        assertEquals(Map.of(BOX, Map.of("east", 2)), shortage(new Bound(array, "east", 10, 36), SOURCES, standing("east", 8)));
+        assertEquals(
+                Map.of(BOX, Map.of("east", 2)),
+                shortage(new Bound(array, "east", 10, 36), SOURCES, standing("east", 8)));
         // Of tasks of which nothing is known yet one slot will do until the first has run.
-        assertEquals(Map.of(BOX, Map.of("east", 1)), shortage(new Bound(array, "east", 0, 40), SOURCES, standing("east", 2)));
-        assertEquals(Map.of(), shortage(new Bound(array, "east", 0, 40), SOURCES, standing("east", 4)));
+        assertEquals(
+                Map.of(BOX, Map.of("east", 1)),
+                shortage(new Bound(array, "east", 0, 40), SOURCES, standing("east", 2)));
+        assertEquals(
+                Map.of(), shortage(new Bound(array, "east", 0, 40), SOURCES, standing("east", 4)));
     }
 
-    @Test void whereNothingCanBeHadNothingIsShort() {
+    @Test
+    void whereNothingCanBeHadNothingIsShort() {
         Bound bound = new Bound(job(Shape.ARRAY, 1, 8, "east", false), "east", 90, 1);
         assertEquals(Map.of(), shortage(bound, List.of(source("west")), standing("west", 8)));
-        assertEquals(Map.of(), shortage(new Bound(job(Shape.ARRAY, 1, 9, "east", false), "east", 90, 1), SOURCES));
+        assertEquals(
+                Map.of(),
+                shortage(new Bound(job(Shape.ARRAY, 1, 9, "east", false), "east", 90, 1), SOURCES));
     }
 
-    @Test void replicasAreBoundOnlyOnceTheOtherZoneMayTakeNoMore() {
+    @Test
+    void replicasAreBoundOnlyOnceTheOtherZoneMayTakeNoMore() {
         Set<String> zones = Set.of("east", "west");
         JobSpec service = job(Shape.SERVICE, 5, 2, null, true);
         assertNull(ZoneShortage.bound(service, 90, 5, Map.of(), zones));
         assertNull(ZoneShortage.bound(service, 90, 3, Map.of("east", 2), zones));
         Bound rest = ZoneShortage.bound(service, 90, 2, Map.of("east", 3), zones);
         assertEquals(new Bound(service, "west", 90, 2), rest);
-        assertNull(ZoneShortage.bound(job(Shape.ARRAY, 5, 2, null, false), 90, 5, Map.of("east", 3), zones));
+        assertNull(
+                ZoneShortage.bound(
+                        job(Shape.ARRAY, 5, 2, null, false), 90, 5, Map.of("east", 3), zones));
     }
 }
--- a/src/test/java/io/pepperfield/store/BudgetTest.java
+++ b/src/test/java/io/pepperfield/store/BudgetTest.java
@@ -1,13 +1,12 @@
 package io.pepperfield.store;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import io.pepperfield.standin.SimulatedLoop;
 import io.pepperfield.store.StateService.Urgency;
-import org.junit.jupiter.api.Test;
-
 import java.util.ArrayList;
 import java.util.List;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
+import org.junit.jupiter.api.Test;
 
 /** Who waits for whom when the state service's rates are short. */
 class BudgetTest {
@@ -20,7 +19,8 @@
         budget.submit(urgency, changes, 1, () -> went.add(name), () -> went.add(name + " refused"));
     }
 
-    @Test void aLeaderThatWritesAllTheTimeKeepsNobodyElseWaiting() {
+    @Test
+    void aLeaderThatWritesAllTheTimeKeepsNobodyElseWaiting() {
         budget.share(50, 10, 5);
         ask("starts", Urgency.RUN, 40);
         ask("more starts", Urgency.RUN, 40);
@@ -30,7 +30,8 @@
         assertEquals(List.of("starts", "submission", "question"), went);
     }
 
-    @Test void whatWaitsTooLongIsRefusedHereAndNotByTheService() {
+    @Test
+    void whatWaitsTooLongIsRefusedHereAndNotByTheService() {
         budget.share(50, 0, 5);
         ask("rush", Urgency.JOB, 20);
         ask("late", Urgency.JOB, 1);
--- a/src/test/java/io/pepperfield/store/SyncTest.java
+++ b/src/test/java/io/pepperfield/store/SyncTest.java
@@ -1,19 +1,18 @@
 package io.pepperfield.store;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pepperfield.http.Json;
 import io.pepperfield.standin.SimulatedLoop;
 import io.pepperfield.store.StateService.Item;
 import io.pepperfield.store.StateService.ReadResult;
-import org.junit.jupiter.api.Test;
-
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+import org.junit.jupiter.api.Test;
 
 /** How a copy stays whole, and its questions answered, through refusals and errors of its own. */
 class SyncTest implements StateService {
@@ -39,7 +38,8 @@
         return new Item(key, Json.object(), stamp);
     }
 
-    @Test void afterALongOutageNobodyReadsAllKeysForNothing() {
+    @Test
+    void afterALongOutageNobodyReadsAllKeysForNothing() {
         sync.start();
         loop.run(1);
         refuses = true;
@@ -47,23 +47,26 @@
         loop.run(120);
         readFrom.clear();
         loop.run(120.4);
-        assertTrue(readFrom.size() <= 2, "one reading at a time, however long it takes: " + readFrom);
+        assertTrue(
+                readFrom.size() <= 2, "one reading at a time, however long it takes: " + readFrom);
         refuses = false;
         readFrom.clear();
         loop.run(125);
         assertTrue(readFrom.size() <= 1, "the follow works again: " + readFrom);
     }
 
-    @Test void anErrorInWhatFollowsFromAChangeCostsItsCommandAndNoLaterQuestion() {
+    @Test
+    void anErrorInWhatFollowsFromAChangeCostsItsCommandAndNoLaterQuestion() {
         sync.start();
         loop.run(1);
         throwsOnChange = true;
         sync.confirm(told::add);
         assertThrows(IllegalStateException.class, () -> loop.run(2));
         assertEquals(List.of(false), told);
-        sync.confirm(current -> {
-            throw new IllegalStateException("a new leader's fault");
-        });
+        sync.confirm(
+                current -> {
+                    throw new IllegalStateException("a new leader's fault");
+                });
         sync.confirm(told::add);
         assertThrows(IllegalStateException.class, () -> loop.run(3));
         sync.confirm(told::add);
@@ -72,33 +75,53 @@
         assertEquals(2, replica.stamp("b"), "what came with the change that failed");
     }
 
-    @Override public void range(String after, Consumer<ReadResult> done) {
+    @Override
+    public void range(String after, Consumer<ReadResult> done) {
         readFrom.add(after);
-        loop.after(0.005, () -> done.accept(refuses ? new ReadResult.Failed() : new ReadResult.Read(List.of(), false, 0)));
+        loop.after(
+                0.005,
+                () ->
+                        done.accept(
+                                refuses
+                                        ? new ReadResult.Failed()
+                                        : new ReadResult.Read(List.of(), false, 0)));
     }
 
     /** The changes come with the questions, the long follow waits. */
-    @Override public void follow(long since, double holdS, Consumer<ReadResult> done) {
+    @Override
+    public void follow(long since, double holdS, Consumer<ReadResult> done) {
         if (refuses) {
             // Not always as quick as the readings, which would hide how many there are.
             loop.after(0.003 * (1 + refused++ % 11), () -> done.accept(new ReadResult.Failed()));
         } else if (holdS == 0) {
-            loop.after(0.005, () -> done.accept(new ReadResult.Read(List.of(item("a", 1), item("b", 2)), false, 2)));
+            loop.after(
+                    0.005,
+                    () ->
+                            done.accept(
+                                    new ReadResult.Read(
+                                            List.of(item("a", 1), item("b", 2)), false, 2)));
         } else {
             held = done;
-            loop.after(holdS, () -> {
-                if (held == done && !refuses) {
-                    done.accept(new ReadResult.Read(List.of(), false, since));
-                }
-            });
+            loop.after(
+                    holdS,
+                    () -> {
+                        if (held == done && !refuses) {
+                            done.accept(new ReadResult.Read(List.of(), false, since));
+                        }
+                    });
         }
     }
 
-    @Override public void txn(Urgency urgency, List<Guard> guards, List<Change> changes, Consumer<TxnResult> done) { }
+    @Override
+    public void txn(
+            Urgency urgency, List<Guard> guards, List<Change> changes, Consumer<TxnResult> done) {}
 
-    @Override public void grant(double ttlS, Consumer<GrantResult> done) { }
+    @Override
+    public void grant(double ttlS, Consumer<GrantResult> done) {}
 
-    @Override public void touch(long id, Consumer<GrantResult> done) { }
+    @Override
+    public void touch(long id, Consumer<GrantResult> done) {}
 
-    @Override public void endGrant(long id) { }
+    @Override
+    public void endGrant(long id) {}
 }
--- a/src/test/java/io/pepperfield/store/WriterTest.java
+++ b/src/test/java/io/pepperfield/store/WriterTest.java
@@ -1,29 +1,39 @@
 package io.pepperfield.store;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import io.pepperfield.http.Json;
 import io.pepperfield.standin.Transactions;
 import io.pepperfield.store.Writer.Priority;
-import org.junit.jupiter.api.Test;
-
 import java.util.List;
 import java.util.stream.IntStream;
-
-import static org.junit.jupiter.api.Assertions.assertEquals;
+import org.junit.jupiter.api.Test;
 
 /** In which order the leader's changes go, two in a transaction here. */
 class WriterTest {
 
     private final Transactions state = new Transactions();
-    private final Replica replica = new Replica((key, data, stamp) -> { });
-    private final Writer writer = new Writer(state, state, replica, new Sync(state, state, replica, 1, 1), new Writer.Lead() {
-        @Override public boolean confirmed() {
-            return true;
-        }
-
-        @Override public StateService.Guard guard() {
-            return new StateService.Guard("leader", 1);
-        }
-    }, 2, 1, 2);
+    private final Replica replica = new Replica((key, data, stamp) -> {});
+    private final Writer writer =
+            new Writer(
+                    state,
+                    state,
+                    replica,
+                    new Sync(state, state, replica, 1, 1),
+                    new Writer.Lead() {
+                        @Override
+                        public boolean confirmed() {
+                            return true;
+                        }
+
+                        @Override
+                        public StateService.Guard guard() {
+                            return new StateService.Guard("leader", 1);
+                        }
+                    },
+                    2,
+                    1,
+                    2);
 
     private void mark(String key, Priority priority) {
         writer.mark(key, priority, Json::object, null, null);
@@ -33,7 +43,8 @@
         state.underWay.accept(new StateService.TxnResult.Committed(state.written.size()));
     }
 
-    @Test void intentsThenEndsThenWhatHasGathered() {
+    @Test
+    void intentsThenEndsThenWhatHasGathered() {
         mark("completed", Priority.PATIENT);
         mark("end", Priority.END);
         mark("start 1", Priority.INTENT);
@@ -48,7 +59,8 @@
         assertEquals(List.of("start 3", "completed"), state.written.get(2));
     }
 
-    @Test void whatKeepsComingHoldsNothingBackForEver() {
+    @Test
+    void whatKeepsComingHoldsNothingBackForEver() {
         mark("end", Priority.END);
         mark("completed", Priority.PATIENT);
         for (int i = 0; i < 4; i++) {
@@ -61,11 +73,18 @@
             mark("again " + i, Priority.INTENT);
             answered();
         }
-        assertEquals(true, state.written.stream().anyMatch(keys -> keys.contains("end")), state.written.toString());
-        assertEquals(true, state.written.stream().anyMatch(keys -> keys.contains("completed")), state.written.toString());
+        assertEquals(
+                true,
+                state.written.stream().anyMatch(keys -> keys.contains("end")),
+                state.written.toString());
+        assertEquals(
+                true,
+                state.written.stream().anyMatch(keys -> keys.contains("completed")),
+                state.written.toString());
     }
 
-    @Test void intentsOfTheLowestRankAreGatheredForAMoment() {
+    @Test
+    void intentsOfTheLowestRankAreGatheredForAMoment() {
         mark("swarm", Priority.LATER);
         mark("swarm", Priority.LATER);
         writer.flush();
@@ -78,7 +97,8 @@
         assertEquals(List.of(List.of("start"), List.of("swarm")), state.written);
     }
 
-    @Test void anIntentTakesAlongWhatItsChunkHasGathered() {
+    @Test
+    void anIntentTakesAlongWhatItsChunkHasGathered() {
         mark("chunk", Priority.PATIENT);
         writer.flush();
         assertEquals(List.of(), state.written);
@@ -87,19 +107,28 @@
         assertEquals(List.of(List.of("chunk")), state.written);
     }
 
-    @Test void anIntentTakesEffectOnlyWhileItsJobHasNotEnded() {
+    @Test
+    void anIntentTakesEffectOnlyWhileItsJobHasNotEnded() {
         boolean[] known = new boolean[1];
-        writer.mark("run 1", Priority.INTENT, Json::object, () -> known[0] ? List.of() : List.of("end 1"), null, null);
+        writer.mark(
+                "run 1",
+                Priority.INTENT,
+                Json::object,
+                () -> known[0] ? List.of() : List.of("end 1"),
+                null,
+                null);
         writer.flush();
         assertEquals(List.of("run 1", "end 1"), state.absent.get(0));
-        // The cancellation that refused it is known by the next try, which makes durable that nothing was started.
+        // The cancellation that refused it is known by the next try, which makes durable that
+        // nothing was started.
         known[0] = true;
         writer.mark("run 1", Priority.INTENT, Json::object, null, null);
         answered();
         assertEquals(List.of(List.of("run 1"), List.of("run 1")), state.written);
     }
 
-    @Test void noTransactionHasMoreGuardsThanTheServiceTakes() {
+    @Test
+    void noTransactionHasMoreGuardsThanTheServiceTakes() {
         List<String> ends = IntStream.range(0, 5).mapToObj(i -> "end " + i).toList();
         writer.mark("run 1", Priority.INTENT, Json::object, () -> ends, null, null);
         writer.mark("run 2", Priority.INTENT, Json::object, () -> ends, null, null);
@@ -110,11 +139,13 @@
         assertEquals(List.of(List.of("run 1"), List.of("run 2")), state.written);
     }
 
-    @Test void aValueThatIsRefusedForItselfHoldsUpNoOther() {
+    @Test
+    void aValueThatIsRefusedForItselfHoldsUpNoOther() {
         mark("stored larger", Priority.INTENT);
         mark("run 1", Priority.INTENT);
         writer.flush();
-        // A limit has fallen without notice, and one of the two is beyond it: each is tried by itself.
+        // A limit has fallen without notice, and one of the two is beyond it: each is tried by
+        // itself.
         refused();
         refused();
         assertEquals(List.of("stored larger", "run 1"), state.written.get(0));
@@ -125,7 +156,10 @@
         state.now += 2;
         mark("run 2", Priority.INTENT);
         writer.flush();
-        assertEquals(List.of("stored larger", "run 2"), state.written.get(3), "tried again once it may have changed");
+        assertEquals(
+                List.of("stored larger", "run 2"),
+                state.written.get(3),
+                "tried again once it may have changed");
     }
 
     private void refused() {
