--- a/src/main/java/io/pepperfield/cli/Cancel.java
+++ b/src/main/java/io/pepperfield/cli/Cancel.java
@@ -5,6 +5,7 @@
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Parameters;
 
+/** The {@code cancel} command: asks a controller to cancel one job. */
 @Command(name = "cancel", mixinStandardHelpOptions = true, description = "Cancels a job.")
 final class Cancel implements Callable<Integer> {
 
--- a/src/main/java/io/pepperfield/cli/Check.java
+++ b/src/main/java/io/pepperfield/cli/Check.java
@@ -6,6 +6,9 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
+/**
+ * The {@code check} command: checks the settings files and prints their faults or what they hold.
+ */
 @Command(
         name = "check",
         mixinStandardHelpOptions = true,
--- a/src/main/java/io/pepperfield/cli/Main.java
+++ b/src/main/java/io/pepperfield/cli/Main.java
@@ -27,6 +27,7 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "Want a command");
     }
 
+    /** Sets up logging and runs the command that the arguments name; exits with its code. */
     public static void main(String[] arguments) {
         // Before any logger exists: the light backend reads these once.
         String level = System.getenv().getOrDefault("LOG_LEVEL", "info");
--- a/src/main/java/io/pepperfield/cli/Nodes.java
+++ b/src/main/java/io/pepperfield/cli/Nodes.java
@@ -4,6 +4,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
+/** The {@code nodes} command: prints what the asked controller knows about the cluster. */
 @Command(
         name = "nodes",
         mixinStandardHelpOptions = true,
--- a/src/main/java/io/pepperfield/cli/Serve.java
+++ b/src/main/java/io/pepperfield/cli/Serve.java
@@ -7,6 +7,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
+/** The {@code serve} command: runs a controller in this process until it is killed. */
 @Command(
         name = "serve",
         mixinStandardHelpOptions = true,
--- a/src/main/java/io/pepperfield/cli/Show.java
+++ b/src/main/java/io/pepperfield/cli/Show.java
@@ -5,6 +5,7 @@
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Parameters;
 
+/** The {@code status} command: prints the state of one job. */
 @Command(name = "status", mixinStandardHelpOptions = true, description = "Shows a job's state.")
 final class Show implements Callable<Integer> {
 
--- a/src/main/java/io/pepperfield/cli/Submit.java
+++ b/src/main/java/io/pepperfield/cli/Submit.java
@@ -8,6 +8,7 @@
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Parameters;
 
+/** The {@code submit} command: sends one job description to a controller. */
 @Command(
         name = "submit",
         mixinStandardHelpOptions = true,
--- a/src/main/java/io/pepperfield/cloud/Cloud.java
+++ b/src/main/java/io/pepperfield/cloud/Cloud.java
@@ -6,6 +6,10 @@
 /** The cloud as the slices see it; every callback runs on the owner. */
 public interface Cloud {
 
+    /**
+     * One entry of the cloud's list of machines; {@code ageS} is the time since its rental in
+     * seconds.
+     */
     record Listed(
             String name,
             String address,
@@ -15,9 +19,12 @@
             String status,
             double ageS) {}
 
+    /** How a request to rent machines ended. */
     sealed interface Rented {
+        /** The request was carried out; the names of the machines it brought. */
         record Machines(List<String> names) implements Rented {}
 
+        /** The cloud has no machines of that type and kind in that zone at present. */
         record NoCapacity() implements Rented {}
 
         /** Not carried out, or nobody knows: the same request may be sent again. */
@@ -27,6 +34,10 @@
     /** Null where there was no proper answer. */
     void types(Consumer<List<MachineType>> done);
 
+    /**
+     * Asks for {@code count} machines; {@code request} is the idempotency key, so that a repeated
+     * request rents nothing twice.
+     */
     void rent(
             String request,
             String type,
--- a/src/main/java/io/pepperfield/cloud/HttpCloud.java
+++ b/src/main/java/io/pepperfield/cloud/HttpCloud.java
@@ -28,6 +28,7 @@
     private double nextAt;
     private boolean pumping;
 
+    /** Creates a client that keeps below {@code rps} requests per second. */
     public HttpCloud(Loop loop, Sender client, Settings.Address address, double rps) {
         this.loop = loop;
         this.client = client;
--- a/src/main/java/io/pepperfield/cloud/MachineType.java
+++ b/src/main/java/io/pepperfield/cloud/MachineType.java
@@ -15,6 +15,7 @@
         double bootS,
         List<String> zones) {
 
+    /** The price per hour of an ordinary or a spot machine. */
     public double price(boolean spot) {
         return spot ? spotPrice : price;
     }
--- a/src/main/java/io/pepperfield/cloud/Renting.java
+++ b/src/main/java/io/pepperfield/cloud/Renting.java
@@ -35,6 +35,9 @@
     /** Batches up to this size are logged by name. */
     private static final int NAMED = 3;
 
+    /**
+     * One rental request: its idempotency key, what it asks for, and the machines it has brought.
+     */
     private static final class Hire {
         final String name;
         final Pool pool;
@@ -145,6 +148,9 @@
                 host, hire.pool.type(), hire.zone, hire.pool.spot(), loop.now() - ageS, loop.now());
     }
 
+    /**
+     * Whether no refusal for lack of capacity forbids to rent from that pool and zone at present.
+     */
     public boolean open(Pool pool, String zone) {
         return refusedUntil.getOrDefault(pool + "@" + zone, Double.NEGATIVE_INFINITY) <= loop.now();
     }
@@ -165,6 +171,10 @@
                 .sum();
     }
 
+    /**
+     * Rents that many machines: each request becomes durable before it is sent. Called by the
+     * sizer.
+     */
     public void rent(Pool pool, String zone, int count) {
         for (int left = count; left > 0; left -= MOST_AT_ONCE) {
             Hire hire =
--- a/src/main/java/io/pepperfield/cloud/TypesRecord.java
+++ b/src/main/java/io/pepperfield/cloud/TypesRecord.java
@@ -16,6 +16,7 @@
 
     private TypesRecord() {}
 
+    /** Encodes the types in the form kept in the state service. */
     public static JsonNode write(Iterable<MachineType> types) {
         ArrayNode all = Json.array();
         for (MachineType t : types) {
@@ -36,6 +37,7 @@
         return all;
     }
 
+    /** Decodes what {@link #write} has encoded. */
     public static List<MachineType> read(JsonNode data) {
         List<MachineType> types = new ArrayList<>();
         for (JsonNode n : data) {
--- a/src/main/java/io/pepperfield/config/Aims.java
+++ b/src/main/java/io/pepperfield/config/Aims.java
@@ -15,6 +15,7 @@
     private final Map<String, Double> waits = new HashMap<>();
     private final Map<String, DoubleArrayList> finishes = new HashMap<>();
 
+    /** Sorts the platform's objectives by kind and class of jobs. */
     public Aims(List<Objective> objectives) {
         for (Objective o : objectives) {
             if (o.kind().equals("wait")) {
--- a/src/main/java/io/pepperfield/config/OperatorsReader.java
+++ b/src/main/java/io/pepperfield/config/OperatorsReader.java
@@ -25,6 +25,7 @@
  */
 public final class OperatorsReader {
 
+    /** The elements of the file, each with its name and the bounds of its value. */
     private enum Field {
         CHARGE_S("charge-s", 1, 86400),
         RESTART_SHARE("restart-share", 0, 1),
@@ -46,6 +47,7 @@
 
     private OperatorsReader() {}
 
+    /** Reads and checks a file; the exception names all its faults. */
     public static Operators read(Path file) throws SettingsException {
         try {
             return parse(file.toString(), Files.readAllBytes(file));
@@ -56,6 +58,7 @@
         }
     }
 
+    /** Reads and checks the contents of a file; {@code name} only appears in the messages. */
     public static Operators parse(String name, byte[] xml) throws SettingsException {
         Element root = document(name, xml);
         List<String> faults = new ArrayList<>();
--- a/src/main/java/io/pepperfield/config/Settings.java
+++ b/src/main/java/io/pepperfield/config/Settings.java
@@ -17,6 +17,7 @@
         Deployment deployment,
         Operators operators) {
 
+    /** A host and its TCP port. */
     public record Address(String host, int port) {
         @Override
         public String toString() {
@@ -24,8 +25,10 @@
         }
     }
 
+    /** A controller of the cluster: its name, its zone and the address that its peers use. */
     public record Member(String node, String zone, Address address) {}
 
+    /** The cluster's common settings, the same on every controller. */
     public record Deployment(
             int size,
             List<String> zones,
@@ -44,12 +47,18 @@
     public record Objective(
             String kind, String workload, double withinS, double share, double times) {}
 
+    /**
+     * Intervals of the workers' protocol in seconds: between reports, until a worker without an
+     * answer gives up its tasks, and until a cancelled job's tasks must have ended.
+     */
     public record Workers(double reportS, double leaseS, double cancelS) {}
 
     /** What the state service allows; where it will allow less from some moment on, that. */
     public record State(double rps, double writeRps, double valueKb, int txnOps) {}
 
+    /** The cloud's limits: requests per second, and the delay of its list in seconds. */
     public record Cloud(double rps, double listLagS) {}
 
+    /** What one controller may use: its share of a core, megabytes of memory, open sockets. */
     public record Quota(double coreShare, double memMb, int sockets) {}
 }
--- a/src/main/java/io/pepperfield/config/SettingsException.java
+++ b/src/main/java/io/pepperfield/config/SettingsException.java
@@ -8,6 +8,7 @@
  */
 public final class SettingsException extends Exception {
 
+    /** Joins all faults found in {@code file} into one message. */
     public SettingsException(String file, List<String> faults) {
         super(file + ": " + String.join("; ", faults));
     }
--- a/src/main/java/io/pepperfield/config/SettingsReader.java
+++ b/src/main/java/io/pepperfield/config/SettingsReader.java
@@ -27,6 +27,7 @@
 
     private SettingsReader() {}
 
+    /** Reads and checks a file; the exception names all its faults. */
     public static Settings read(Path file, Operators operators) throws SettingsException {
         String text;
         try {
@@ -39,6 +40,7 @@
         return parse(file.toString(), text, operators);
     }
 
+    /** Reads and checks the contents of a file; {@code name} only appears in the messages. */
     public static Settings parse(String name, String text, Operators operators)
             throws SettingsException {
         JsonNode root;
--- a/src/main/java/io/pepperfield/fleet/Attempt.java
+++ b/src/main/java/io/pepperfield/fleet/Attempt.java
@@ -7,6 +7,7 @@
  */
 public final class Attempt {
 
+    /** How far an attempt has come, as its machine's reports show it. */
     public enum Phase {
         /** The intent is being made durable; no order has left. */
         INTENDED,
@@ -72,6 +73,7 @@
         this.ref = new TaskRef(job.spec.id(), task);
     }
 
+    /** How far it has come. */
     public Phase phase() {
         return phase;
     }
@@ -81,14 +83,17 @@
         return phase != Phase.ENDED;
     }
 
+    /** Whether its process runs or saves a checkpoint. */
     public boolean running() {
         return phase == Phase.RUNNING || phase == Phase.SAVING;
     }
 
+    /** Whether it is to be stopped; the order is repeated until the attempt is proven gone. */
     public boolean stopWanted() {
         return stopWanted;
     }
 
+    /** Seconds that its process is given to end by itself when it is stopped. */
     public double drainS() {
         return drainS;
     }
--- a/src/main/java/io/pepperfield/fleet/Fleet.java
+++ b/src/main/java/io/pepperfield/fleet/Fleet.java
@@ -67,6 +67,7 @@
         this.token = electedToken;
     }
 
+    /** Sets the token of the leader's renewed term, which goes into each order from now on. */
     public void token(long renewed) {
         token = renewed;
         newerTokenWanted = false;
@@ -103,14 +104,17 @@
         return newerTokenWanted;
     }
 
+    /** All machines that are believed to exist. */
     public Collection<Machine> machines() {
         return machines.values();
     }
 
+    /** The machine of that name, or null. */
     public Machine get(String name) {
         return machines.get(name);
     }
 
+    /** Whether this leader has seen the machine of that name returned to the cloud. */
     public boolean wasReleased(String name) {
         return released.contains(name);
     }
@@ -151,6 +155,7 @@
         return attempt;
     }
 
+    /** Records the intent to start a task; no order leaves before the intent is durable. */
     public Attempt intend(Job job, int task, int number, Machine machine, double now) {
         Attempt attempt =
                 new Attempt(
@@ -493,6 +498,7 @@
         return orders;
     }
 
+    /** Marks a machine as being returned to the cloud: it gets no more work. */
     public void releasing(Machine machine) {
         machine.releasing = true;
     }
--- a/src/main/java/io/pepperfield/fleet/HttpWorkers.java
+++ b/src/main/java/io/pepperfield/fleet/HttpWorkers.java
@@ -16,6 +16,9 @@
     private final Sender client;
     private final long deadlineMs;
 
+    /**
+     * Creates a client whose requests fail after one report interval of {@code reportS} seconds.
+     */
     public HttpWorkers(Loop loop, Sender client, double reportS) {
         this.loop = loop;
         this.client = client;
--- a/src/main/java/io/pepperfield/fleet/Ledger.java
+++ b/src/main/java/io/pepperfield/fleet/Ledger.java
@@ -16,6 +16,7 @@
  */
 public final class Ledger {
 
+    /** What the live attempts of one team take in all, and its replicas among them. */
     private static final class Use {
         int attempts;
         double cpus;
@@ -29,6 +30,7 @@
     private final Map<String, Use> byTeam = new HashMap<>();
     private int size;
 
+    /** Adds an attempt that may be alive; throws where another one of the same task is recorded. */
     public void add(Attempt attempt) {
         Attempt old =
                 byJob.computeIfAbsent(attempt.job, j -> new Int2ObjectOpenHashMap<>())
@@ -71,10 +73,12 @@
         }
     }
 
+    /** The number of attempts that may be alive. */
     public int size() {
         return size;
     }
 
+    /** The live attempt of a task, or null. */
     public Attempt get(Job job, int task) {
         return byJob.getOrDefault(job, Int2ObjectMaps.emptyMap()).get(task);
     }
@@ -85,14 +89,17 @@
         return tasks == null ? List.of() : List.copyOf(tasks.values());
     }
 
+    /** Whether any attempt of the job may be alive. */
     public boolean has(Job job) {
         return byJob.containsKey(job);
     }
 
+    /** The jobs with at least one attempt that may be alive. */
     public Collection<Job> jobs() {
         return byJob.keySet();
     }
 
+    /** The attempts of a job that may be alive, as a view. */
     public Collection<Attempt> live(Job job) {
         Int2ObjectMap<Attempt> tasks = byJob.get(job);
         return tasks == null ? List.of() : tasks.values();
@@ -105,11 +112,13 @@
         return zones;
     }
 
+    /** CPUs that a team's live attempts take. */
     public double cpus(String team) {
         Use use = byTeam.get(team);
         return use == null ? 0 : use.cpus;
     }
 
+    /** Accelerators that a team's live attempts take. */
     public double gpus(String team) {
         Use use = byTeam.get(team);
         return use == null ? 0 : use.gpus;
@@ -121,6 +130,7 @@
         return use == null ? 0 : use.lastingCpus;
     }
 
+    /** Accelerators that a team's replicas take, which do not end by themselves. */
     public double lastingGpus(String team) {
         Use use = byTeam.get(team);
         return use == null ? 0 : use.lastingGpus;
--- a/src/main/java/io/pepperfield/fleet/Machine.java
+++ b/src/main/java/io/pepperfield/fleet/Machine.java
@@ -99,6 +99,7 @@
         this.rentedAt = now;
     }
 
+    /** The name of its machine type; empty until known. */
     public String type() {
         return pool.type();
     }
@@ -108,10 +109,12 @@
         return through;
     }
 
+    /** Sets the controller that its last report came through; empty for this one. */
     public void reportsThrough(String node) {
         through = node;
     }
 
+    /** Its machine type and kind. */
     public Pool pool() {
         return pool;
     }
@@ -122,10 +125,12 @@
         }
     }
 
+    /** The zone it is in; empty until known. */
     public String zone() {
         return zone;
     }
 
+    /** Whether it is a spot machine, which the cloud may take back. */
     public boolean spot() {
         return pool.spot();
     }
@@ -140,10 +145,14 @@
         return awaitedSince;
     }
 
+    /** Loop time of its rental in seconds, as well as it is known. */
     public double rentedAt() {
         return rentedAt;
     }
 
+    /**
+     * Seconds since its last report or answer, or since this leader has waited for the first one.
+     */
     public double silentFor(double now) {
         return now - Math.max(answeredAt, up() ? reportedAt : awaitedSince);
     }
@@ -173,10 +182,15 @@
                 && avoidUntil <= now;
     }
 
+    /** Whether it is being returned to the cloud. */
     public boolean releasing() {
         return releasing;
     }
 
+    /**
+     * Whether it takes no new tasks, by a decision of the leader or because the cloud takes it
+     * back.
+     */
     public boolean draining() {
         return draining || !Double.isNaN(takenAt);
     }
@@ -186,6 +200,7 @@
         return takenAt;
     }
 
+    /** Loop time in seconds until which it takes no tasks. */
     public double avoidUntil() {
         return avoidUntil;
     }
@@ -211,34 +226,42 @@
                 && failedJobs.stream().filter(job -> job.doneCount() > 0).count() >= MOST_ERRORS;
     }
 
+    /** Whether its worker restarted without its memory of what it ran. */
     public boolean reborn() {
         return reborn;
     }
 
+    /** The host and port of its worker; empty until known. */
     public String address() {
         return address;
     }
 
+    /** The number of its worker's session; a restarted worker has another one. */
     public long tenure() {
         return tenure;
     }
 
+    /** The images that its worker has in its cache. */
     public Set<String> images() {
         return images;
     }
 
+    /** The attempts on it that are not proven gone. */
     public Collection<Attempt> attempts() {
         return attempts.values();
     }
 
+    /** Whether no attempt on it may be alive. */
     public boolean idle() {
         return live == 0;
     }
 
+    /** The number of attempts on it that may be alive. */
     public int liveCount() {
         return live;
     }
 
+    /** Whether a service's replica may be alive on it. */
     public boolean holdsReplica() {
         return replicas > 0;
     }
@@ -259,6 +282,7 @@
         }
     }
 
+    /** Whether its worker has the image in its cache. */
     public boolean has(String image) {
         return images.contains(image);
     }
@@ -268,6 +292,7 @@
         draining = true;
     }
 
+    /** Its name, type, kind and zone for log messages. */
     public String describe() {
         return name + " (" + type() + (spot() ? ", spot" : "") + ", " + zone + ")";
     }
@@ -277,10 +302,12 @@
         return of.cpus() - cpus;
     }
 
+    /** Accelerators left beside all attempts that may be alive. */
     public double freeGpus(MachineType of) {
         return of.gpus() - gpus;
     }
 
+    /** Memory in gigabytes left beside all attempts that may be alive. */
     public double freeMemGb(MachineType of) {
         return of.memGb() - memGb;
     }
--- a/src/main/java/io/pepperfield/fleet/Order.java
+++ b/src/main/java/io/pepperfield/fleet/Order.java
@@ -9,14 +9,19 @@
 /** A command to a worker about one attempt. */
 public sealed interface Order {
 
+    /** The task that the order is about. */
     TaskRef ref();
 
+    /** The number of the attempt that the order is about. */
     int attempt();
 
+    /** Starts an attempt. */
     record Run(TaskRef ref, int attempt) implements Order {}
 
+    /** Stops an attempt, whose process has {@code drainS} seconds to end by itself. */
     record Stop(TaskRef ref, int attempt, double drainS) implements Order {}
 
+    /** Lets the worker forget an attempt that has ended. */
     record Clear(TaskRef ref, int attempt) implements Order {}
 
     /** Whether among the orders of an answer is one to stop something. */
--- a/src/main/java/io/pepperfield/fleet/Report.java
+++ b/src/main/java/io/pepperfield/fleet/Report.java
@@ -17,6 +17,7 @@
         Double noticeS,
         List<Line> lines) {
 
+    /** The state of an attempt on its worker. */
     public enum State {
         PULLING,
         RUNNING,
@@ -24,6 +25,7 @@
         ENDED
     }
 
+    /** Why an attempt has ended; {@code NONE} while it has not. */
     public enum Cause {
         NONE,
         DONE,
@@ -35,6 +37,7 @@
         OTHER
     }
 
+    /** What a report says about one attempt. */
     public record Line(TaskRef ref, int attempt, State state, Cause cause) {}
 
     /** Null where the message is no report: refused whole, since half of one proves nothing. */
--- a/src/main/java/io/pepperfield/fleet/Workers.java
+++ b/src/main/java/io/pepperfield/fleet/Workers.java
@@ -7,6 +7,7 @@
 /** The direct way to the workers; callbacks run on the owner. */
 public interface Workers {
 
+    /** How a direct message to a worker ended. */
     sealed interface Result {
         /**
          * The worker's report after the orders; {@code executed} false where it refused all of
@@ -14,6 +15,7 @@
          */
         record Heard(boolean executed, Report report) implements Result {}
 
+        /** The message never left: its orders are not carried out. */
         record NotSent() implements Result {}
 
         /** The orders may be carried out at any later time. */
@@ -26,5 +28,6 @@
     /** Hands on orders as they are; {@code heard} gets the worker's report, if one comes. */
     void forward(String address, long token, long tenure, JsonNode orders, Consumer<byte[]> heard);
 
+    /** Sends orders to a worker outside its reports; {@code done} is called once. */
     void orders(String address, long token, long tenure, List<Order> orders, Consumer<Result> done);
 }
--- a/src/main/java/io/pepperfield/http/Call.java
+++ b/src/main/java/io/pepperfield/http/Call.java
@@ -12,6 +12,7 @@
         return new Call(method, decoder.path(), decoder.parameters(), body);
     }
 
+    /** The first value of a query parameter, or {@code otherwise} where it is missing. */
     public String parameter(String name, String otherwise) {
         List<String> values = query.get(name);
         return values == null || values.isEmpty() ? otherwise : values.get(0);
--- a/src/main/java/io/pepperfield/http/HttpClient.java
+++ b/src/main/java/io/pepperfield/http/HttpClient.java
@@ -49,6 +49,7 @@
 
     private int open;
 
+    /** Creates a client with no limit on its connections; larger answers fail. */
     public HttpClient(EventLoopGroup loops, int mostAnswerBytes) {
         this(loops, mostAnswerBytes, Integer.MAX_VALUE);
     }
@@ -93,6 +94,7 @@
                 });
     }
 
+    /** One request and the connection it is sent on, from its queueing to its outcome. */
     private final class Exchange {
         final String method;
         final String path;
@@ -143,6 +145,7 @@
         }
     }
 
+    /** The connections to one address and the requests that wait for one of them. */
     private final class Pool {
         final String key;
         final String host;
@@ -300,6 +303,7 @@
         }
     }
 
+    /** Hands the answers that arrive on a connection to its request. */
     private static final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final Pool pool;
         private final Line line;
--- a/src/main/java/io/pepperfield/http/HttpServer.java
+++ b/src/main/java/io/pepperfield/http/HttpServer.java
@@ -46,6 +46,7 @@
 
     /** Called on the network thread; must hand the request on at once. */
     public interface Handler {
+        /** Answers a request; {@code answer} is called once, on any thread. */
         void handle(Call call, Consumer<Reply> answer);
     }
 
@@ -60,6 +61,7 @@
     private boolean crowded;
     private Channel listening;
 
+    /** Creates a server with the default limit on the size of a request. */
     public HttpServer(EventLoopGroup loops, int mostConnections, Handler handler) {
         this(loops, mostConnections, MOST_BYTES, handler);
     }
@@ -84,6 +86,9 @@
         return this;
     }
 
+    /**
+     * Listens on an address and returns the port, which the system chooses where 0 is asked for.
+     */
     public int start(String host, int port) throws InterruptedException {
         ServerBootstrap bootstrap =
                 new ServerBootstrap()
@@ -116,6 +121,7 @@
         return ((InetSocketAddress) listening.localAddress()).getPort();
     }
 
+    /** Stops listening; open connections are left to the event loop. */
     public void close() {
         if (listening != null) {
             listening.close();
@@ -199,6 +205,7 @@
         }
     }
 
+    /** Takes the requests of one connection and sends the answers. */
     private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final Connection connection;
 
--- a/src/main/java/io/pepperfield/http/Json.java
+++ b/src/main/java/io/pepperfield/http/Json.java
@@ -36,6 +36,7 @@
         }
     }
 
+    /** Encodes a tree as UTF-8. */
     public static byte[] write(JsonNode node) {
         try {
             return MAPPER.writeValueAsBytes(node);
@@ -44,10 +45,12 @@
         }
     }
 
+    /** Creates an empty object. */
     public static ObjectNode object() {
         return JsonNodeFactory.instance.objectNode();
     }
 
+    /** Creates an empty array. */
     public static ArrayNode array() {
         return JsonNodeFactory.instance.arrayNode();
     }
--- a/src/main/java/io/pepperfield/http/Outcome.java
+++ b/src/main/java/io/pepperfield/http/Outcome.java
@@ -5,7 +5,9 @@
 /** How an outgoing request ended. */
 public sealed interface Outcome {
 
+    /** An answer with its status arrived in time. */
     record Answered(int status, byte[] body) implements Outcome {
+        /** The body as JSON; missing where it is not valid. */
         public JsonNode json() {
             return Json.read(body);
         }
--- a/src/main/java/io/pepperfield/jobs/Catalog.java
+++ b/src/main/java/io/pepperfield/jobs/Catalog.java
@@ -79,6 +79,7 @@
             return Collections.unmodifiableSet(awaited);
         }
 
+        /** What its user asked for. */
         public JobSpec spec() {
             return spec;
         }
@@ -93,6 +94,7 @@
             return openAsOf;
         }
 
+        /** Its durable run records, encoded, one for each chunk of tasks that has any. */
         public List<byte[]> chunks() {
             return chunks.values().stream().map(Chunk::json).toList();
         }
@@ -108,6 +110,7 @@
             failed += (chunk == null ? 0 : chunk.failed) - (old == null ? 0 : old.failed);
         }
 
+        /** The body of the answer to a query for its state. */
         public JsonNode answer() {
             if (end != null) {
                 return JobMessages.state(
@@ -200,6 +203,7 @@
         cancelledOn = null;
     }
 
+    /** The record of an accepted job, or null. */
     public Record get(String id) {
         return records.get(id);
     }
@@ -209,6 +213,7 @@
         return inShared;
     }
 
+    /** The records of all accepted jobs. */
     public Collection<Record> all() {
         return records.values();
     }
--- a/src/main/java/io/pepperfield/jobs/CreateIfAbsent.java
+++ b/src/main/java/io/pepperfield/jobs/CreateIfAbsent.java
@@ -23,6 +23,7 @@
  */
 final class CreateIfAbsent {
 
+    /** How the creation of a key ended. */
     enum Result {
         CREATED,
         EXISTS,
@@ -30,6 +31,7 @@
         TOO_MANY
     }
 
+    /** A key to be created, until when it may be tried (loop time), and whom to tell. */
     private record Wish(String key, JsonNode data, double until, List<Consumer<Result>> asked) {
 
         void done(Result result) {
--- a/src/main/java/io/pepperfield/jobs/Job.java
+++ b/src/main/java/io/pepperfield/jobs/Job.java
@@ -56,6 +56,7 @@
 
     private double notBefore;
 
+    /** Creates the state of a job none of whose tasks has been started. */
     public Job(JobSpec spec, double submittedAt) {
         this.spec = spec;
         this.placed = spec;
@@ -94,6 +95,7 @@
         awaiting = true;
     }
 
+    /** Whether it waits for other jobs. */
     public boolean isAwaiting() {
         return awaiting;
     }
@@ -104,6 +106,7 @@
         readyAt = now;
     }
 
+    /** Loop time in seconds at which its tasks could first be started. */
     public double readyAt() {
         return readyAt;
     }
@@ -125,14 +128,17 @@
         return higher;
     }
 
+    /** The number of completed tasks. */
     public int doneCount() {
         return done.cardinality();
     }
 
+    /** Whether all its tasks are completed. */
     public boolean allDone() {
         return doneCount() == spec.tasks();
     }
 
+    /** Whether the task is completed. */
     public boolean isDone(int task) {
         return done.get(task);
     }
@@ -142,10 +148,12 @@
         return waiting.nextSetBit(0);
     }
 
+    /** Records that the task's last attempt failed. */
     public void markFailed(int task) {
         failed.set(task);
     }
 
+    /** Whether the task's last attempt failed. */
     public boolean hasFailed(int task) {
         return failed.get(task);
     }
@@ -167,6 +175,7 @@
         }
     }
 
+    /** Records that the task is completed: it is not started again. */
     public void markDone(int task) {
         done.set(task);
         waiting.clear(task);
@@ -182,10 +191,12 @@
         }
     }
 
+    /** The number of the task's last attempt; 0 before the first. */
     public int attempt(int task) {
         return attempts.get(task);
     }
 
+    /** Loop time in seconds before which none of its tasks is started, after a failure. */
     public double notBefore() {
         return notBefore;
     }
--- a/src/main/java/io/pepperfield/jobs/JobMessages.java
+++ b/src/main/java/io/pepperfield/jobs/JobMessages.java
@@ -33,6 +33,7 @@
 
     private JobMessages() {}
 
+    /** Whether the text may name a job. */
     public static boolean validId(String id) {
         return ID.matcher(id).matches();
     }
@@ -43,6 +44,7 @@
         return validId(id) ? id : "";
     }
 
+    /** Reads and checks a submission; {@code chunk} tasks are to share a run record. */
     public static JobSpec submission(JsonNode body, long nowMs, int chunk) throws Malformed {
         if (!body.isObject()) {
             throw new Malformed("want a JSON object");
@@ -184,6 +186,7 @@
         return List.copyOf(ids);
     }
 
+    /** Encodes an accepted job in the form kept in the state service. */
     public static ObjectNode durable(JobSpec job) {
         ObjectNode node =
                 Json.object()
@@ -219,6 +222,7 @@
         return node.put("t", job.oneZone()).put("sp", job.spread()).put("re", job.spot());
     }
 
+    /** Decodes what {@link #durable} has encoded. */
     public static JobSpec fromDurable(String id, JsonNode n) {
         List<String> types = null;
         if (n.has("f")) {
@@ -255,6 +259,7 @@
                 awaits);
     }
 
+    /** The answer to a query for a job's state, with its counts of tasks. */
     public static ObjectNode state(String id, Status status, int done, int running) {
         return Json.object()
                 .put("nameId", id)
@@ -263,14 +268,17 @@
                 .put("running", running);
     }
 
+    /** The answer that names a job and its state alone. */
     public static ObjectNode brief(String id, Status status) {
         return Json.object().put("nameId", id).put("status", status.word());
     }
 
+    /** Encodes a final state in the form kept in the state service. */
     public static ObjectNode durableEnd(Status status) {
         return Json.object().put("s", status.word());
     }
 
+    /** Decodes what {@link #durableEnd} has encoded. */
     public static Status end(JsonNode durable) {
         return durable.path("s").asText().equals(Status.DONE.word())
                 ? Status.DONE
--- a/src/main/java/io/pepperfield/jobs/JobSpec.java
+++ b/src/main/java/io/pepperfield/jobs/JobSpec.java
@@ -40,6 +40,10 @@
         int chunk,
         List<String> awaits) {
 
+    /**
+     * The kind of job: independent tasks, replicas that run until cancelled, or tasks that start
+     * together.
+     */
     public enum Shape {
         ARRAY,
         SERVICE,
@@ -54,6 +58,7 @@
         BEST_EFFORT
     }
 
+    /** Whether its tasks are replicas that run until it is cancelled. */
     public boolean service() {
         return shape == Shape.SERVICE;
     }
@@ -73,6 +78,7 @@
         return spread ? (tasks + 1) / 2 : tasks;
     }
 
+    /** The number of run records that its tasks need. */
     public int chunks() {
         return (tasks + chunk - 1) / chunk;
     }
@@ -105,6 +111,7 @@
                 awaits);
     }
 
+    /** Whether its tasks save checkpoints. */
     public boolean saves() {
         return checkpointEveryS > 0;
     }
--- a/src/main/java/io/pepperfield/jobs/LinearizableReads.java
+++ b/src/main/java/io/pepperfield/jobs/LinearizableReads.java
@@ -24,7 +24,9 @@
  */
 final class LinearizableReads {
 
+    /** The result of reading a job. */
     sealed interface Reading {
+        /** The job was accepted; its record as of the reading. */
         record Accepted(Catalog.Record job) implements Reading {}
 
         /** Not accepted by any node before the request came in. */
--- a/src/main/java/io/pepperfield/jobs/RunRecord.java
+++ b/src/main/java/io/pepperfield/jobs/RunRecord.java
@@ -12,6 +12,7 @@
  */
 public record RunRecord(int task, int attempt, State state, String machine, long tenure) {
 
+    /** What is durable about a task's latest attempt; the order is part of the durable form. */
     public enum State {
         GONE,
         LIVE,
@@ -19,6 +20,7 @@
         FAILED
     }
 
+    /** Encodes records in the form kept in the state service. */
     public static JsonNode write(List<RunRecord> records) {
         ArrayNode all = Json.array();
         for (RunRecord record : records) {
@@ -35,6 +37,7 @@
         return State.values()[line.path(2).asInt()];
     }
 
+    /** Decodes what {@link #write} has encoded. */
     public static List<RunRecord> read(JsonNode data) {
         List<RunRecord> records = new ArrayList<>();
         for (JsonNode line : data) {
--- a/src/main/java/io/pepperfield/jobs/Status.java
+++ b/src/main/java/io/pepperfield/jobs/Status.java
@@ -9,10 +9,12 @@
     DONE,
     CANCELLED;
 
+    /** Whether the state is final. */
     public boolean ended() {
         return this == DONE || this == CANCELLED;
     }
 
+    /** The state's name in the users' protocol. */
     public String word() {
         return name().toLowerCase(Locale.ROOT);
     }
--- a/src/main/java/io/pepperfield/jobs/UserRequests.java
+++ b/src/main/java/io/pepperfield/jobs/UserRequests.java
@@ -18,6 +18,7 @@
 
     /** Whether a job can ever run: null, or why not; throws where that cannot be decided yet. */
     public interface Feasibility {
+        /** Why the job can never run, or null where it can. */
         String refusal(JobSpec job) throws Undecided;
     }
 
@@ -71,11 +72,13 @@
                         loop, state, StateService.Urgency.END, mostChanges, 40 * 1024, changesPerS);
     }
 
+    /** Sends what has been gathered for the state service; called after each batch of commands. */
     public void flush() {
         cancellations.flush();
         submissions.flush();
     }
 
+    /** Accepts a job once it is durable, and answers its user. */
     public void submit(byte[] body, Consumer<Reply> answer) {
         JsonNode json = Json.read(body);
         String id = JobMessages.idOf(json);
@@ -185,6 +188,7 @@
         return reading instanceof Reading.NeverAccepted ? refusal : Reply.later(NO_STATE);
     }
 
+    /** Answers a user's query for a job's state. */
     public void query(String id, Consumer<Reply> answer) {
         if (reads.heardOf(id)) {
             unlessKnown(id, NO_JOB, answer);
@@ -204,6 +208,7 @@
         }
     }
 
+    /** Cancels a job durably, and answers its user. */
     public void cancel(String id, Consumer<Reply> answer) {
         if (reads.heardOf(id)) {
             end(id, answer);
--- a/src/main/java/io/pepperfield/leadership/Leadership.java
+++ b/src/main/java/io/pepperfield/leadership/Leadership.java
@@ -23,10 +23,13 @@
 
     /** The owner's reaction to changes of role; called on the owner. */
     public interface Listener {
+        /** This node leads from now on, with that token. */
         void elected(long token);
 
+        /** The leader key was written anew: writes are guarded by this token from now on. */
         void renewedToken(long token);
 
+        /** This node does not lead any more; {@code why} is for the log. */
         void deposed(String why);
     }
 
@@ -55,6 +58,10 @@
     private boolean doubted;
     private double doubtedAt;
 
+    /**
+     * Creates the state of a node that does not lead; {@code ttlS} is the lifetime of its grant in
+     * seconds.
+     */
     public Leadership(Loop loop, StateService state, String node, double ttlS, Listener listener) {
         this.loop = loop;
         this.state = state;
@@ -75,6 +82,7 @@
         return leading() && loop.now() < grantUntil;
     }
 
+    /** The token of this node's term, 0 while it does not lead. */
     public long token() {
         return token;
     }
@@ -89,6 +97,7 @@
         return leader;
     }
 
+    /** The condition that a leader's write must carry. */
     public Guard guard() {
         return new Guard(Keys.LEADER, token);
     }
--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -42,6 +42,9 @@
 
     /** Sets this node's part of the state service's rates. */
     public interface Rates {
+        /**
+         * Sets requests per second, and changes per second for the leader's and for users' writes.
+         */
         void share(double requests, double leadersWrites, double usersWrites);
     }
 
@@ -92,6 +95,7 @@
     /** Controllers that users may have come to, as far as this one knows. */
     private int takingPart;
 
+    /** Wires up a controller; nothing is sent before {@link #start}. */
     public Controller(
             Loop loop,
             Settings settings,
@@ -211,6 +215,7 @@
         return settings.deployment().quota().sockets() / 8;
     }
 
+    /** Starts to follow the state service and to do the periodic work. */
     public void start() {
         share(false);
         sync.start();
--- a/src/main/java/io/pepperfield/node/Owner.java
+++ b/src/main/java/io/pepperfield/node/Owner.java
@@ -17,6 +17,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Owner.class);
     private static final int MOST_IN_BATCH = 256;
 
+    /** A command to run at a time in nanoseconds; {@code order} decides among equal times. */
     private record Timer(long at, long order, Runnable command) implements Comparable<Timer> {
         @Override
         public int compareTo(Timer other) {
@@ -65,6 +66,7 @@
                         command));
     }
 
+    /** Ends {@link #run} after the current batch; may be called on any thread. */
     public void stop() {
         stopped = true;
         queue.add(() -> {});
--- a/src/main/java/io/pepperfield/node/Service.java
+++ b/src/main/java/io/pepperfield/node/Service.java
@@ -35,6 +35,7 @@
     private HttpServer users;
     private HttpServer others;
 
+    /** Creates a controller's process; it listens from {@link #start} on. */
     public Service(Settings settings) {
         this.settings = settings;
     }
@@ -112,6 +113,7 @@
         owner.run();
     }
 
+    /** Closes the servers, stops the owner and shuts the network down. */
     public void stop() {
         users.close();
         others.close();
--- a/src/main/java/io/pepperfield/node/Sizer.java
+++ b/src/main/java/io/pepperfield/node/Sizer.java
@@ -477,6 +477,7 @@
      * be returned and rented for ever.
      */
     private void shrink(Pool pool, int surplus, Set<String> shortZones, double now) {
+        /** A machine that could be returned, and what work its return would cost. */
         record Candidate(Machine machine, double cost) {}
         double most = cluster.settings().operators().restartShare() * unitS;
         cluster.fleet().machines().stream()
--- a/src/main/java/io/pepperfield/peer/Members.java
+++ b/src/main/java/io/pepperfield/peer/Members.java
@@ -12,6 +12,7 @@
  */
 public final class Members {
 
+    /** What is known of one controller: its process, the last message's number and its time. */
     private static final class Member {
         String life = "";
         long sequence;
--- a/src/main/java/io/pepperfield/peer/PartitionOrders.java
+++ b/src/main/java/io/pepperfield/peer/PartitionOrders.java
@@ -25,6 +25,7 @@
     private final Map<Settings.Member, List<RelayMessages.Direct>> waiting = new LinkedHashMap<>();
     private long token;
 
+    /** Creates the router; {@code own} reaches the workers of this node's partition. */
     public PartitionOrders(Workers own, Peers peers, Settings settings) {
         this.own = own;
         this.peers = peers;
--- a/src/main/java/io/pepperfield/peer/Peers.java
+++ b/src/main/java/io/pepperfield/peer/Peers.java
@@ -50,6 +50,7 @@
     private double ownContactAt = Double.NEGATIVE_INFINITY;
     private long token;
 
+    /** Creates the exchange with the other members of the cluster. */
     public Peers(Loop loop, Settings settings, Sender client) {
         this.loop = loop;
         this.settings = settings;
@@ -57,6 +58,7 @@
         this.reportS = settings.deployment().workers().reportS();
     }
 
+    /** Sets what receives the other nodes' messages; called once, before the first message. */
     public void handler(Handler of) {
         handler = of;
     }
--- a/src/main/java/io/pepperfield/peer/Reachability.java
+++ b/src/main/java/io/pepperfield/peer/Reachability.java
@@ -28,6 +28,7 @@
     /** Each new failure doubles the time without a partition, up to so many leases. */
     private static final int LONGEST = 8;
 
+    /** How well one controller hears the workers of its partition. */
     private static final class Owner {
         double ownsSince = Double.NaN;
         double heardAt = Double.NEGATIVE_INFINITY;
@@ -43,6 +44,7 @@
     private final double leaseS;
     private final Map<String, Owner> owners = new HashMap<>();
 
+    /** Creates an empty view; both intervals are in seconds. */
     public Reachability(double reportS, double leaseS) {
         this.reportS = reportS;
         this.leaseS = leaseS;
--- a/src/main/java/io/pepperfield/peer/Relay.java
+++ b/src/main/java/io/pepperfield/peer/Relay.java
@@ -53,6 +53,7 @@
         }
     }
 
+    /** The last report of a machine of this node's partition. */
     private static final class Known {
         Report report;
         byte[] raw;
@@ -86,6 +87,7 @@
     private double linkedAt = Double.NEGATIVE_INFINITY;
     private boolean linked;
 
+    /** Creates an idle link; it sends nothing before a leader is known. */
     public Relay(Loop loop, Sender client, Settings settings) {
         this.loop = loop;
         this.client = client;
@@ -155,6 +157,7 @@
         return token;
     }
 
+    /** The names of the controllers that take reports, by the leader's last answer. */
     public Set<String> live() {
         return live;
     }
--- a/src/main/java/io/pepperfield/peer/RelayMessages.java
+++ b/src/main/java/io/pepperfield/peer/RelayMessages.java
@@ -20,8 +20,10 @@
 
     /** One report as a partition owner passes it on. */
     public sealed interface Beat {
+        /** The name of the machine that reports. */
         String machine();
 
+        /** The report in full. */
         record Whole(Report report) implements Beat {
             @Override
             public String machine() {
@@ -37,6 +39,7 @@
     /** A report that its partition owner remembers from before the leader was elected. */
     public record Kept(Report report, double ageS) {}
 
+    /** One message of a partition owner to the leader; {@code life} names the owner's process. */
     public record Batch(
             String node,
             String life,
@@ -58,6 +61,7 @@
         record WantsWhole() implements Verdict {}
     }
 
+    /** The leader's answer to a batch, with one verdict for each of its reports. */
     public record Answer(
             long token, double contactAgoS, Set<String> live, List<Verdict> verdicts) {}
 
@@ -127,6 +131,7 @@
                 kept);
     }
 
+    /** Encodes the answer to a batch. */
     public static byte[] answer(
             long token, double contactAgoS, Collection<String> live, List<Verdict> verdicts) {
         ObjectNode node =
--- a/src/main/java/io/pepperfield/placement/PlacementRequest.java
+++ b/src/main/java/io/pepperfield/placement/PlacementRequest.java
@@ -46,6 +46,9 @@
     /** How long it has waited for each CPU that it still waits for. */
     double waitedForSize;
 
+    /**
+     * Creates a request for places for {@code waiting} tasks; {@code submittedAt} is a loop time.
+     */
     public PlacementRequest(
             JobSpec job,
             int waiting,
@@ -62,6 +65,7 @@
         this.live = perZone.values().stream().mapToInt(Integer::intValue).sum();
     }
 
+    /** Sets whether it has waited so long that it comes first. */
     public void overdue(boolean late) {
         overdue = late;
     }
@@ -75,14 +79,17 @@
         waitedForSize = job.service() ? 0 : seconds / (waiting * job.cpus());
     }
 
+    /** Sets whether its job has only failed so far. */
     public void trial(boolean suspect) {
         trial = suspect;
     }
 
+    /** Whether its job has only failed so far, so that nothing is stopped for it. */
     public boolean trial() {
         return trial;
     }
 
+    /** Sets whether other tasks are being stopped to make room for it. */
     public void promised(boolean room) {
         promised = room;
     }
@@ -92,10 +99,12 @@
         return madeRoom;
     }
 
+    /** The job whose tasks wait. */
     public JobSpec job() {
         return job;
     }
 
+    /** Whether only machines with its image in their cache will do. */
     public boolean warmOnly() {
         return warmOnly;
     }
@@ -115,6 +124,7 @@
         return waiting;
     }
 
+    /** Whether its team is within its guarantee. */
     public boolean guaranteed() {
         return guaranteed;
     }
--- a/src/main/java/io/pepperfield/placement/Placer.java
+++ b/src/main/java/io/pepperfield/placement/Placer.java
@@ -16,6 +16,7 @@
  */
 public final class Placer {
 
+    /** A place for one task of a job. */
     public record Choice(String job, String machine) {}
 
     /** What decides whether a task finds a place, where its job's other tasks have no say in it. */
@@ -41,6 +42,10 @@
 
     private Placer() {}
 
+    /**
+     * Chooses machines for waiting tasks; rooms and shares are reduced by what the chosen tasks
+     * take.
+     */
     public static List<Choice> place(
             List<PlacementRequest> requests, List<Room> rooms, Map<String, Share> shares) {
         Map<String, List<PlacementRequest>> queues = new HashMap<>();
--- a/src/main/java/io/pepperfield/placement/Preemption.java
+++ b/src/main/java/io/pepperfield/placement/Preemption.java
@@ -32,12 +32,14 @@
         private final Room room;
         private final List<Victim> victims;
 
+        /** Creates a place; its victims are tried in the order of what their loss costs. */
         public Place(Room room, List<Victim> victims) {
             this.room = room;
             this.victims = new ArrayList<>(victims);
             this.victims.sort(BY_LOSS);
         }
 
+        /** The name of the machine. */
         public String machine() {
             return room.machine;
         }
@@ -48,6 +50,7 @@
         }
     }
 
+    /** What to stop on one machine, and the work that would be lost. */
     private record Plan(Place place, List<Victim> stopped, double lost) {}
 
     private Preemption() {}
--- a/src/main/java/io/pepperfield/placement/Room.java
+++ b/src/main/java/io/pepperfield/placement/Room.java
@@ -18,6 +18,10 @@
     /** What it will have at most, once all that ends by itself has ended. */
     final Capacity most;
 
+    /**
+     * Creates the free room of a machine; {@code most} is what it will have once all batch tasks
+     * end.
+     */
     public Room(
             String machine,
             String type,
@@ -46,6 +50,7 @@
         memGb += tasks * job.memGb();
     }
 
+    /** The name of the machine. */
     public String machine() {
         return machine;
     }
--- a/src/main/java/io/pepperfield/placement/Share.java
+++ b/src/main/java/io/pepperfield/placement/Share.java
@@ -15,6 +15,7 @@
 
     private final double lastingGpus;
 
+    /** Creates a team's share from its limits and what its tasks take now. */
     public Share(
             Settings.Team team, double cpus, double gpus, double lastingCpus, double lastingGpus) {
         this.team = team;
@@ -57,6 +58,7 @@
         return team.cpus() > 0 ? cpus / team.cpus() : Double.MAX_VALUE;
     }
 
+    /** CPUs that its tasks take. */
     public double cpus() {
         return cpus;
     }
--- a/src/main/java/io/pepperfield/predict/BootTimes.java
+++ b/src/main/java/io/pepperfield/predict/BootTimes.java
@@ -28,6 +28,7 @@
     /** A zone that is slower than that cannot be told from one in which nothing comes up. */
     private static final double SLOWEST = 4;
 
+    /** Loop times in seconds of a machine's rental and of its first report. */
     private record Boot(double rentedAt, double upAt) {}
 
     private final Map<String, ArrayDeque<Boot>> seen = new HashMap<>();
@@ -41,6 +42,10 @@
         this.recentS = recentS;
     }
 
+    /**
+     * Records a completed boot; {@code place} names a type of machine in a zone, times are loop
+     * times.
+     */
     public void seen(String place, double rentedAt, double upAt) {
         ArrayDeque<Boot> boots = seen.computeIfAbsent(place, p -> new ArrayDeque<>());
         boots.addLast(new Boot(rentedAt, upAt));
--- a/src/main/java/io/pepperfield/predict/ClassTimes.java
+++ b/src/main/java/io/pepperfield/predict/ClassTimes.java
@@ -17,6 +17,7 @@
     /** Asked for each attempt in each step: the middle is looked for again only after news. */
     private final Map<String, Double> medians = new HashMap<>();
 
+    /** Records the run time of a finished task of that class in seconds. */
     public void finished(String workload, double seconds) {
         DoubleArrayList list = times.computeIfAbsent(workload, w -> new DoubleArrayList());
         if (list.size() == KEPT) {
--- a/src/main/java/io/pepperfield/predict/Medians.java
+++ b/src/main/java/io/pepperfield/predict/Medians.java
@@ -8,6 +8,7 @@
 
     private Medians() {}
 
+    /** The median of the values; 0 where there is none. */
     public static double of(DoubleArrayList values) {
         if (values.isEmpty()) {
             return 0;
--- a/src/main/java/io/pepperfield/predict/PeerTimes.java
+++ b/src/main/java/io/pepperfield/predict/PeerTimes.java
@@ -21,6 +21,7 @@
      */
     private double median = Double.NaN;
 
+    /** Records the run time of a finished task in seconds, and its input size where it has one. */
     public void finished(double seconds, OptionalDouble size) {
         if (finished.size() < KEPT) {
             finished.add(seconds);
@@ -36,10 +37,12 @@
         }
     }
 
+    /** The number of finished tasks. */
     public int count() {
         return count;
     }
 
+    /** The median run time in seconds; 0 before the first finished task. */
     public double median() {
         if (Double.isNaN(median)) {
             median = Medians.of(finished);
--- a/src/main/java/io/pepperfield/steering/DemandWindow.java
+++ b/src/main/java/io/pepperfield/steering/DemandWindow.java
@@ -9,15 +9,18 @@
  */
 public final class DemandWindow {
 
+    /** The CPUs asked for at a loop time. */
     private record Sample(double at, double cpus) {}
 
     private final ArrayDeque<Sample> samples = new ArrayDeque<>();
     private final double lengthS;
 
+    /** Creates an empty window that keeps samples for {@code lengthS} seconds. */
     public DemandWindow(double lengthS) {
         this.lengthS = lengthS;
     }
 
+    /** Records CPUs that were asked for at loop time {@code now}, and drops the oldest samples. */
     public void add(double now, double cpus) {
         samples.addLast(new Sample(now, cpus));
         while (samples.peekFirst().at < now - lengthS) {
--- a/src/main/java/io/pepperfield/steering/Resize.java
+++ b/src/main/java/io/pepperfield/steering/Resize.java
@@ -16,6 +16,7 @@
      */
     public record Upcoming(double remainingS, double share, int count) {
 
+        /** Creates the entry of a single task. */
         public Upcoming(double remainingS, double share) {
             this(remainingS, share, 1);
         }
--- a/src/main/java/io/pepperfield/steering/Steering.java
+++ b/src/main/java/io/pepperfield/steering/Steering.java
@@ -55,6 +55,7 @@
 
     private Steering() {}
 
+    /** The number of machines to have in each pool for the work and the expected demand. */
     public static Map<Pool, Integer> targets(
             List<Offer> offers,
             List<Work> work,
--- a/src/main/java/io/pepperfield/store/Budget.java
+++ b/src/main/java/io/pepperfield/store/Budget.java
@@ -13,8 +13,10 @@
  */
 final class Budget {
 
+    /** A request that waits for its rate, until a loop time at which it is refused. */
     private record Waiting(int writes, double until, Runnable go, Runnable refuse) {}
 
+    /** A token bucket for changes per second. */
     private static final class Changes {
         double rate;
         double left;
--- a/src/main/java/io/pepperfield/store/HttpStateService.java
+++ b/src/main/java/io/pepperfield/store/HttpStateService.java
@@ -29,6 +29,7 @@
     private final Settings.Address address;
     private final Budget budget;
 
+    /** Creates a client that sends nothing before its rates are set by {@link #share}. */
     public HttpStateService(Loop loop, Sender client, Settings.Address address) {
         this.loop = loop;
         this.client = client;
@@ -36,6 +37,7 @@
         this.budget = new Budget(loop);
     }
 
+    /** Sets this node's part of the service's rates, all per second. */
     public void share(double requestRate, double leadersWriteRate, double usersWriteRate) {
         budget.share(requestRate, leadersWriteRate, usersWriteRate);
     }
--- a/src/main/java/io/pepperfield/store/Keys.java
+++ b/src/main/java/io/pepperfield/store/Keys.java
@@ -17,6 +17,7 @@
 
     private Keys() {}
 
+    /** The key of the run record of one chunk of a job's tasks. */
     public static String run(String job, int chunk) {
         return RUN + job + "/" + chunk;
     }
--- a/src/main/java/io/pepperfield/store/Replica.java
+++ b/src/main/java/io/pepperfield/store/Replica.java
@@ -18,27 +18,33 @@
      * Told of every change in the order of revisions; {@code data} is null where the key is gone.
      */
     public interface Listener {
+        /** Called after the copy has taken the change. */
         void changed(String key, JsonNode data, long stamp);
     }
 
+    /** A key's value and the revision that wrote it. */
     public record Entry(JsonNode data, long stamp) {}
 
     private final Map<String, Entry> entries = new HashMap<>();
     private final Listener listener;
     private long revision;
 
+    /** Creates an empty copy at revision 0. */
     public Replica(Listener listener) {
         this.listener = listener;
     }
 
+    /** The revision up to which this copy is complete. */
     public long revision() {
         return revision;
     }
 
+    /** The key's entry, or null where there is none. */
     public Entry get(String key) {
         return entries.get(key);
     }
 
+    /** The revision that last wrote the key; 0 where there is none. */
     public long stamp(String key) {
         Entry entry = entries.get(key);
         return entry == null ? 0 : entry.stamp;
@@ -52,6 +58,7 @@
         }
     }
 
+    /** Visits all keys with that prefix, in no particular order. */
     public void each(String prefix, BiConsumer<String, JsonNode> visit) {
         entries.forEach(
                 (key, entry) -> {
@@ -86,6 +93,7 @@
         revision = Math.max(revision, asOf);
     }
 
+    /** Takes all changes up to revision {@code to}; those that are known already are skipped. */
     public void advance(List<StateService.Item> changes, long to) {
         for (StateService.Item item : changes) {
             if (item.stamp() > revision) {
--- a/src/main/java/io/pepperfield/store/Sync.java
+++ b/src/main/java/io/pepperfield/store/Sync.java
@@ -39,11 +39,13 @@
         this.spacingS = spacingS;
     }
 
+    /** Loads the replica and begins to follow the changes. */
     public void start() {
         load();
         follow();
     }
 
+    /** Whether all keys have been read once. */
     public boolean loaded() {
         return loaded;
     }
--- a/src/main/java/io/pepperfield/store/Writer.java
+++ b/src/main/java/io/pepperfield/store/Writer.java
@@ -27,8 +27,10 @@
 
     /** Where the leader stands now; a write without a valid guard is not even tried. */
     public interface Lead {
+        /** Whether this node leads and its grant cannot have ended. */
         boolean confirmed();
 
+        /** The condition that proves the lead when the write takes effect. */
         Guard guard();
     }
 
@@ -50,6 +52,7 @@
         PATIENT
     }
 
+    /** A key waiting to be written: what to write, and whom to tell. */
     private static final class Pending {
         final Supplier<JsonNode> content;
         final Supplier<Collection<String>> absent;
@@ -140,6 +143,7 @@
         generation++;
     }
 
+    /** The number of keys waiting to be written. */
     public int waiting() {
         return pending.size();
     }
--- a/src/test/java/io/pepperfield/config/SettingsTest.java
+++ b/src/test/java/io/pepperfield/config/SettingsTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
+/** Tests of the settings readers: good files, and the messages about faulty ones. */
 class SettingsTest {
 
     private static final String GOOD =
--- a/src/test/java/io/pepperfield/node/LoopbackTest.java
+++ b/src/test/java/io/pepperfield/node/LoopbackTest.java
@@ -55,6 +55,7 @@
         return (System.nanoTime() - zero) / 1e9;
     }
 
+    /** Answers a request that arrived over a socket. */
     private interface Handler {
         void handle(Call call, Consumer<Reply> answer);
     }
--- a/src/test/java/io/pepperfield/placement/PlacerTest.java
+++ b/src/test/java/io/pepperfield/placement/PlacerTest.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
+/** Plays kept traces of placement and compares the choices. */
 class PlacerTest {
 
     private final List<PlacementRequest> requests = new ArrayList<>();
--- a/src/test/java/io/pepperfield/predict/PredictorTest.java
+++ b/src/test/java/io/pepperfield/predict/PredictorTest.java
@@ -8,6 +8,7 @@
 import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 
+/** Tests of the run time prediction by WIRE's policies. */
 class PredictorTest {
 
     private PeerTimes times = new PeerTimes();
--- a/src/test/java/io/pepperfield/standin/CloudStandIn.java
+++ b/src/test/java/io/pepperfield/standin/CloudStandIn.java
@@ -22,6 +22,7 @@
         void delete(String name);
     }
 
+    /** A machine that the stand-in has rented out, and since when. */
     private record Rented(String name, String zone, boolean spot, double at) {}
 
     private final DoubleSupplier clock;
--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -30,6 +30,7 @@
     private static final Map<String, Double> LIMITS =
             Map.of("red", 24.0, "blue", 24.0, "guests", Double.POSITIVE_INFINITY);
 
+    /** Answers a simulated node's requests. */
     private interface Handler {
         void handle(String from, Call call, Consumer<Reply> answer);
     }
--- a/src/test/java/io/pepperfield/standin/SimMachines.java
+++ b/src/test/java/io/pepperfield/standin/SimMachines.java
@@ -24,6 +24,7 @@
     private static final List<String> ADDRESSES =
             List.of("10.0.0.1:8080", "10.0.0.2:8080", "10.0.0.3:8080");
 
+    /** Until when orders to a machine are held back, and for how many seconds each. */
     private record Held(double until, double forS) {}
 
     private final SimWorld world;
--- a/src/test/java/io/pepperfield/standin/SimNode.java
+++ b/src/test/java/io/pepperfield/standin/SimNode.java
@@ -18,6 +18,7 @@
 /** A controller's process: it can end and begin anew, or stand still. */
 final class SimNode implements SimWorld.Host {
 
+    /** Answers a request to a simulated controller. */
     private interface Handler {
         void handle(Call call, Consumer<Reply> answer);
     }
--- a/src/test/java/io/pepperfield/standin/SimWorld.java
+++ b/src/test/java/io/pepperfield/standin/SimWorld.java
@@ -26,6 +26,7 @@
         boolean alive();
     }
 
+    /** A step of the simulation, at its time and in its order. */
     private record Event(double at, long order, Runnable run) implements Comparable<Event> {
         @Override
         public int compareTo(Event other) {
--- a/src/test/java/io/pepperfield/standin/SimulatedLoop.java
+++ b/src/test/java/io/pepperfield/standin/SimulatedLoop.java
@@ -8,6 +8,7 @@
  */
 public final class SimulatedLoop implements Loop {
 
+    /** A command and the time at which it is due. */
     private record Timer(double at, Runnable run) {}
 
     private final PriorityQueue<Timer> timers =
--- a/src/test/java/io/pepperfield/standin/StateStandIn.java
+++ b/src/test/java/io/pepperfield/standin/StateStandIn.java
@@ -21,13 +21,17 @@
  */
 public final class StateStandIn {
 
+    /** A key's value, the revision that wrote it and the grant it is tied to. */
     private record Entry(JsonNode data, long stamp, long grant) {}
 
+    /** A change of a key; null data for a deletion. */
     private record Event(String key, JsonNode data, long stamp) {}
 
+    /** A follow request that waits for changes. */
     private record Watch(
             String from, String prefix, long since, double until, Consumer<Reply> answer) {}
 
+    /** The lifetime of a grant and the time at which it ends. */
     private static final class Grant {
         final double ttl;
         double until;
--- a/src/test/java/io/pepperfield/standin/Trouble.java
+++ b/src/test/java/io/pepperfield/standin/Trouble.java
@@ -40,6 +40,7 @@
      */
     record Controllers(Kind kind, int index) {
 
+        /** Which controllers a trouble is aimed at. */
         private enum Kind {
             LEADER,
             AFTER_LEADER,
--- a/src/test/java/io/pepperfield/standin/WorkerStandIn.java
+++ b/src/test/java/io/pepperfield/standin/WorkerStandIn.java
@@ -36,6 +36,7 @@
         boolean fails(String task);
     }
 
+    /** An attempt that the worker holds, with its state. */
     private static final class Held {
         final int number;
         String status = "pulling";
--- a/src/test/java/io/pepperfield/steering/ResizeTest.java
+++ b/src/test/java/io/pepperfield/steering/ResizeTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
+/** Tests of WIRE's algorithm 3: the machines that upcoming tasks need. */
 class ResizeTest {
 
     @Test
