--- a/src/main/java/io/pepperfield/node/LeaderOverview.java
+++ b/src/main/java/io/pepperfield/node/LeaderOverview.java
@@ -59,22 +59,7 @@
                             .put("type", machine.type())
                             .put("zone", machine.zone())
                             .put("spot", machine.spot())
-                            .put(
-                                    "state",
-                                    machine.releasing()
-                                            ? "releasing"
-                                            : !machine.up()
-                                                    ? "awaited"
-                                                    : machine.draining()
-                                                            ? "draining"
-                                                            : machine.deaf()
-                                                                    ? "deaf"
-                                                                    : machine.silentFor(now)
-                                                                                    > 2
-                                                                                            * cluster
-                                                                                                    .reportS()
-                                                                            ? "silent"
-                                                                            : "up")
+                            .put("state", state(machine, now))
                             .put("tasks", machine.liveCount());
             if (type != null) {
                 line.put("freeCpus", machine.freeCpus(type));
@@ -161,4 +146,20 @@
                                             : "no machine has room");
         }
     }
+
+    private String state(Machine machine, double now) {
+        if (machine.releasing()) {
+            return "releasing";
+        }
+        if (!machine.up()) {
+            return "awaited";
+        }
+        if (machine.draining()) {
+            return "draining";
+        }
+        if (machine.deaf()) {
+            return "deaf";
+        }
+        return machine.silentFor(now) > 2 * cluster.reportS() ? "silent" : "up";
+    }
 }
