--- a/src/main/java/io/pepperfield/config/OperatorsReader.java
+++ b/src/main/java/io/pepperfield/config/OperatorsReader.java
@@ -137,16 +137,16 @@
     /** The parser's own handler prints to standard error before it throws; this one only throws. */
     private static final class Strict implements ErrorHandler {
         @Override
-        public void warning(SAXParseException e) {}
+        public void warning(SAXParseException exception) {}
 
         @Override
-        public void error(SAXParseException e) throws SAXException {
-            throw e;
+        public void error(SAXParseException exception) throws SAXException {
+            throw exception;
         }
 
         @Override
-        public void fatalError(SAXParseException e) throws SAXException {
-            throw e;
+        public void fatalError(SAXParseException exception) throws SAXException {
+            throw exception;
         }
     }
 }
--- a/src/main/java/io/pepperfield/fleet/Report.java
+++ b/src/main/java/io/pepperfield/fleet/Report.java
@@ -41,20 +41,20 @@
     public record Line(TaskRef ref, int attempt, State state, Cause cause) {}
 
     /** Null where the message is no report: refused whole, since half of one proves nothing. */
-    public static Report read(JsonNode n) {
-        if (!n.path("host").isTextual()
-                || !n.path("addr").isTextual()
-                || !n.path("flavour").isTextual()
-                || !n.path("site").isTextual()
-                || !n.path("reclaimable").isBoolean()
-                || !count(n.path("tenure"))
-                || !count(n.path("serial"))
-                || !count(n.path("epoch"))
-                || !n.path("shards").isArray()) {
+    public static Report read(JsonNode message) {
+        if (!message.path("host").isTextual()
+                || !message.path("addr").isTextual()
+                || !message.path("flavour").isTextual()
+                || !message.path("site").isTextual()
+                || !message.path("reclaimable").isBoolean()
+                || !count(message.path("tenure"))
+                || !count(message.path("serial"))
+                || !count(message.path("epoch"))
+                || !message.path("shards").isArray()) {
             return null;
         }
         List<Line> lines = new ArrayList<>();
-        for (JsonNode shard : n.path("shards")) {
+        for (JsonNode shard : message.path("shards")) {
             TaskRef ref = TaskRef.parse(shard.path("shard").asText());
             State state =
                     switch (shard.path("status").asText()) {
@@ -76,22 +76,22 @@
                             state,
                             cause(shard.path("cause").asText(""))));
         }
-        JsonNode notice = n.path("warningS");
+        JsonNode notice = message.path("warningS");
         return new Report(
-                n.path("host").textValue(),
-                n.path("addr").textValue(),
-                n.path("flavour").textValue(),
-                n.path("site").textValue(),
-                n.path("reclaimable").booleanValue(),
-                n.path("tenure").longValue(),
-                n.path("serial").longValue(),
-                n.path("epoch").longValue(),
+                message.path("host").textValue(),
+                message.path("addr").textValue(),
+                message.path("flavour").textValue(),
+                message.path("site").textValue(),
+                message.path("reclaimable").booleanValue(),
+                message.path("tenure").longValue(),
+                message.path("serial").longValue(),
+                message.path("epoch").longValue(),
                 notice.isNumber() ? notice.doubleValue() : null,
                 lines);
     }
 
-    private static boolean count(JsonNode n) {
-        return n.isIntegralNumber() && n.canConvertToLong() && n.longValue() >= 0;
+    private static boolean count(JsonNode value) {
+        return value.isIntegralNumber() && value.canConvertToLong() && value.longValue() >= 0;
     }
 
     private static Cause cause(String word) {
--- a/src/main/java/io/pepperfield/peer/RelayMessages.java
+++ b/src/main/java/io/pepperfield/peer/RelayMessages.java
@@ -81,16 +81,16 @@
     }
 
     /** Null where the message is not one of this version's: it is refused whole. */
-    public static Batch batch(JsonNode n) {
-        if (!n.path("node").isTextual()
-                || !n.path("life").isTextual()
-                || !n.path("seq").isIntegralNumber()
-                || !n.path("epoch").isIntegralNumber()
-                || !n.path("beats").isArray()) {
+    public static Batch batch(JsonNode message) {
+        if (!message.path("node").isTextual()
+                || !message.path("life").isTextual()
+                || !message.path("seq").isIntegralNumber()
+                || !message.path("epoch").isIntegralNumber()
+                || !message.path("beats").isArray()) {
             return null;
         }
         List<Beat> beats = new ArrayList<>();
-        for (JsonNode beat : n.path("beats")) {
+        for (JsonNode beat : message.path("beats")) {
             if (beat.isArray() && beat.size() == 5) {
                 beats.add(
                         new Beat.Same(
@@ -108,24 +108,24 @@
             }
         }
         List<Report> heard = new ArrayList<>();
-        for (JsonNode report : n.path("heard")) {
+        for (JsonNode report : message.path("heard")) {
             Report read = Report.read(report);
             if (read != null) {
                 heard.add(read);
             }
         }
         List<Kept> kept = new ArrayList<>();
-        for (JsonNode item : n.path("kept")) {
+        for (JsonNode item : message.path("kept")) {
             Report read = Report.read(item.path("report"));
             if (read != null) {
                 kept.add(new Kept(read, Math.max(0, item.path("ageMs").asLong() / 1000.0)));
             }
         }
         return new Batch(
-                n.path("node").textValue(),
-                n.path("life").textValue(),
-                n.path("seq").longValue(),
-                n.path("epoch").longValue(),
+                message.path("node").textValue(),
+                message.path("life").textValue(),
+                message.path("seq").longValue(),
+                message.path("epoch").longValue(),
                 beats,
                 heard,
                 kept);
@@ -152,16 +152,16 @@
     }
 
     /** Null where the message is not an answer to that many reports. */
-    static Answer readAnswer(JsonNode n, int beats) {
-        if (!n.path("epoch").isIntegralNumber()
-                || !n.path("contactAgoMs").isNumber()
-                || n.path("answers").size() != beats) {
+    static Answer readAnswer(JsonNode message, int beats) {
+        if (!message.path("epoch").isIntegralNumber()
+                || !message.path("contactAgoMs").isNumber()
+                || message.path("answers").size() != beats) {
             return null;
         }
         Set<String> live = new TreeSet<>();
-        n.path("live").forEach(name -> live.add(name.asText()));
+        message.path("live").forEach(name -> live.add(name.asText()));
         List<Verdict> verdicts = new ArrayList<>();
-        for (JsonNode answer : n.path("answers")) {
+        for (JsonNode answer : message.path("answers")) {
             verdicts.add(
                     answer.isArray()
                             ? new Verdict.Orders(answer)
@@ -170,8 +170,8 @@
                                     : new Verdict.Refused());
         }
         return new Answer(
-                n.path("epoch").longValue(),
-                n.path("contactAgoMs").doubleValue() / 1000,
+                message.path("epoch").longValue(),
+                message.path("contactAgoMs").doubleValue() / 1000,
                 live,
                 verdicts);
     }
@@ -183,9 +183,9 @@
         return Json.write(node);
     }
 
-    static List<String> readCancelled(JsonNode n) {
+    static List<String> readCancelled(JsonNode message) {
         List<String> ids = new ArrayList<>();
-        n.path("jobs").forEach(id -> ids.add(id.asText()));
+        message.path("jobs").forEach(id -> ids.add(id.asText()));
         return ids;
     }
 
@@ -201,14 +201,14 @@
         return Json.write(node);
     }
 
-    static List<Direct> readDirect(JsonNode n) {
+    static List<Direct> readDirect(JsonNode message) {
         List<Direct> messages = new ArrayList<>();
-        for (JsonNode m : n.path("messages")) {
+        for (JsonNode direct : message.path("messages")) {
             messages.add(
                     new Direct(
-                            m.path("addr").asText(),
-                            m.path("tenure").longValue(),
-                            m.path("orders")));
+                            direct.path("addr").asText(),
+                            direct.path("tenure").longValue(),
+                            direct.path("orders")));
         }
         return messages;
     }
--- a/src/main/java/io/pepperfield/placement/Placer.java
+++ b/src/main/java/io/pepperfield/placement/Placer.java
@@ -186,22 +186,23 @@
     }
 
     private static boolean before(
-            PlacementRequest a, PlacementRequest b, Map<String, Share> shares) {
-        if (a.overdue != b.overdue) {
-            return a.overdue;
+            PlacementRequest first, PlacementRequest second, Map<String, Share> shares) {
+        if (first.overdue != second.overdue) {
+            return first.overdue;
         }
-        if (a.promised != b.promised) {
-            return a.promised;
+        if (first.promised != second.promised) {
+            return first.promised;
         }
-        if (a.guaranteed != b.guaranteed) {
-            return a.guaranteed;
+        if (first.guaranteed != second.guaranteed) {
+            return first.guaranteed;
         }
-        if (a.job.rank() != b.job.rank()) {
-            return a.job.rank().compareTo(b.job.rank()) < 0;
+        if (first.job.rank() != second.job.rank()) {
+            return first.job.rank().compareTo(second.job.rank()) < 0;
         }
         int byUse =
-                Double.compare(shares.get(a.job.team()).used(), shares.get(b.job.team()).used());
-        return byUse != 0 ? byUse < 0 : a.submittedAt < b.submittedAt;
+                Double.compare(
+                        shares.get(first.job.team()).used(), shares.get(second.job.team()).used());
+        return byUse != 0 ? byUse < 0 : first.submittedAt < second.submittedAt;
     }
 
     /** Books that many tasks on a machine; a negative number takes them back. */
@@ -263,23 +264,25 @@
         return here < request.job.mostPerZone();
     }
 
-    private static boolean better(PlacementRequest request, Room a, Room b) {
-        boolean imageA = a.images.contains(request.job.image());
-        boolean imageB = b.images.contains(request.job.image());
-        if (imageA != imageB) {
-            return imageA;
+    private static boolean better(PlacementRequest request, Room first, Room second) {
+        boolean firstHasImage = first.images.contains(request.job.image());
+        boolean secondHasImage = second.images.contains(request.job.image());
+        if (firstHasImage != secondHasImage) {
+            return firstHasImage;
         }
-        if (a.spot != b.spot) {
+        if (first.spot != second.spot) {
             // Spot machines cost less and take nothing else away; where the job allows both they
             // come first.
-            return a.spot;
+            return first.spot;
         }
-        int hereA = request.job.spread() ? request.perZone.getOrDefault(a.zone, 0) : 0;
-        int hereB = request.job.spread() ? request.perZone.getOrDefault(b.zone, 0) : 0;
-        if (hereA != hereB) {
-            return hereA < hereB;
+        int firstHere = request.job.spread() ? request.perZone.getOrDefault(first.zone, 0) : 0;
+        int secondHere = request.job.spread() ? request.perZone.getOrDefault(second.zone, 0) : 0;
+        if (firstHere != secondHere) {
+            return firstHere < secondHere;
         }
         // The fullest first, so that the emptiest can be given back.
-        return a.cpus != b.cpus ? a.cpus < b.cpus : a.machine.compareTo(b.machine) < 0;
+        return first.cpus != second.cpus
+                ? first.cpus < second.cpus
+                : first.machine.compareTo(second.machine) < 0;
     }
 }
--- a/src/main/java/io/pepperfield/steering/Steering.java
+++ b/src/main/java/io/pepperfield/steering/Steering.java
@@ -169,10 +169,11 @@
     }
 
     /** Prices within a tenth are alike, since they move; then the sooner one is the better. */
-    static boolean cheaper(Offer a, Offer b, double shareA, double shareB) {
-        double costA = a.price() * shareA;
-        double costB = b.price() * shareB;
-        return costA * ALIKE < costB || costA < costB * ALIKE && a.bootS() < b.bootS();
+    static boolean cheaper(Offer first, Offer second, double firstShare, double secondShare) {
+        double firstCost = first.price() * firstShare;
+        double secondCost = second.price() * secondShare;
+        return firstCost * ALIKE < secondCost
+                || firstCost < secondCost * ALIKE && first.bootS() < second.bootS();
     }
 
     /**
--- a/src/test/java/io/pepperfield/peer/PartitionsTest.java
+++ b/src/test/java/io/pepperfield/peer/PartitionsTest.java
@@ -20,8 +20,8 @@
             Set.of("worker-0", "worker-1", "worker-2", "worker-3", "worker-4");
     private static final Set<String> FOUR = Set.of("worker-0", "worker-1", "worker-2", "worker-4");
 
-    private static String machine(int i) {
-        return String.format("host-%06d", i);
+    private static String machine(int number) {
+        return String.format("host-%06d", number);
     }
 
     @Test
--- a/src/test/java/io/pepperfield/placement/PlacerTest.java
+++ b/src/test/java/io/pepperfield/placement/PlacerTest.java
@@ -135,7 +135,7 @@
         return List.of();
     }
 
-    private static double number(Map<String, String> f, String name, double otherwise) {
-        return f.containsKey(name) ? Double.parseDouble(f.get(name)) : otherwise;
+    private static double number(Map<String, String> fields, String name, double otherwise) {
+        return fields.containsKey(name) ? Double.parseDouble(fields.get(name)) : otherwise;
     }
 }
--- a/src/test/java/io/pepperfield/standin/WorkerStandIn.java
+++ b/src/test/java/io/pepperfield/standin/WorkerStandIn.java
@@ -176,22 +176,22 @@
         }
     }
 
-    private void advance(String task, Held h, double now) {
-        if (h.status.equals("pulling") && now - h.at > 0.4) {
-            h.at = now;
+    private void advance(String task, Held attempt, double now) {
+        if (attempt.status.equals("pulling") && now - attempt.at > 0.4) {
+            attempt.at = now;
             changed = true;
             if (truth.isDone(task)) {
-                h.status = "ended";
-                h.cause = "done";
+                attempt.status = "ended";
+                attempt.cause = "done";
             } else {
-                h.status = "running";
+                attempt.status = "running";
                 truth.begins(this, task);
             }
-        } else if (h.status.equals("running")
+        } else if (attempt.status.equals("running")
                 && truth.runS(task) >= 0
-                && now - h.at > truth.runS(task)) {
-            h.status = "ended";
-            h.cause = truth.fails(task) ? "error" : "done";
+                && now - attempt.at > truth.runS(task)) {
+            attempt.status = "ended";
+            attempt.cause = truth.fails(task) ? "error" : "done";
             changed = true;
             truth.ends(this, task, !truth.fails(task));
         }
