--- a/src/test/java/io/pepperfield/jobs/UserAnswersTraceTest.java
+++ b/src/test/java/io/pepperfield/jobs/UserAnswersTraceTest.java
@@ -3,11 +3,11 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Reply;
+import io.pepperfield.standin.SilentStateService;
 import io.pepperfield.standin.SimulatedLoop;
 import io.pepperfield.standin.Trace;
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.Replica;
-import io.pepperfield.store.StateService;
 import io.pepperfield.store.Sync;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -20,7 +20,7 @@
  * What one node tells its users, and what it asks the state service before, which here answers when
  * the trace says so.
  */
-class UserAnswersTraceTest implements StateService {
+class UserAnswersTraceTest implements SilentStateService {
 
     private final List<String> decisions = new ArrayList<>();
     private SimulatedLoop loop;
@@ -165,13 +165,4 @@
             question = done;
         }
     }
-
-    @Override
-    public void grant(double ttlS, Consumer<GrantResult> done) {}
-
-    @Override
-    public void touch(long id, Consumer<GrantResult> done) {}
-
-    @Override
-    public void endGrant(long id) {}
 }
--- a/src/test/java/io/pepperfield/standin/Transactions.java
+++ b/src/test/java/io/pepperfield/standin/Transactions.java
@@ -1,7 +1,6 @@
 package io.pepperfield.standin;
 
 import io.pepperfield.node.Loop;
-import io.pepperfield.store.StateService;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
@@ -10,7 +9,7 @@
  * A state service that only takes transactions, which the test answers when it likes, and a clock
  * that the test sets.
  */
-public final class Transactions implements StateService, Loop {
+public final class Transactions implements SilentStateService, Loop {
 
     /** The keys of each transaction. */
     public final List<List<String>> written = new ArrayList<>();
@@ -33,21 +32,6 @@
         underWay = done;
     }
 
-    @Override
-    public void range(String after, Consumer<ReadResult> done) {}
-
-    @Override
-    public void follow(long since, double holdS, Consumer<ReadResult> done) {}
-
-    @Override
-    public void grant(double ttlS, Consumer<GrantResult> done) {}
-
-    @Override
-    public void touch(long id, Consumer<GrantResult> done) {}
-
-    @Override
-    public void endGrant(long id) {}
-
     @Override
     public double now() {
         return now;
--- a/src/test/java/io/pepperfield/store/SyncTest.java
+++ b/src/test/java/io/pepperfield/store/SyncTest.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pepperfield.http.Json;
+import io.pepperfield.standin.SilentStateService;
 import io.pepperfield.standin.SimulatedLoop;
 import io.pepperfield.store.StateService.Item;
 import io.pepperfield.store.StateService.ReadResult;
@@ -15,7 +16,7 @@
 import org.junit.jupiter.api.Test;
 
 /** How a copy stays whole, and its questions answered, through refusals and errors of its own. */
-class SyncTest implements StateService {
+class SyncTest implements SilentStateService {
 
     private final SimulatedLoop loop = new SimulatedLoop();
     private final List<Boolean> told = new ArrayList<>();
@@ -111,17 +112,4 @@
                     });
         }
     }
-
-    @Override
-    public void txn(
-            Urgency urgency, List<Guard> guards, List<Change> changes, Consumer<TxnResult> done) {}
-
-    @Override
-    public void grant(double ttlS, Consumer<GrantResult> done) {}
-
-    @Override
-    public void touch(long id, Consumer<GrantResult> done) {}
-
-    @Override
-    public void endGrant(long id) {}
 }
