--- a/src/test/java/io/pepperfield/node/DispatcherTest.java
+++ b/src/test/java/io/pepperfield/node/DispatcherTest.java
@@ -18,6 +18,7 @@
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.JobSpec.Rank;
 import io.pepperfield.jobs.JobSpec.Shape;
+import io.pepperfield.standin.SilentFleetListener;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -25,7 +26,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Starting and stopping in one pass over real books. */
-class DispatcherTest implements Loop, Fleet.Listener, Dispatcher.Starter {
+class DispatcherTest implements Loop, SilentFleetListener, Dispatcher.Starter {
 
     private final Settings settings = settings();
     private final Types types = new Types(settings);
@@ -338,16 +339,4 @@
 
     @Override
     public void after(double seconds, Runnable command) {}
-
-    @Override
-    public void started(Attempt attempt) {}
-
-    @Override
-    public void completed(Attempt attempt, double ranS) {}
-
-    @Override
-    public void gone(Attempt attempt, Report.Cause cause) {}
-
-    @Override
-    public void appeared(Machine machine) {}
 }
--- a/src/test/java/io/pepperfield/node/SizerTest.java
+++ b/src/test/java/io/pepperfield/node/SizerTest.java
@@ -18,6 +18,7 @@
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.JobSpec.Rank;
 import io.pepperfield.jobs.JobSpec.Shape;
+import io.pepperfield.standin.SilentFleetListener;
 import io.pepperfield.standin.Transactions;
 import io.pepperfield.steering.Pool;
 import io.pepperfield.store.Replica;
@@ -35,7 +36,7 @@
 /**
  * What is rented where: boxes of 8 CPUs in the east and the west, a team with a limit of 24 CPUs.
  */
-class SizerTest implements Loop, Fleet.Listener, Writer.Lead, Cloud {
+class SizerTest implements Loop, SilentFleetListener, Writer.Lead, Cloud {
 
     private static final Pool BOX = new Pool("box", false);
 
@@ -273,18 +274,6 @@
     @Override
     public void after(double seconds, Runnable command) {}
 
-    @Override
-    public void started(Attempt attempt) {}
-
-    @Override
-    public void completed(Attempt attempt, double ranS) {}
-
-    @Override
-    public void gone(Attempt attempt, Report.Cause cause) {}
-
-    @Override
-    public void appeared(Machine machine) {}
-
     @Override
     public boolean confirmed() {
         return true;
--- a/src/test/java/io/pepperfield/node/WatchTest.java
+++ b/src/test/java/io/pepperfield/node/WatchTest.java
@@ -9,12 +9,11 @@
 import io.pepperfield.config.Aims;
 import io.pepperfield.config.Operators;
 import io.pepperfield.config.Settings;
-import io.pepperfield.fleet.Attempt;
 import io.pepperfield.fleet.Fleet;
 import io.pepperfield.fleet.HttpWorkers;
 import io.pepperfield.fleet.Ledger;
-import io.pepperfield.fleet.Machine;
 import io.pepperfield.fleet.Report;
+import io.pepperfield.standin.SilentFleetListener;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -27,7 +26,7 @@
  * Which silent machines are given up: twelve in the east and twelve in the west, reports every
  * second, leases of six.
  */
-class WatchTest implements Loop, Fleet.Listener {
+class WatchTest implements Loop, SilentFleetListener {
 
     private final Settings settings =
             new Settings(
@@ -243,16 +242,4 @@
 
     @Override
     public void after(double seconds, Runnable command) {}
-
-    @Override
-    public void started(Attempt attempt) {}
-
-    @Override
-    public void completed(Attempt attempt, double ranS) {}
-
-    @Override
-    public void gone(Attempt attempt, Report.Cause cause) {}
-
-    @Override
-    public void appeared(Machine machine) {}
 }
