--- a/src/test/java/io/pepperfield/node/SizerTest.java
+++ b/src/test/java/io/pepperfield/node/SizerTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.pepperfield.cloud.Cloud;
 import io.pepperfield.cloud.MachineType;
 import io.pepperfield.cloud.Renting;
 import io.pepperfield.config.Aims;
@@ -18,6 +17,7 @@
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.JobSpec.Rank;
 import io.pepperfield.jobs.JobSpec.Shape;
+import io.pepperfield.standin.SilentCloud;
 import io.pepperfield.standin.SilentFleetListener;
 import io.pepperfield.standin.Transactions;
 import io.pepperfield.steering.Pool;
@@ -36,7 +36,7 @@
 /**
  * What is rented where: boxes of 8 CPUs in the east and the west, a team with a limit of 24 CPUs.
  */
-class SizerTest implements Loop, SilentFleetListener, Writer.Lead, Cloud {
+class SizerTest implements Loop, SilentFleetListener, Writer.Lead, SilentCloud {
 
     private static final Pool BOX = new Pool("box", false);
 
@@ -284,9 +284,6 @@
         return new StateService.Guard("leader", 1);
     }
 
-    @Override
-    public void types(Consumer<List<MachineType>> done) {}
-
     @Override
     public void rent(
             String request,
@@ -298,10 +295,4 @@
         rented.add(count + " in " + zone);
         answer = done;
     }
-
-    @Override
-    public void release(List<String> names, Consumer<Boolean> done) {}
-
-    @Override
-    public void list(Consumer<List<Listed>> done) {}
 }
--- a/src/test/java/io/pepperfield/node/WatchTest.java
+++ b/src/test/java/io/pepperfield/node/WatchTest.java
@@ -13,6 +13,7 @@
 import io.pepperfield.fleet.HttpWorkers;
 import io.pepperfield.fleet.Ledger;
 import io.pepperfield.fleet.Report;
+import io.pepperfield.standin.SilentCloud;
 import io.pepperfield.standin.SilentFleetListener;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -63,27 +64,13 @@
                         new MachineType(
                                 "box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east", "west"))));
         Cloud cloud =
-                new Cloud() {
-                    @Override
-                    public void types(Consumer<List<MachineType>> done) {}
-
-                    @Override
-                    public void rent(
-                            String request,
-                            String type,
-                            String zone,
-                            boolean spot,
-                            int count,
-                            Consumer<Rented> done) {}
+                new SilentCloud() {
 
                     @Override
                     public void release(List<String> names, Consumer<Boolean> done) {
                         released.addAll(names);
                         done.accept(true);
                     }
-
-                    @Override
-                    public void list(Consumer<List<Listed>> done) {}
                 };
         Renting renting = new Renting(this, cloud, null, fleet, 10, 1, 10, () -> true);
         ClusterState cluster =
