--- a/src/test/java/io/pepperfield/fleet/AttemptTraceTest.java
+++ b/src/test/java/io/pepperfield/fleet/AttemptTraceTest.java
@@ -1,8 +1,8 @@
 package io.pepperfield.fleet;
 
 import io.pepperfield.jobs.Job;
-import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.Status;
+import io.pepperfield.standin.JobSpecBuilder;
 import io.pepperfield.standin.Trace;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -18,33 +18,7 @@
 
     private final List<String> said = new ArrayList<>();
     private final Map<String, Attempt> attempts = new HashMap<>();
-    private final Job job =
-            new Job(
-                    new JobSpec(
-                            "run-000001",
-                            "w",
-                            "t",
-                            JobSpec.Shape.ARRAY,
-                            JobSpec.Rank.STANDARD,
-                            4,
-                            1,
-                            0,
-                            1,
-                            "i",
-                            1,
-                            null,
-                            null,
-                            false,
-                            false,
-                            false,
-                            1,
-                            0,
-                            0,
-                            null,
-                            0,
-                            4,
-                            List.of()),
-                    0);
+    private final Job job = new Job(new JobSpecBuilder().tasks(4).chunk(4).build(), 0);
     private Fleet fleet;
     private double now;
 
--- a/src/test/java/io/pepperfield/jobs/BrokenJobTest.java
+++ b/src/test/java/io/pepperfield/jobs/BrokenJobTest.java
@@ -4,39 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.List;
+import io.pepperfield.standin.JobSpecBuilder;
 import org.junit.jupiter.api.Test;
 
 /** A job that was submitted with a mistake fails on every machine until its user cancels it. */
 class BrokenJobTest {
 
     private final Job job =
-            new Job(
-                    new JobSpec(
-                            "run-000001",
-                            "w",
-                            "t",
-                            JobSpec.Shape.ARRAY,
-                            JobSpec.Rank.STANDARD,
-                            40,
-                            4,
-                            0,
-                            1,
-                            "i",
-                            1,
-                            null,
-                            null,
-                            false,
-                            false,
-                            true,
-                            1,
-                            0,
-                            0,
-                            null,
-                            0,
-                            64,
-                            List.of()),
-                    0);
+            new Job(new JobSpecBuilder().tasks(40).cpus(4).spot(true).chunk(64).build(), 0);
 
     @Test
     void failuresOnOneMachineAreTheMachines() {
--- a/src/test/java/io/pepperfield/jobs/SharedRecordsTest.java
+++ b/src/test/java/io/pepperfield/jobs/SharedRecordsTest.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pepperfield.http.Json;
+import io.pepperfield.standin.JobSpecBuilder;
 import io.pepperfield.store.Keys;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -23,30 +24,13 @@
     }
 
     private static JobSpec spec(int number, int tasks) {
-        return new JobSpec(
-                String.format("run-%06d", number),
-                "w",
-                "t",
-                JobSpec.Shape.ARRAY,
-                JobSpec.Rank.BEST_EFFORT,
-                tasks,
-                1,
-                0,
-                1,
-                "i",
-                1,
-                null,
-                null,
-                false,
-                false,
-                true,
-                1,
-                0,
-                0,
-                null,
-                0,
-                CHUNK,
-                List.of());
+        return new JobSpecBuilder()
+                .id(String.format("run-%06d", number))
+                .rank(JobSpec.Rank.BEST_EFFORT)
+                .tasks(tasks)
+                .spot(true)
+                .chunk(CHUNK)
+                .build();
     }
 
     private static List<RunRecord> live(Job job) {
--- a/src/test/java/io/pepperfield/node/DispatcherTest.java
+++ b/src/test/java/io/pepperfield/node/DispatcherTest.java
@@ -18,6 +18,7 @@
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.JobSpec.Rank;
 import io.pepperfield.jobs.JobSpec.Shape;
+import io.pepperfield.standin.JobSpecBuilder;
 import io.pepperfield.standin.SilentFleetListener;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -78,30 +79,17 @@
     private Job job(String id, String workload, String team, Rank rank, String image, int tasks) {
         Job job =
                 new Job(
-                        new JobSpec(
-                                id,
-                                workload,
-                                team,
-                                Shape.ARRAY,
-                                rank,
-                                tasks,
-                                4,
-                                0,
-                                1,
-                                image,
-                                2,
-                                null,
-                                null,
-                                false,
-                                false,
-                                false,
-                                9,
-                                0,
-                                0,
-                                null,
-                                0,
-                                10,
-                                List.of()),
+                        new JobSpecBuilder()
+                                .id(id)
+                                .workload(workload)
+                                .team(team)
+                                .rank(rank)
+                                .tasks(tasks)
+                                .cpus(4)
+                                .image(image)
+                                .imageGb(2)
+                                .expectedS(9)
+                                .build(),
                         0);
         jobs.put(id, job);
         return job;
@@ -215,30 +203,16 @@
         Job first = job("run-000001", "batch", "red", Rank.STANDARD, "img", 1);
         start(first, 0, fleet.get("m1"));
         JobSpec elsewhere =
-                new JobSpec(
-                        "run-000002",
-                        "far",
-                        "red",
-                        Shape.ARRAY,
-                        Rank.STANDARD,
-                        1,
-                        8,
-                        0,
-                        1,
-                        "img",
-                        2,
-                        null,
-                        "west",
-                        false,
-                        false,
-                        false,
-                        9,
-                        0,
-                        0,
-                        null,
-                        0,
-                        10,
-                        List.of());
+                new JobSpecBuilder()
+                        .id("run-000002")
+                        .workload("far")
+                        .team("red")
+                        .cpus(8)
+                        .image("img")
+                        .imageGb(2)
+                        .zone("west")
+                        .expectedS(9)
+                        .build();
         jobs.put(elsewhere.id(), new Job(elsewhere, 0));
         job("run-000003", "batch", "red", Rank.STANDARD, "img", 1);
         jobs.put("run-000003", new Job(jobs.get("run-000003").spec, 95));
@@ -277,30 +251,17 @@
     void replicasLostToTwoBadMachinesAreStartedAgainBesideThoseThatLast() {
         types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
         JobSpec spec =
-                new JobSpec(
-                        "run-000001",
-                        "gate",
-                        "blue",
-                        Shape.SERVICE,
-                        Rank.PRODUCTION,
-                        3,
-                        4,
-                        0,
-                        1,
-                        "img",
-                        2,
-                        null,
-                        null,
-                        false,
-                        false,
-                        false,
-                        0,
-                        0,
-                        0,
-                        null,
-                        0,
-                        10,
-                        List.of());
+                new JobSpecBuilder()
+                        .workload("gate")
+                        .team("blue")
+                        .shape(Shape.SERVICE)
+                        .rank(Rank.PRODUCTION)
+                        .tasks(3)
+                        .cpus(4)
+                        .image("img")
+                        .imageGb(2)
+                        .expectedS(0)
+                        .build();
         Job service = new Job(spec, 0);
         jobs.put(spec.id(), service);
         report("m1", 1);
--- a/src/test/java/io/pepperfield/node/LeaseRenewalTest.java
+++ b/src/test/java/io/pepperfield/node/LeaseRenewalTest.java
@@ -11,10 +11,10 @@
 import io.pepperfield.http.Json;
 import io.pepperfield.jobs.Catalog;
 import io.pepperfield.jobs.JobMessages;
-import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.RunRecord;
 import io.pepperfield.jobs.Status;
 import io.pepperfield.peer.Relay;
+import io.pepperfield.standin.JobSpecBuilder;
 import io.pepperfield.store.Keys;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -34,30 +34,7 @@
         catalog.changed(
                 Keys.JOB + id,
                 JobMessages.durable(
-                        new JobSpec(
-                                id,
-                                "w",
-                                "t",
-                                JobSpec.Shape.ARRAY,
-                                JobSpec.Rank.STANDARD,
-                                2,
-                                1,
-                                0,
-                                1,
-                                "i",
-                                1,
-                                null,
-                                null,
-                                false,
-                                false,
-                                true,
-                                1,
-                                0,
-                                0,
-                                null,
-                                0,
-                                8,
-                                List.of())));
+                        new JobSpecBuilder().id(id).tasks(2).spot(true).chunk(8).build()));
     }
 
     private void alive(String id, String machine) {
--- a/src/test/java/io/pepperfield/node/SizerTest.java
+++ b/src/test/java/io/pepperfield/node/SizerTest.java
@@ -14,9 +14,8 @@
 import io.pepperfield.fleet.Report;
 import io.pepperfield.fleet.TaskRef;
 import io.pepperfield.jobs.Job;
-import io.pepperfield.jobs.JobSpec;
-import io.pepperfield.jobs.JobSpec.Rank;
 import io.pepperfield.jobs.JobSpec.Shape;
+import io.pepperfield.standin.JobSpecBuilder;
 import io.pepperfield.standin.SilentCloud;
 import io.pepperfield.standin.SilentFleetListener;
 import io.pepperfield.standin.Transactions;
@@ -98,30 +97,19 @@
     private Job job(Shape shape, int tasks, String zone, boolean together, boolean spread) {
         Job job =
                 new Job(
-                        new JobSpec(
-                                "run-00000" + (jobs.size() + 1),
-                                "batch",
-                                "red",
-                                shape,
-                                Rank.STANDARD,
-                                tasks,
-                                8,
-                                0,
-                                1,
-                                "img",
-                                1,
-                                null,
-                                zone,
-                                together,
-                                spread,
-                                false,
-                                90,
-                                0,
-                                0,
-                                null,
-                                0,
-                                10,
-                                List.of()),
+                        new JobSpecBuilder()
+                                .id("run-00000" + (jobs.size() + 1))
+                                .workload("batch")
+                                .team("red")
+                                .shape(shape)
+                                .tasks(tasks)
+                                .cpus(8)
+                                .image("img")
+                                .zone(zone)
+                                .oneZone(together)
+                                .spread(spread)
+                                .expectedS(90)
+                                .build(),
                         0);
         jobs.put(job.spec.id(), job);
         return job;
--- a/src/test/java/io/pepperfield/placement/PlacerTest.java
+++ b/src/test/java/io/pepperfield/placement/PlacerTest.java
@@ -4,6 +4,7 @@
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.JobSpec.Rank;
 import io.pepperfield.jobs.JobSpec.Shape;
+import io.pepperfield.standin.JobSpecBuilder;
 import io.pepperfield.standin.Trace;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -79,32 +80,22 @@
                     perZone.put(f.get("live"), 1);
                 }
                 JobSpec job =
-                        new JobSpec(
-                                words[1],
-                                "w",
-                                f.getOrDefault("team", "red"),
-                                shape,
-                                Rank.valueOf(
-                                        f.getOrDefault("rank", "standard")
-                                                .toUpperCase(Locale.ROOT)),
-                                (int) number(f, "tasks", waiting),
-                                number(f, "cpus", 4),
-                                0,
-                                1,
-                                f.getOrDefault("image", "img"),
-                                1,
-                                null,
-                                f.get("zone"),
-                                f.containsKey("together"),
-                                f.containsKey("spread"),
-                                f.containsKey("spot"),
-                                1,
-                                0,
-                                0,
-                                null,
-                                0,
-                                10,
-                                List.of());
+                        new JobSpecBuilder()
+                                .id(words[1])
+                                .team(f.getOrDefault("team", "red"))
+                                .shape(shape)
+                                .rank(
+                                        Rank.valueOf(
+                                                f.getOrDefault("rank", "standard")
+                                                        .toUpperCase(Locale.ROOT)))
+                                .tasks((int) number(f, "tasks", waiting))
+                                .cpus(number(f, "cpus", 4))
+                                .image(f.getOrDefault("image", "img"))
+                                .zone(f.get("zone"))
+                                .oneZone(f.containsKey("together"))
+                                .spread(f.containsKey("spread"))
+                                .spot(f.containsKey("spot"))
+                                .build();
                 Set<String> avoid =
                         f.containsKey("avoid")
                                 ? new HashSet<>(Set.of(f.get("avoid")))
--- a/src/test/java/io/pepperfield/placement/PreemptionTest.java
+++ b/src/test/java/io/pepperfield/placement/PreemptionTest.java
@@ -5,6 +5,7 @@
 import io.pepperfield.config.Settings;
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.JobSpec.Rank;
+import io.pepperfield.standin.JobSpecBuilder;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -25,30 +26,7 @@
                             new Share(new Settings.Team("blue", 8, 64, 0, 0), 12, 0, 0, 0)));
 
     private static JobSpec job(String team, Rank rank, double cpus) {
-        return new JobSpec(
-                "run-000001",
-                "w",
-                team,
-                JobSpec.Shape.ARRAY,
-                rank,
-                1,
-                cpus,
-                0,
-                1,
-                "img",
-                1,
-                null,
-                null,
-                false,
-                false,
-                false,
-                1,
-                0,
-                0,
-                null,
-                0,
-                10,
-                List.of());
+        return new JobSpecBuilder().team(team).rank(rank).cpus(cpus).image("img").build();
     }
 
     private static PlacementRequest request(Rank rank, double cpus, boolean guaranteed) {
--- a/src/test/java/io/pepperfield/steering/ZoneShortageTest.java
+++ b/src/test/java/io/pepperfield/steering/ZoneShortageTest.java
@@ -4,8 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 
 import io.pepperfield.jobs.JobSpec;
-import io.pepperfield.jobs.JobSpec.Rank;
 import io.pepperfield.jobs.JobSpec.Shape;
+import io.pepperfield.standin.JobSpecBuilder;
 import io.pepperfield.steering.ZoneShortage.Bound;
 import io.pepperfield.steering.ZoneShortage.Source;
 import io.pepperfield.steering.ZoneShortage.Standing;
@@ -25,30 +25,17 @@
     }
 
     private static JobSpec job(Shape shape, int tasks, double cpus, String zone, boolean spread) {
-        return new JobSpec(
-                "run-000001",
-                "batch",
-                "red",
-                shape,
-                Rank.STANDARD,
-                tasks,
-                cpus,
-                0,
-                1,
-                "img",
-                1,
-                null,
-                zone,
-                false,
-                spread,
-                false,
-                90,
-                0,
-                0,
-                null,
-                0,
-                10,
-                List.of());
+        return new JobSpecBuilder()
+                .workload("batch")
+                .team("red")
+                .shape(shape)
+                .tasks(tasks)
+                .cpus(cpus)
+                .image("img")
+                .zone(zone)
+                .spread(spread)
+                .expectedS(90)
+                .build();
     }
 
     private static Map<Pool, Map<String, Integer>> shortage(
