--- a/src/main/java/io/pepperfield/config/OperatorsReader.java
+++ b/src/main/java/io/pepperfield/config/OperatorsReader.java
@@ -25,6 +25,7 @@
  */
 public final class OperatorsReader {
 
+    /** The elements of the file, each with its name and the bounds of its value. */
     private enum Field {
         CHARGE_S("charge-s", 1, 86400),
         RESTART_SHARE("restart-share", 0, 1),
@@ -46,6 +47,7 @@
 
     private OperatorsReader() {}
 
+    /** Reads and checks a file; the exception names all its faults. */
     public static Operators read(Path file) throws SettingsException {
         try {
             return parse(file.toString(), Files.readAllBytes(file));
@@ -56,6 +58,7 @@
         }
     }
 
+    /** Reads and checks the contents of a file; {@code name} only appears in the messages. */
     public static Operators parse(String name, byte[] xml) throws SettingsException {
         Element root = document(name, xml);
         List<String> faults = new ArrayList<>();
@@ -134,16 +137,16 @@
     /** The parser's own handler prints to standard error before it throws; this one only throws. */
     private static final class Strict implements ErrorHandler {
         @Override
-        public void warning(SAXParseException e) {}
+        public void warning(SAXParseException exception) {}
 
         @Override
-        public void error(SAXParseException e) throws SAXException {
-            throw e;
+        public void error(SAXParseException exception) throws SAXException {
+            throw exception;
         }
 
         @Override
-        public void fatalError(SAXParseException e) throws SAXException {
-            throw e;
+        public void fatalError(SAXParseException exception) throws SAXException {
+            throw exception;
         }
     }
 }
--- a/src/main/java/io/pepperfield/steering/Steering.java
+++ b/src/main/java/io/pepperfield/steering/Steering.java
@@ -55,6 +55,7 @@
 
     private Steering() {}
 
+    /** The number of machines to have in each pool for the work and the expected demand. */
     public static Map<Pool, Integer> targets(
             List<Offer> offers,
             List<Work> work,
@@ -168,10 +169,11 @@
     }
 
     /** Prices within a tenth are alike, since they move; then the sooner one is the better. */
-    static boolean cheaper(Offer a, Offer b, double shareA, double shareB) {
-        double costA = a.price() * shareA;
-        double costB = b.price() * shareB;
-        return costA * ALIKE < costB || costA < costB * ALIKE && a.bootS() < b.bootS();
+    static boolean cheaper(Offer first, Offer second, double firstShare, double secondShare) {
+        double firstCost = first.price() * firstShare;
+        double secondCost = second.price() * secondShare;
+        return firstCost * ALIKE < secondCost
+                || firstCost < secondCost * ALIKE && first.bootS() < second.bootS();
     }
 
     /**
--- a/src/test/java/io/pepperfield/node/SizerTest.java
+++ b/src/test/java/io/pepperfield/node/SizerTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.pepperfield.cloud.Cloud;
 import io.pepperfield.cloud.MachineType;
 import io.pepperfield.cloud.Renting;
 import io.pepperfield.config.Aims;
@@ -15,9 +14,10 @@
 import io.pepperfield.fleet.Report;
 import io.pepperfield.fleet.TaskRef;
 import io.pepperfield.jobs.Job;
-import io.pepperfield.jobs.JobSpec;
-import io.pepperfield.jobs.JobSpec.Rank;
 import io.pepperfield.jobs.JobSpec.Shape;
+import io.pepperfield.standin.JobSpecBuilder;
+import io.pepperfield.standin.SilentCloud;
+import io.pepperfield.standin.SilentFleetListener;
 import io.pepperfield.standin.Transactions;
 import io.pepperfield.steering.Pool;
 import io.pepperfield.store.Replica;
@@ -35,7 +35,7 @@
 /**
  * What is rented where: boxes of 8 CPUs in the east and the west, a team with a limit of 24 CPUs.
  */
-class SizerTest implements Loop, Fleet.Listener, Writer.Lead, Cloud {
+class SizerTest implements Loop, SilentFleetListener, Writer.Lead, SilentCloud {
 
     private static final Pool BOX = new Pool("box", false);
 
@@ -97,30 +97,19 @@
     private Job job(Shape shape, int tasks, String zone, boolean together, boolean spread) {
         Job job =
                 new Job(
-                        new JobSpec(
-                                "run-00000" + (jobs.size() + 1),
-                                "batch",
-                                "red",
-                                shape,
-                                Rank.STANDARD,
-                                tasks,
-                                8,
-                                0,
-                                1,
-                                "img",
-                                1,
-                                null,
-                                zone,
-                                together,
-                                spread,
-                                false,
-                                90,
-                                0,
-                                0,
-                                null,
-                                0,
-                                10,
-                                List.of()),
+                        new JobSpecBuilder()
+                                .id("run-00000" + (jobs.size() + 1))
+                                .workload("batch")
+                                .team("red")
+                                .shape(shape)
+                                .tasks(tasks)
+                                .cpus(8)
+                                .image("img")
+                                .zone(zone)
+                                .oneZone(together)
+                                .spread(spread)
+                                .expectedS(90)
+                                .build(),
                         0);
         jobs.put(job.spec.id(), job);
         return job;
@@ -273,18 +262,6 @@
     @Override
     public void after(double seconds, Runnable command) {}
 
-    @Override
-    public void started(Attempt attempt) {}
-
-    @Override
-    public void completed(Attempt attempt, double ranS) {}
-
-    @Override
-    public void gone(Attempt attempt, Report.Cause cause) {}
-
-    @Override
-    public void appeared(Machine machine) {}
-
     @Override
     public boolean confirmed() {
         return true;
@@ -295,9 +272,6 @@
         return new StateService.Guard("leader", 1);
     }
 
-    @Override
-    public void types(Consumer<List<MachineType>> done) {}
-
     @Override
     public void rent(
             String request,
@@ -309,10 +283,4 @@
         rented.add(count + " in " + zone);
         answer = done;
     }
-
-    @Override
-    public void release(List<String> names, Consumer<Boolean> done) {}
-
-    @Override
-    public void list(Consumer<List<Listed>> done) {}
 }
