--- a/src/main/java/io/pepperfield/leadership/Leadership.java
+++ b/src/main/java/io/pepperfield/leadership/Leadership.java
@@ -21,6 +21,9 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
 
+    /** Part of the grant's time to live for which candidates that are no newcomers hold back. */
+    private static final double NEWCOMERS_FIRST = 1.0 / 20;
+
     /** The owner's reaction to changes of role; called on the owner. */
     public interface Listener {
         void elected(long token);
@@ -49,6 +52,11 @@
     private double touchAt;
     private double abstainUntil;
 
+    /** The leader's grant when this process began, or 0 where nobody led. */
+    private long grantAtStart;
+
+    private boolean startSeen;
+
     /** The grant of an earlier process of this node that was last asked to be ended. */
     private long orphanEnded;
 
@@ -96,9 +104,11 @@
     /** The replica's news of the leader key. */
     public void leaderKey(JsonNode data, long stamp) {
         known = true;
+        long lostGrant = leaderGrant;
         leader = data == null ? "" : data.path("node").asText();
         leaderToken = Math.max(leaderToken, data == null ? 0 : stamp);
         leaderGrant = data == null ? 0 : data.path("grant").longValue();
+        noteStart();
         boolean mine = data != null && leader.equals(node) && leaderGrant == grant && grant != 0;
         if (mine && token == 0) {
             lead(stamp);
@@ -109,6 +119,33 @@
         } else if (!mine && token != 0 && (data == null || stamp > token)) {
             depose("another node has the leader key");
         }
+        if (data == null && lostGrant != 0 && token == 0) {
+            succeed(lostGrant);
+        }
+    }
+
+    private void noteStart() {
+        if (!startSeen) {
+            startSeen = true;
+            grantAtStart = leaderGrant;
+        }
+    }
+
+    /**
+     * The leader is gone. A process that began under it is a newcomer and stands at once, the
+     * others a moment later: while controllers are restarted one after the other, a newcomer has
+     * had its turn, and any other leader would end within seconds, each time with a take-over.
+     */
+    private void succeed(long lostGrant) {
+        if (lostGrant != grantAtStart) {
+            abstainUntil = Math.max(abstainUntil, loop.now() + ttlS * NEWCOMERS_FIRST);
+        } else if (mayStand()) {
+            stand();
+        }
+    }
+
+    private boolean mayStand() {
+        return known && leader.isEmpty() && !busy && loop.now() >= abstainUntil;
     }
 
     /**
@@ -129,13 +166,14 @@
      */
     public void replicaLoaded() {
         known = true;
+        noteStart();
     }
 
     /** To be called a few times per ttl. */
     public void tick() {
         if (token != 0) {
             renew();
-        } else if (known && leader.isEmpty() && !busy && loop.now() >= abstainUntil) {
+        } else if (mayStand()) {
             stand();
         } else if (known && leader.equals(node) && grant == 0 && orphanEnded != leaderGrant) {
             // The key names this node, which holds no grant: an earlier process of this node wrote
