--- a/src/test/java/io/pepperfield/node/DispatcherTest.java
+++ b/src/test/java/io/pepperfield/node/DispatcherTest.java
@@ -6,7 +6,6 @@
 
 import io.pepperfield.cloud.MachineType;
 import io.pepperfield.config.Aims;
-import io.pepperfield.config.Operators;
 import io.pepperfield.config.Settings;
 import io.pepperfield.fleet.Attempt;
 import io.pepperfield.fleet.Fleet;
@@ -20,6 +19,7 @@
 import io.pepperfield.jobs.JobSpec.Shape;
 import io.pepperfield.standin.JobSpecBuilder;
 import io.pepperfield.standin.SilentFleetListener;
+import io.pepperfield.standin.SingleNodeSettings;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -55,25 +55,8 @@
         Map<String, Settings.Team> teams = new LinkedHashMap<>();
         teams.put("red", new Settings.Team("red", 0, 8, 0, 0));
         teams.put("blue", new Settings.Team("blue", 8, 64, 0, 0));
-        return new Settings(
-                "node-0",
-                "east",
-                null,
-                null,
-                List.of(),
-                null,
-                null,
-                new Settings.Deployment(
-                        1,
-                        List.of("east"),
-                        5,
-                        teams,
-                        List.of(new Settings.Objective("wait", "gate", 1, 0.9, 0)),
-                        new Settings.Workers(1, 6, 20),
-                        new Settings.State(100, 50, 8, 32),
-                        new Settings.Cloud(2, 2),
-                        new Settings.Quota(1, 256, 1000)),
-                Operators.DEFAULTS);
+        return SingleNodeSettings.of(
+                List.of("east"), teams, List.of(new Settings.Objective("wait", "gate", 1, 0.9, 0)));
     }
 
     private Job job(String id, String workload, String team, Rank rank, String image, int tasks) {
--- a/src/test/java/io/pepperfield/node/SizerTest.java
+++ b/src/test/java/io/pepperfield/node/SizerTest.java
@@ -5,7 +5,6 @@
 import io.pepperfield.cloud.MachineType;
 import io.pepperfield.cloud.Renting;
 import io.pepperfield.config.Aims;
-import io.pepperfield.config.Operators;
 import io.pepperfield.config.Settings;
 import io.pepperfield.fleet.Attempt;
 import io.pepperfield.fleet.Fleet;
@@ -18,6 +17,7 @@
 import io.pepperfield.standin.JobSpecBuilder;
 import io.pepperfield.standin.SilentCloud;
 import io.pepperfield.standin.SilentFleetListener;
+import io.pepperfield.standin.SingleNodeSettings;
 import io.pepperfield.standin.Transactions;
 import io.pepperfield.steering.Pool;
 import io.pepperfield.store.Replica;
@@ -40,25 +40,10 @@
     private static final Pool BOX = new Pool("box", false);
 
     private final Settings settings =
-            new Settings(
-                    "node-0",
-                    "east",
-                    null,
-                    null,
-                    List.of(),
-                    null,
-                    null,
-                    new Settings.Deployment(
-                            1,
-                            List.of("east", "west"),
-                            5,
-                            Map.of("red", new Settings.Team("red", 8, 24, 0, 0)),
-                            List.of(),
-                            new Settings.Workers(1, 6, 20),
-                            new Settings.State(100, 50, 8, 32),
-                            new Settings.Cloud(2, 2),
-                            new Settings.Quota(1, 256, 1000)),
-                    Operators.DEFAULTS);
+            SingleNodeSettings.of(
+                    List.of("east", "west"),
+                    Map.of("red", new Settings.Team("red", 8, 24, 0, 0)),
+                    List.of());
     private final Transactions state = new Transactions();
     private final Replica replica = new Replica((key, data, stamp) -> {});
     private final Writer writer =
--- a/src/test/java/io/pepperfield/node/WatchTest.java
+++ b/src/test/java/io/pepperfield/node/WatchTest.java
@@ -7,7 +7,6 @@
 import io.pepperfield.cloud.MachineType;
 import io.pepperfield.cloud.Renting;
 import io.pepperfield.config.Aims;
-import io.pepperfield.config.Operators;
 import io.pepperfield.config.Settings;
 import io.pepperfield.fleet.Fleet;
 import io.pepperfield.fleet.HttpWorkers;
@@ -15,6 +14,7 @@
 import io.pepperfield.fleet.Report;
 import io.pepperfield.standin.SilentCloud;
 import io.pepperfield.standin.SilentFleetListener;
+import io.pepperfield.standin.SingleNodeSettings;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -30,25 +30,7 @@
 class WatchTest implements Loop, SilentFleetListener {
 
     private final Settings settings =
-            new Settings(
-                    "node-0",
-                    "east",
-                    null,
-                    null,
-                    List.of(),
-                    null,
-                    null,
-                    new Settings.Deployment(
-                            1,
-                            List.of("east", "west"),
-                            5,
-                            Map.of(),
-                            List.of(),
-                            new Settings.Workers(1, 6, 20),
-                            new Settings.State(100, 50, 8, 32),
-                            new Settings.Cloud(2, 2),
-                            new Settings.Quota(1, 256, 1000)),
-                    Operators.DEFAULTS);
+            SingleNodeSettings.of(List.of("east", "west"), Map.of(), List.of());
     private final TreeSet<String> released = new TreeSet<>();
     private final Fleet fleet = new Fleet(this, 10, 3);
     private final Map<String, Integer> serials = new HashMap<>();
--- /dev/null
+++ b/src/test/java/io/pepperfield/standin/SingleNodeSettings.java
@@ -0,0 +1,41 @@
+package io.pepperfield.standin;
+
+import io.pepperfield.config.Operators;
+import io.pepperfield.config.Settings;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Settings of a cluster of one controller: reports every second, leases of six, and limits that no
+ * test of a single part comes near.
+ */
+public final class SingleNodeSettings {
+
+    private SingleNodeSettings() {}
+
+    /** The controller is in the first of the zones. */
+    public static Settings of(
+            List<String> zones,
+            Map<String, Settings.Team> teams,
+            List<Settings.Objective> objectives) {
+        return new Settings(
+                "node-0",
+                zones.get(0),
+                null,
+                null,
+                List.of(),
+                null,
+                null,
+                new Settings.Deployment(
+                        1,
+                        zones,
+                        5,
+                        teams,
+                        objectives,
+                        new Settings.Workers(1, 6, 20),
+                        new Settings.State(100, 50, 8, 32),
+                        new Settings.Cloud(2, 2),
+                        new Settings.Quota(1, 256, 1000)),
+                Operators.DEFAULTS);
+    }
+}
