Run records stored under a higher limit are divided when the state service refuses them

Now the record is divided among four keys, which are written in one transaction from then on. Their numbers lie beyond those of the chunks, and both versions read them. The newer of two lines of one task counts, and a job that has moved from one shared record to another keeps its lines in whichever order the two are read.

Tests: the writer takes several keys for one change; the calls in the tests have the new form.

--- a/src/main/java/io/pepperfield/jobs/Catalog.java
+++ b/src/main/java/io/pepperfield/jobs/Catalog.java
@@ -12,6 +12,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -93,8 +94,18 @@
             return openAsOf;
         }
 
-        public List<byte[]> chunks() {
-            return chunks.values().stream().map(Chunk::json).toList();
+        /**
+         * The durable lines, one for each task. A divided record that a controller of an older
+         * version has written whole again leaves old lines in its parts: the newer line counts.
+         */
+        public Collection<RunRecord> lines() {
+            Map<Integer, RunRecord> newest = new LinkedHashMap<>();
+            for (Chunk chunk : chunks.values()) {
+                for (RunRecord line : RunRecord.read(Json.read(chunk.json))) {
+                    newest.merge(line.task(), line, RunRecord::newer);
+                }
+            }
+            return newest.values();
         }
 
         /**
@@ -131,6 +142,9 @@
     private final Map<String, Status> endsBeforeJobs = new HashMap<>();
     private final Map<String, List<String>> inShared = new HashMap<>();
 
+    /** Of each job in a shared record, the record that named it last. */
+    private final Map<String, String> sharedBy = new HashMap<>();
+
     /** Of each job that is not over, those that need it. */
     private final Map<String, List<Record>> dependants = new HashMap<>();
 
@@ -172,17 +186,15 @@
     }
 
     private void byMachine(Record record) {
-        for (byte[] chunk : record.chunks()) {
-            for (RunRecord line : RunRecord.read(Json.read(chunk))) {
-                if (line.state() == RunRecord.State.LIVE) {
-                    cancelledOn
-                            .computeIfAbsent(line.machine(), m -> new ArrayList<>())
-                            .add(
-                                    new CancelledAttempt(
-                                            record.spec.id() + "/" + line.task(),
-                                            line.attempt(),
-                                            record.openAsOf));
-                }
+        for (RunRecord line : record.lines()) {
+            if (line.state() == RunRecord.State.LIVE) {
+                cancelledOn
+                        .computeIfAbsent(line.machine(), m -> new ArrayList<>())
+                        .add(
+                                new CancelledAttempt(
+                                        record.spec.id() + "/" + line.task(),
+                                        line.attempt(),
+                                        record.openAsOf));
             }
         }
     }
@@ -244,15 +256,7 @@
                 LOG.error("{} was {} and is called {} in the state service", id, record.end, end);
             }
         } else if (key.startsWith(Keys.SHARED)) {
-            // What is left out now is over with nothing alive: its old lines must not come to life
-            // under the next leader.
-            inShared.getOrDefault(key, List.of()).stream()
-                    .filter(id -> !data.has(id))
-                    .forEach(id -> lines(id, 0, null));
-            List<String> ids = new ArrayList<>();
-            data.fieldNames().forEachRemaining(ids::add);
-            inShared.put(key, ids);
-            ids.forEach(id -> lines(id, 0, data.get(id)));
+            sharedRecord(key, data);
         } else if (key.startsWith(Keys.RUN)) {
             int slash = key.lastIndexOf('/');
             lines(
@@ -262,6 +266,24 @@
         }
     }
 
+    /**
+     * What is left out now is over with nothing alive, and its old lines must not come to life
+     * under the next leader; unless another record holds it now, whichever of the two is read
+     * first.
+     */
+    private void sharedRecord(String key, JsonNode data) {
+        inShared.getOrDefault(key, List.of()).stream()
+                .filter(id -> !data.has(id) && sharedBy.remove(id, key))
+                .forEach(id -> lines(id, 0, null));
+        List<String> ids = new ArrayList<>();
+        data.fieldNames().forEachRemaining(ids::add);
+        inShared.put(key, ids);
+        for (String id : ids) {
+            sharedBy.put(id, key);
+            lines(id, 0, data.get(id));
+        }
+    }
+
     /** Notes what the job needs; it is over at once if any of that is known to be cancelled. */
     private void awaits(Record record) {
         boolean lost = false;
--- a/src/main/java/io/pepperfield/jobs/RunRecord.java
+++ b/src/main/java/io/pepperfield/jobs/RunRecord.java
@@ -12,6 +12,13 @@
  */
 public record RunRecord(int task, int attempt, State state, String machine, long tenure) {
 
+    /**
+     * Among so many keys a record is divided that was stored under a higher limit than there is
+     * now. It depends on no setting, so that every leader looks for a task's line under the same
+     * key.
+     */
+    public static final int PARTS = 4;
+
     public enum State {
         GONE,
         LIVE,
@@ -31,6 +38,20 @@
         return all;
     }
 
+    /**
+     * Which of two lines of one task is the newer one. A task that is done stays done, attempts
+     * only count up, and an attempt that was alive is never alive again.
+     */
+    static RunRecord newer(RunRecord one, RunRecord other) {
+        if ((one.state == State.DONE) != (other.state == State.DONE)) {
+            return one.state == State.DONE ? one : other;
+        }
+        if (one.attempt != other.attempt) {
+            return one.attempt > other.attempt ? one : other;
+        }
+        return one.state == State.LIVE ? other : one;
+    }
+
     static State stateOf(JsonNode line) {
         return State.values()[line.path(2).asInt()];
     }
--- a/src/main/java/io/pepperfield/jobs/SharedRecords.java
+++ b/src/main/java/io/pepperfield/jobs/SharedRecords.java
@@ -5,6 +5,7 @@
 import io.pepperfield.http.Json;
 import io.pepperfield.store.Keys;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -27,6 +28,13 @@
     private final Map<String, Map<String, Job>> members = new HashMap<>();
     private final Map<String, String> recordOf = new HashMap<>();
     private final ArrayDeque<String> empty = new ArrayDeque<>();
+
+    /** The records among which a record that had become too large is divided. */
+    private final Map<String, List<String>> partsOf = new HashMap<>();
+
+    /** Of each job in a divided record, the part that holds it. */
+    private final Map<String, String> partOf = new HashMap<>();
+
     private String open = "";
     private int openTasks;
     private int sequence;
@@ -74,7 +82,7 @@
             if (members.containsKey(open) && members.get(open).isEmpty()) {
                 empty.add(open);
             }
-            open = empty.isEmpty() ? Keys.SHARED + token + "-" + ++sequence : empty.poll();
+            open = empty.isEmpty() ? newName() : empty.poll();
             openTasks = 0;
         }
         openTasks += job.spec.tasks();
@@ -89,10 +97,12 @@
      */
     public void over(String id) {
         String key = recordOf.remove(id);
+        partOf.remove(id);
         if (key != null
                 && members.get(key).remove(id) != null
                 && members.get(key).isEmpty()
-                && !key.equals(open)) {
+                && !key.equals(open)
+                && !partsOf.containsKey(key)) {
             empty.add(key);
         }
     }
@@ -102,10 +112,47 @@
         return members.get(key).values();
     }
 
-    /** What the record is to hold now. */
-    public JsonNode content(String key, Function<Job, List<RunRecord>> lines) {
-        ObjectNode node = Json.object();
-        jobs(key).forEach(job -> node.set(job.spec.id(), RunRecord.write(lines.apply(job))));
-        return node;
+    /**
+     * The record has become too large for the state service: its jobs are divided among new records
+     * of this leader's, which are written together with it from now on, so that no line is ever
+     * missing or in two of them. False where that is not possible.
+     */
+    public boolean divide(String key) {
+        Collection<Job> jobs = jobs(key);
+        if (partsOf.containsKey(key) || jobs.size() < 2) {
+            return false;
+        }
+        List<String> parts = new ArrayList<>(List.of(key));
+        while (parts.size() < Math.min(RunRecord.PARTS, jobs.size())) {
+            parts.add(newName());
+        }
+        partsOf.put(key, parts);
+        int place = 0;
+        for (Job job : jobs) {
+            partOf.put(job.spec.id(), parts.get(place++ * parts.size() / jobs.size()));
+        }
+        if (key.equals(open)) {
+            // Nothing more is added to it.
+            open = "";
+        }
+        return true;
+    }
+
+    private String newName() {
+        return Keys.SHARED + token + "-" + ++sequence;
+    }
+
+    /**
+     * What the record is to hold now, and its parts. The record comes first: what it leaves out is
+     * found in a part afterwards.
+     */
+    public Map<String, JsonNode> content(String key, Function<Job, List<RunRecord>> lines) {
+        Map<String, JsonNode> values = new LinkedHashMap<>();
+        partsOf.getOrDefault(key, List.of(key)).forEach(part -> values.put(part, Json.object()));
+        for (Job job : jobs(key)) {
+            String part = partOf.getOrDefault(job.spec.id(), key);
+            ((ObjectNode) values.get(part)).set(job.spec.id(), RunRecord.write(lines.apply(job)));
+        }
+        return values;
     }
 }
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -12,7 +12,6 @@
 import io.pepperfield.fleet.Machine;
 import io.pepperfield.fleet.Order;
 import io.pepperfield.fleet.Report;
-import io.pepperfield.http.Json;
 import io.pepperfield.jobs.Catalog;
 import io.pepperfield.jobs.Job;
 import io.pepperfield.jobs.JobMessages;
@@ -114,7 +113,8 @@
                         replica,
                         ledger,
                         new SharedRecords(
-                                leadership.token(), 2 * settings.deployment().state().txnOps()));
+                                leadership.token(), 2 * settings.deployment().state().txnOps()),
+                        settings.deployment().state().txnOps());
         this.direct = new DirectOrders(loop, fleet, leadership, workers, () -> fresh(loop.now()));
         this.startedAt = loop.now();
         this.mintedAt = startedAt;
@@ -183,29 +183,27 @@
             job.end(record.end(), record.openAsOf());
         }
         boolean live = false;
-        for (byte[] chunk : record.chunks()) {
-            for (RunRecord line : RunRecord.read(Json.read(chunk))) {
-                job.restore(line.task(), line.attempt(), line.state() == RunRecord.State.LIVE);
-                if (line.state() == RunRecord.State.DONE) {
-                    job.markDone(line.task());
-                } else if (line.state() == RunRecord.State.FAILED) {
-                    // Or every change of leader would let a job that fails everywhere loose on the
-                    // fleet once more.
-                    job.failedBefore();
-                } else if (line.state() == RunRecord.State.LIVE) {
-                    live = true;
-                    Attempt attempt =
-                            fleet.restore(
-                                    job,
-                                    line.task(),
-                                    line.attempt(),
-                                    line.machine(),
-                                    line.tenure(),
-                                    now);
-                    ledger.add(attempt);
-                    if (job.end() != null) {
-                        fleet.stop(attempt, 0);
-                    }
+        for (RunRecord line : record.lines()) {
+            job.restore(line.task(), line.attempt(), line.state() == RunRecord.State.LIVE);
+            if (line.state() == RunRecord.State.DONE) {
+                job.markDone(line.task());
+            } else if (line.state() == RunRecord.State.FAILED) {
+                // Or every change of leader would let a job that fails everywhere loose on the
+                // fleet once more.
+                job.failedBefore();
+            } else if (line.state() == RunRecord.State.LIVE) {
+                live = true;
+                Attempt attempt =
+                        fleet.restore(
+                                job,
+                                line.task(),
+                                line.attempt(),
+                                line.machine(),
+                                line.tenure(),
+                                now);
+                ledger.add(attempt);
+                if (job.end() != null) {
+                    fleet.stop(attempt, 0);
                 }
             }
         }
--- a/src/main/java/io/pepperfield/node/RunRecords.java
+++ b/src/main/java/io/pepperfield/node/RunRecords.java
@@ -1,5 +1,6 @@
 package io.pepperfield.node;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.pepperfield.fleet.Attempt;
 import io.pepperfield.fleet.Ledger;
 import io.pepperfield.jobs.Job;
@@ -10,8 +11,11 @@
 import io.pepperfield.store.Writer;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The leader's durable run records: which key holds a task's line, and what is written under it.
@@ -23,11 +27,21 @@
     private final Ledger ledger;
     private final SharedRecords shared;
 
-    RunRecords(Writer writer, Replica replica, Ledger ledger, SharedRecords shared) {
+    private final int mostChanges;
+
+    /** First keys of the records that this leader has divided. */
+    private final Set<String> divided = new HashSet<>();
+
+    /**
+     * @param mostChanges in a transaction: a record is only divided if it fits into one
+     */
+    RunRecords(
+            Writer writer, Replica replica, Ledger ledger, SharedRecords shared, int mostChanges) {
         this.writer = writer;
         this.replica = replica;
         this.ledger = ledger;
         this.shared = shared;
+        this.mostChanges = mostChanges;
     }
 
     /** Takes over an earlier leader's shared records. */
@@ -42,7 +56,7 @@
             writer.mark(
                     key,
                     priority,
-                    () -> shared.content(key, member -> lines(member, 0)),
+                    sharedContent(key),
                     () -> openEnds(shared.jobs(key)),
                     effect,
                     null);
@@ -52,12 +66,89 @@
         writer.mark(
                 Keys.run(job.spec.id(), chunk),
                 priority,
-                () -> RunRecord.write(lines(job, chunk)),
+                ownContent(job, chunk),
                 () -> openEnds(List.of(job)),
                 effect,
                 null);
     }
 
+    private Writer.Content sharedContent(String key) {
+        return new Writer.Content() {
+            @Override
+            public Map<String, JsonNode> values() {
+                return shared.content(key, member -> lines(member, 0));
+            }
+
+            @Override
+            public boolean divide() {
+                return mayDivide() && shared.divide(key);
+            }
+        };
+    }
+
+    private Writer.Content ownContent(Job job, int chunk) {
+        return new Writer.Content() {
+            @Override
+            public Map<String, JsonNode> values() {
+                return isDivided(job, chunk)
+                        ? parts(job, chunk)
+                        : Map.of(
+                                Keys.run(job.spec.id(), chunk), RunRecord.write(lines(job, chunk)));
+            }
+
+            @Override
+            public boolean divide() {
+                return mayDivide()
+                        && !isDivided(job, chunk)
+                        && divided.add(Keys.run(job.spec.id(), chunk));
+            }
+        };
+    }
+
+    private boolean mayDivide() {
+        return RunRecord.PARTS <= mostChanges;
+    }
+
+    /** Whether this leader or an earlier one has divided the record. */
+    private boolean isDivided(Job job, int chunk) {
+        if (divided.contains(Keys.run(job.spec.id(), chunk))) {
+            return true;
+        }
+        for (int part = 1; part < RunRecord.PARTS; part++) {
+            if (replica.get(partKey(job, chunk, part)) != null) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Numbers beyond those of the chunks, which both versions read like any other chunk. */
+    private static String partKey(Job job, int chunk, int part) {
+        return Keys.run(job.spec.id(), chunk + part * job.spec.chunks());
+    }
+
+    /**
+     * The lines of a divided record. All parts are written together, so that none is ever missing
+     * and none is found in two of them. A part without a line is not written yet.
+     */
+    private Map<String, JsonNode> parts(Job job, int chunk) {
+        List<List<RunRecord>> parts = new ArrayList<>();
+        for (int part = 0; part < RunRecord.PARTS; part++) {
+            parts.add(new ArrayList<>());
+        }
+        for (RunRecord line : lines(job, chunk)) {
+            int place = line.task() - chunk * job.spec.chunk();
+            parts.get(place * RunRecord.PARTS / job.spec.chunk()).add(line);
+        }
+        Map<String, JsonNode> values = new LinkedHashMap<>();
+        for (int part = 0; part < RunRecord.PARTS; part++) {
+            if (part == 0 || !parts.get(part).isEmpty()) {
+                values.put(partKey(job, chunk, part), RunRecord.write(parts.get(part)));
+            }
+        }
+        return values;
+    }
+
     /**
      * The final states that must not exist when intents of these jobs become durable: once a
      * cancellation has taken effect, no start is intended any more, although this leader may not
--- a/src/main/java/io/pepperfield/store/Writer.java
+++ b/src/main/java/io/pepperfield/store/Writer.java
@@ -50,8 +50,23 @@
         PATIENT
     }
 
+    /** What is to be written under one or several keys, in one transaction. */
+    public interface Content {
+
+        /** The keys and their values when the write leaves, in the order of the changes. */
+        Map<String, JsonNode> values();
+
+        /**
+         * The service refuses the values for their size. True if they are divided among more keys
+         * from now on, so that another try makes sense.
+         */
+        default boolean divide() {
+            return false;
+        }
+    }
+
     private static final class Pending {
-        final Supplier<JsonNode> content;
+        final Content content;
         final Supplier<Collection<String>> absent;
         final List<Runnable> effects = new ArrayList<>();
         final Runnable taken;
@@ -63,7 +78,7 @@
 
         Pending(
                 Priority priority,
-                Supplier<JsonNode> content,
+                Content content,
                 Supplier<Collection<String>> absent,
                 Runnable taken,
                 double since) {
@@ -156,18 +171,19 @@
             Supplier<JsonNode> content,
             Runnable effect,
             Runnable taken) {
-        mark(key, priority, content, Set::of, effect, taken);
+        mark(key, priority, () -> Map.of(key, content.get()), Set::of, effect, taken);
     }
 
     /**
      * The same for a write that may only take effect while certain other keys do not exist.
      *
-     * @param absent gives these keys when the write leaves
+     * @param key the first key of the content, by which the write is known here
+     * @param absent gives the keys that must not exist, when the write leaves
      */
     public void mark(
             String key,
             Priority priority,
-            Supplier<JsonNode> content,
+            Content content,
             Supplier<Collection<String>> absent,
             Runnable effect,
             Runnable taken) {
@@ -208,29 +224,28 @@
         guards.add(lead.guard());
         int bytes = 0;
         for (Map.Entry<String, Pending> next : chosen) {
-            JsonNode content = next.getValue().content.get();
+            Map<String, JsonNode> values = next.getValue().content.values();
             Collection<String> absent = next.getValue().absent.get();
-            int size =
-                    Json.write(content).length
-                            + 2 * next.getKey().length()
-                            + absent.stream().mapToInt(k -> k.length() + GUARD_BYTES).sum();
+            int size = size(values, absent);
             if (!batch.isEmpty()
                     && (alone > 0
+                            || changes.size() + values.size() > mostChanges
                             || bytes + size > MOST_BYTES
-                            || guards.size() + 1 + absent.size()
+                            || guards.size() + values.size() + absent.size()
                                     > GUARDS_PER_CHANGE * mostChanges)) {
                 break;
             }
             bytes += size;
             pending.remove(next.getKey());
             batch.put(next.getKey(), next.getValue());
-            changes.add(Change.set(next.getKey(), content));
             // A final state is written once: its guard stays 0 whatever a retry has learned
             // meanwhile.
-            guards.add(
-                    new Guard(
-                            next.getKey(),
-                            next.getValue().taken != null ? 0 : stamp(next.getKey())));
+            boolean once = next.getValue().taken != null;
+            values.forEach(
+                    (key, value) -> {
+                        changes.add(Change.set(key, value));
+                        guards.add(new Guard(key, once ? 0 : stamp(key)));
+                    });
             absent.forEach(k -> guards.add(new Guard(k, 0)));
         }
         writing = true;
@@ -248,6 +263,17 @@
                 });
     }
 
+    private static int size(Map<String, JsonNode> values, Collection<String> absent) {
+        int size = 0;
+        for (Map.Entry<String, JsonNode> value : values.entrySet()) {
+            size += Json.write(value.getValue()).length + 2 * value.getKey().length();
+        }
+        for (String key : absent) {
+            size += key.length() + GUARD_BYTES;
+        }
+        return size;
+    }
+
     /**
      * The most urgent changes, the oldest of them first; patient ones only once they have gathered.
      * With each such time a change moves up, so that what keeps coming cannot hold it back for
@@ -305,14 +331,15 @@
                         }
                     });
         } else {
-            settle(batch);
+            settle(batch, changes);
         }
     }
 
     /**
      * The service will never take this transaction as it is. Of several changes one may be too
-     * large, as it was stored under a higher limit: each is tried by itself, and the one that is
-     * refused alone waits until it has changed, without holding up the others.
+     * large, as it was stored under a higher limit: each is tried by itself. One that is refused
+     * alone is divided among more keys; where that is not possible, it waits until it has changed,
+     * without holding up the others.
      */
     private void refusedForGood(Map<String, Pending> batch) {
         if (batch.size() > 1) {
@@ -321,8 +348,12 @@
         }
         batch.forEach(
                 (key, entry) -> {
-                    LOG.warn("{} cannot be written as it is", key);
-                    entry.notBefore = loop.now() + patienceS;
+                    if (entry.content.divide()) {
+                        LOG.info("{} is too large by now and is divided", key);
+                    } else {
+                        LOG.warn("{} cannot be written as it is", key);
+                        entry.notBefore = loop.now() + patienceS;
+                    }
                 });
     }
 
@@ -330,7 +361,7 @@
      * After a conflict or no answer: what is there now decides which stamps the next try is guarded
      * by.
      */
-    private void settle(Map<String, Pending> batch) {
+    private void settle(Map<String, Pending> batch, List<Change> changes) {
         int mine = generation;
         sync.confirm(
                 current -> {
@@ -342,17 +373,17 @@
                                 retryS,
                                 () -> {
                                     if (mine == generation) {
-                                        settle(batch);
+                                        settle(batch, changes);
                                     }
                                 });
                         return;
                     }
                     paused = false;
+                    // A key in a newer version than expected was written by an earlier try of this
+                    // very writer.
+                    changes.forEach(change -> stamps.remove(change.key()));
                     batch.forEach(
                             (key, entry) -> {
-                                // A key in a newer version than expected was written by an earlier
-                                // try of this very writer.
-                                stamps.remove(key);
                                 if (entry.taken != null && replica.get(key) != null) {
                                     pending.remove(key);
                                     entry.taken.run();
--- a/src/test/java/io/pepperfield/jobs/SharedRecordsTest.java
+++ b/src/test/java/io/pepperfield/jobs/SharedRecordsTest.java
@@ -73,7 +73,7 @@
             records.keyOf(job(i, 1), false);
         }
         records.over("run-000003");
-        assertEquals(CHUNK - 1, records.content(first, SharedRecordsTest::live).size());
+        assertEquals(CHUNK - 1, records.content(first, SharedRecordsTest::live).get(first).size());
         for (int i = 0; i < CHUNK; i++) {
             records.over(String.format("run-%06d", i));
         }
@@ -102,8 +102,8 @@
         assertEquals("running", catalog.get("run-000000").answer().path("status").asText());
         // Left out once it was over: a line that stayed would be an attempt on a machine long gone.
         catalog.changed(key, Json.read("{\"run-000001\":[[0,1,1,\"m2\",1]]}".getBytes()));
-        assertEquals(0, catalog.get("run-000000").chunks().size());
-        assertEquals(1, catalog.get("run-000001").chunks().size());
+        assertEquals(0, catalog.get("run-000000").lines().size());
+        assertEquals(1, catalog.get("run-000001").lines().size());
         SharedRecords next = new SharedRecords(9, 2 * CHUNK);
         next.restore(key, catalog.shared().get(key), jobs);
         assertEquals(key, next.keyOf(jobs.get("run-000001"), false));
--- a/src/test/java/io/pepperfield/store/WriterTest.java
+++ b/src/test/java/io/pepperfield/store/WriterTest.java
@@ -6,6 +6,7 @@
 import io.pepperfield.standin.Transactions;
 import io.pepperfield.store.Writer.Priority;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -113,7 +114,7 @@
         writer.mark(
                 "run 1",
                 Priority.INTENT,
-                Json::object,
+                () -> Map.of("run 1", Json.object()),
                 () -> known[0] ? List.of() : List.of("end 1"),
                 null,
                 null);
@@ -130,8 +131,10 @@
     @Test
     void noTransactionHasMoreGuardsThanTheServiceTakes() {
         List<String> ends = IntStream.range(0, 5).mapToObj(i -> "end " + i).toList();
-        writer.mark("run 1", Priority.INTENT, Json::object, () -> ends, null, null);
-        writer.mark("run 2", Priority.INTENT, Json::object, () -> ends, null, null);
+        for (String key : List.of("run 1", "run 2")) {
+            writer.mark(
+                    key, Priority.INTENT, () -> Map.of(key, Json.object()), () -> ends, null, null);
+        }
         writer.flush();
         // The leader key, and a key and five final states for each: two changes allow eight guards.
         assertEquals(List.of(List.of("run 1")), state.written);
