--- /dev/null
+++ b/src/test/java/io/pepperfield/node/UpgradeTest.java
@@ -0,0 +1,280 @@
+package io.pepperfield.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pepperfield.standin.Region;
+import io.pepperfield.standin.Scenario;
+import io.pepperfield.standin.Trouble.CancelNow;
+import io.pepperfield.standin.Trouble.Controllers;
+import io.pepperfield.standin.Trouble.GrantsRefused;
+import io.pepperfield.standin.Trouble.LargeArrays;
+import io.pepperfield.standin.Trouble.LateWrites;
+import io.pepperfield.standin.Trouble.LeaderChanges;
+import io.pepperfield.standin.Trouble.LimitsFall;
+import io.pepperfield.standin.Trouble.NodeCrash;
+import io.pepperfield.standin.Trouble.NodeCut;
+import io.pepperfield.standin.Trouble.Pipelines;
+import io.pepperfield.standin.Trouble.Replace;
+import io.pepperfield.standin.Trouble.Side;
+import io.pepperfield.standin.Trouble.StateOutage;
+import io.pepperfield.standin.Trouble.Swarm;
+import io.pepperfield.standin.Trouble.Upgrade;
+import io.pepperfield.standin.Trouble.Way;
+import io.pepperfield.standin.Version;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * The recorded version and this one side by side, and limits of the state service that fall. Of
+ * more seeds each with {@code -Dpepperfield.seeds=20}.
+ */
+class UpgradeTest {
+
+    private static final int NODES = 3;
+
+    private static void play(Scenario scenario, long seed) {
+        for (int more = 0; more <= Integer.getInteger("pepperfield.seeds", 0); more++) {
+            playOnce(scenario, seed + 1000L * more);
+        }
+    }
+
+    private static Region playOnce(Scenario scenario, long seed) {
+        Region region = Region.beforeUpgrade(seed);
+        region.play(scenario);
+        region.world.run(scenario.endsAt());
+        checkEnd(region, "seed " + seed + " of " + scenario);
+        return region;
+    }
+
+    private static void checkEnd(Region region, String day) {
+        assertEquals(List.of(), region.broken, day);
+        assertEquals(List.of(), region.unfinished(), day);
+        assertEquals(List.of(), region.unanswered(), day);
+        assertEquals(List.of(), region.leftOver(), day);
+        assertEquals(List.of(), region.reusedRentalNames(), day);
+        assertEquals(List.of(), region.alteredJobs(), day);
+        assertTrue(region.upgraded(), day);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void anUpgradeAloneChangesTheLeaderNoMoreThanOnceForEachProcessThatEnds(long seed) {
+        Scenario day =
+                Scenario.jobs(40, 2)
+                        .at(30, new Upgrade(30))
+                        .at(70, new Pipelines(4, 20))
+                        .at(85, new LimitsFall());
+        for (int more = 0; more <= Integer.getInteger("pepperfield.seeds", 0); more++) {
+            Region region = playOnce(day, seed + 1000L * more);
+            assertTrue(
+                    region.leaderChanges() <= 1 + NODES,
+                    "seed " + seed + ": leadership began " + region.leaderChanges() + " times");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void anOldLeaderHasNewFollowersForLong(long seed) {
+        play(
+                Scenario.jobs(40, 2)
+                        .at(30, new Replace(Controllers.afterLeader(1), Version.CURRENT, 4))
+                        .at(40, new Replace(Controllers.afterLeader(2), Version.CURRENT, 4))
+                        .at(50, new CancelNow(4, 0))
+                        .at(70, new Upgrade(10))
+                        .at(90, new Pipelines(4, 20)),
+                seed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void aNewLeaderHasOldFollowersForLong(long seed) {
+        Scenario day =
+                Scenario.jobs(40, 2).at(50, new CancelNow(4, 0)).at(80, new Pipelines(4, 20));
+        for (int more = 0; more <= Integer.getInteger("pepperfield.seeds", 0); more++) {
+            Region region = Region.beforeUpgrade(seed + 1000L * more);
+            region.play(day);
+            region.world.run(30);
+            int first = region.leaderIndex();
+            region.replace(first, Version.CURRENT, 0.2);
+            region.world.run(33);
+            // Whoever leads while it is not the new one ends for a moment.
+            while (region.leaderIndex() != first) {
+                region.crash(region.leaderIndex(), 1);
+                region.world.run(region.world.now() + 4);
+            }
+            region.world.run(66);
+            assertEquals(first, region.leaderIndex(), "the lead swings");
+            region.replace((first + 1) % NODES, Version.CURRENT, 5);
+            region.replace((first + 2) % NODES, Version.CURRENT, 5);
+            region.world.run(day.endsAt());
+            checkEnd(region, "seed " + seed);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void processesEndBeforeTheirTurnAndComeBackOld(long seed) {
+        play(
+                Scenario.jobs(40, 2)
+                        .at(24, new Replace(Controllers.LEADER, Version.CURRENT, 5))
+                        .at(25, new NodeCrash(Controllers.afterLeader(1), 0.2))
+                        .at(32, new LeaderChanges(6, 24))
+                        .at(40, new LateWrites(0.2, 20, false))
+                        .at(44, new Upgrade(30))
+                        .at(85, new Pipelines(4, 20)),
+                seed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void theWayBackLosesNothingWhileNobodyNamesJobsThatItNeeds(long seed) {
+        play(
+                Scenario.jobs(40, 2)
+                        .at(20, new Upgrade(20))
+                        .at(50, new Replace(Controllers.LEADER, Version.RECORDED, 1))
+                        .at(56, new Replace(Controllers.afterLeader(1), Version.RECORDED, 1))
+                        .at(62, new Replace(Controllers.afterLeader(2), Version.RECORDED, 1))
+                        .at(75, new Upgrade(15))
+                        .at(100, new Pipelines(3, 15)),
+                seed);
+    }
+
+    @Test
+    void anOldFollowerNeverTouchesWhatAJobNeeds() {
+        Region region = Region.beforeUpgrade(5);
+        Scenario day =
+                Scenario.jobs(12, 2)
+                        .at(20, new Upgrade(10))
+                        .at(40, new Pipelines(4, 8))
+                        // It knows of no job that is cancelled with another: users must not ask it.
+                        .at(
+                                56,
+                                new NodeCut(
+                                        Controllers.afterLeader(1),
+                                        Set.of(Side.USERS),
+                                        Way.REFUSE,
+                                        14))
+                        .at(56, new Replace(Controllers.afterLeader(1), Version.RECORDED, 0.5))
+                        .at(66, new Replace(Controllers.afterLeader(1), Version.CURRENT, 1));
+        region.play(day);
+        region.world.run(day.endsAt());
+        checkEnd(region, day.toString());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13, 14, 15, 16})
+    void noRuleBreaksWhateverFailsDuringAnUpgrade(long seed) {
+        for (int more = 0; more <= Integer.getInteger("pepperfield.seeds", 0); more++) {
+            troubledUpgrade(seed + 1000L * more);
+        }
+    }
+
+    private static void troubledUpgrade(long seed) {
+        Region region = Region.beforeUpgrade(seed);
+        region.world.lost = 0.01;
+        region.world.late = 0.005;
+        region.world.copies = 0.01;
+        Scenario day =
+                Scenario.jobs(40, 4)
+                        .at(30, new Upgrade(60))
+                        .at(60, new LargeArrays(2, 150, 2))
+                        .at(110, new Pipelines(6, 30))
+                        .at(100 + region.world.random.nextInt(60), new LimitsFall());
+        region.play(day);
+        for (int i = 0; i < 12; i++) {
+            region.world.at(20 + 11 * i, region::trouble);
+        }
+        region.world.run(420);
+        String what = "seed " + seed;
+        assertEquals(List.of(), region.broken, what);
+        assertEquals(List.of(), region.unfinished(), what);
+        assertEquals(List.of(), region.unanswered(), what);
+        assertEquals(List.of(), region.alteredJobs(), what);
+        assertTrue(region.accepted() >= 40, what + " accepted " + region.accepted());
+        assertTrue(region.upgraded(), what);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void theLimitsFallWhileRecordsLargerThanThemAreInUse(long seed) {
+        play(
+                Scenario.jobs(20, 3)
+                        .at(20, new Swarm(6, 20))
+                        .at(24, new LargeArrays(2, 136, 12))
+                        .at(26, new Upgrade(12))
+                        .at(46, new LimitsFall())
+                        .at(50, new CancelNow(4, 0)),
+                seed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void theLimitsFallAmidAnElection(long seed) {
+        play(
+                Scenario.jobs(30, 2)
+                        .at(20, new Upgrade(12))
+                        .at(24, new LargeArrays(2, 136, 8))
+                        .at(45, new NodeCrash(Controllers.LEADER, 3))
+                        .at(45.5, new LimitsFall())
+                        .at(50, new Pipelines(4, 10)),
+                seed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void theLimitsFallAsAnOutageEnds(long seed) {
+        play(
+                Scenario.jobs(30, 2)
+                        .at(20, new Upgrade(12))
+                        .at(24, new LargeArrays(2, 136, 8))
+                        .at(44, new StateOutage(8))
+                        .at(52, new LimitsFall(), new Pipelines(4, 10)),
+                seed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void theLimitsFallWhileBothVersionsServe(long seed) {
+        play(
+                Scenario.jobs(30, 2)
+                        .at(20, new LargeArrays(2, 136, 8))
+                        .at(26, new Upgrade(24))
+                        .at(36, new LimitsFall())
+                        .at(70, new Pipelines(4, 10)),
+                seed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void renewalsThatAreRefusedForAMomentCostNoLead(long seed) {
+        // A grant lasts 0.75 s here and is renewed four times in that time.
+        Region region = Region.beforeUpgrade(seed);
+        Scenario day =
+                Scenario.jobs(20, 2)
+                        .at(20, new Upgrade(12))
+                        .at(50, new LimitsFall(), new Swarm(8, 10))
+                        .at(52, new GrantsRefused(0.3))
+                        .at(55, new GrantsRefused(0.3));
+        region.play(day);
+        region.world.run(48);
+        int changes = region.leaderChanges();
+        region.world.run(day.endsAt());
+        assertEquals(changes, region.leaderChanges(), "the lead was lost");
+        checkEnd(region, "seed " + seed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void renewalsThatAreRefusedForLongCostNoWork(long seed) {
+        play(
+                Scenario.jobs(20, 2)
+                        .at(20, new Upgrade(12))
+                        .at(50, new LimitsFall(), new GrantsRefused(4))
+                        .at(51, new Pipelines(3, 6)),
+                seed);
+    }
+}
--- /dev/null
+++ b/src/test/java/io/pepperfield/standin/RecordedVersion.java
@@ -0,0 +1,73 @@
+package io.pepperfield.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pepperfield.http.Json;
+import io.pepperfield.http.Outcome;
+import io.pepperfield.http.Sender;
+
+/**
+ * The habits of the recorded version (c7a624d) as filters around a controller of today: what that
+ * version does not know never reaches it, and what it cannot tell apart is made alike. Its record
+ * sizes follow from its settings, which lack {@code state.next}; see {@link Region}. The messages
+ * between controllers are the same in both.
+ */
+final class RecordedVersion {
+
+    private static final int MALFORMED = 400;
+    private static final int UNAVAILABLE = 503;
+    private static final String JOB_PREFIX = "pepperfield/job/";
+
+    private RecordedVersion() {}
+
+    /** The body of a user's request without the field that is new. */
+    static byte[] withoutAwaits(String path, byte[] body) {
+        if (!path.equals("/api/jobs") || body == null) {
+            return body;
+        }
+        JsonNode submission = Json.read(body);
+        if (!(submission instanceof ObjectNode object) || !object.has("awaits")) {
+            return body;
+        }
+        return Json.write(object.without("awaits"));
+    }
+
+    /** The way to the state service as that version uses and understands it. */
+    static Sender around(Sender sender) {
+        return (host, port, connections, method, path, body, deadlineMs, done) ->
+                sender.send(
+                        host,
+                        port,
+                        connections,
+                        method,
+                        path,
+                        body,
+                        deadlineMs,
+                        outcome ->
+                                done.accept(
+                                        outcome instanceof Outcome.Answered answer
+                                                ? understood(path, answer)
+                                                : outcome));
+    }
+
+    private static Outcome understood(String path, Outcome.Answered answer) {
+        if (path.equals("/txn") && answer.status() == MALFORMED) {
+            // It knows no refusal for good: the same transaction is tried again and again.
+            return new Outcome.Answered(UNAVAILABLE, answer.body());
+        }
+        if (answer.status() != 200 || !path.startsWith("/kv?") && !path.startsWith("/follow?")) {
+            return answer;
+        }
+        JsonNode body = answer.json();
+        body.path("pairs").forEach(pair -> forgetAwaits(pair, "k"));
+        body.path("events").forEach(event -> forgetAwaits(event, "set"));
+        return new Outcome.Answered(answer.status(), Json.write(body));
+    }
+
+    private static void forgetAwaits(JsonNode item, String keyField) {
+        if (item.path(keyField).asText().startsWith(JOB_PREFIX)
+                && item.path("data") instanceof ObjectNode job) {
+            job.remove("aw");
+        }
+    }
+}
--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -30,6 +30,12 @@
     private static final Map<String, Double> LIMITS =
             Map.of("red", 24.0, "blue", 24.0, "guests", Double.POSITIVE_INFINITY);
 
+    /** What the state service allows at first. */
+    private static final Settings.State LIMITS_NOW = new Settings.State(150, 60, 8, 32);
+
+    /** What it allows from some moment after an upgrade. */
+    private static final Settings.State LIMITS_NEXT = new Settings.State(100, 30, 1, 8);
+
     private interface Handler {
         void handle(String from, Call call, Consumer<Reply> answer);
     }
@@ -49,10 +55,24 @@
     private long lastGrant;
     private int lastLeader;
     private int madeUp;
+    private int leaderChanges;
 
     public Region(long seed) {
+        this(seed, Version.CURRENT, LIMITS_NOW);
+    }
+
+    /** A region before its upgrade: the recorded version runs, and the limits are going to fall. */
+    public static Region beforeUpgrade(long seed) {
+        return new Region(seed, Version.RECORDED, LIMITS_NEXT);
+    }
+
+    /**
+     * @param next the limits that this version knows of
+     */
+    private Region(long seed, Version version, Settings.State next) {
         world = new SimWorld(seed);
         state = new StateStandIn(world::now, 10_000);
+        state.limits = new StateLimits(LIMITS_NOW, world.now());
         stateLink = new StateLink(world, state);
         Map<String, SimJob> jobs = new LinkedHashMap<>();
         machines = new SimMachines(world, broken, jobs);
@@ -65,7 +85,14 @@
         world.listen(
                 "10.2.0.2:8443", host((from, call, answer) -> answer.accept(cloud.handle(call))));
         for (int i = 0; i < NODES; i++) {
-            SimNode node = new SimNode(i, world, settings(i), broken);
+            int index = i;
+            SimNode node =
+                    new SimNode(
+                            i,
+                            world,
+                            version,
+                            of -> settings(index, of == Version.RECORDED ? LIMITS_NOW : next),
+                            broken);
             nodes.add(node);
             world.listen("10.0.0." + (i + 1) + ":8080", node);
             world.listen("10.0.0." + (i + 1) + ":8081", node.peerSide());
@@ -111,7 +138,7 @@
         return LIMITS.get(team);
     }
 
-    private static Settings settings(int index) {
+    private static Settings settings(int index, Settings.State limits) {
         List<Settings.Member> members = new ArrayList<>();
         for (int i = 0; i < NODES; i++) {
             if (i != index) {
@@ -135,7 +162,7 @@
                         // second way to go.
                         List.of(new Settings.Objective("wait", "gate", 0.5, 0.9, 0)),
                         new Settings.Workers(REPORT_S, LEASE_S, CANCEL_S),
-                        new Settings.State(150, 60, 8, 32),
+                        limits,
                         new Settings.Cloud(20, 2),
                         new Settings.Quota(1, 256, 1000));
         Operators operators = new Operators(10, 0.2, 0.2, 0.85, 0.85, 3);
@@ -488,6 +515,21 @@
                 });
     }
 
+    /** From now on the state service has its lower limits. */
+    public void limitsFall() {
+        state.limits = new StateLimits(LIMITS_NEXT, world.now());
+    }
+
+    /** Until then every request about grants is refused as beyond the rate. */
+    public void refuseGrants(double until) {
+        state.grantsRefusedUntil = Math.max(state.grantsRefusedUntil, until);
+    }
+
+    /** Ends a controller's process, which comes back as that version. */
+    public void replace(int index, Version by, double downS) {
+        nodes.get(index).replace(by, downS);
+    }
+
     void cloudOutage(double until) {
         cloud.outage(true);
         cloudOutUntil = Math.max(cloudOutUntil, until);
@@ -522,6 +564,16 @@
         return Integer.parseInt(leader().substring(5));
     }
 
+    /** How often another leadership has begun. */
+    public int leaderChanges() {
+        return leaderChanges;
+    }
+
+    /** Whether every controller runs this version, or will once it is started. */
+    public boolean upgraded() {
+        return nodes.stream().allMatch(node -> node.version() == Version.CURRENT);
+    }
+
     /** Which of the nodes leads, or led last. */
     int lastLeader() {
         return lastLeader;
@@ -532,6 +584,7 @@
         if (key != null && key.path("grant").longValue() != lastGrant) {
             lastGrant = key.path("grant").longValue();
             lastLeader = leaderIndex();
+            leaderChanges++;
             copies.newLeader();
         }
     }
@@ -628,6 +681,27 @@
         return got[0];
     }
 
+    /** Accepted jobs that were written a second time, or whose prerequisites are not durable. */
+    public List<String> alteredJobs() {
+        List<String> altered = new ArrayList<>(state.rewrittenJobs);
+        users.jobs.values().stream()
+                .filter(job -> job.accepted)
+                .filter(job -> !job.plan.awaits().equals(awaits(job.plan.id())))
+                .forEach(job -> altered.add(job.plan.id()));
+        return altered;
+    }
+
+    private List<String> awaits(String job) {
+        List<String> ids = new ArrayList<>();
+        state.get("pepperfield/job/" + job).path("aw").forEach(id -> ids.add(id.asText()));
+        return ids;
+    }
+
+    /** How many transactions were refused for their size since the limits last changed. */
+    public int refusedForSize() {
+        return state.limits.malformed;
+    }
+
     // ---- what is left at the end
 
     /**
--- /dev/null
+++ b/src/test/java/io/pepperfield/standin/RollingUpgrade.java
@@ -0,0 +1,37 @@
+package io.pepperfield.standin;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+/** Replaces all controllers by this version, a few at a time, in an order drawn from the seed. */
+final class RollingUpgrade {
+
+    private final Region region;
+    private final SimWorld world;
+    private final List<Integer> left = new ArrayList<>();
+
+    RollingUpgrade(Region region, int nodes) {
+        this.region = region;
+        this.world = region.world;
+        for (int node = 0; node < nodes; node++) {
+            left.add(node);
+        }
+    }
+
+    void begin(Trouble.Upgrade upgrade) {
+        Collections.shuffle(left, world.random);
+        double everyS = upgrade.forS() / left.size();
+        replaceNext(everyS);
+    }
+
+    private void replaceNext(double everyS) {
+        int count = Math.min(left.size(), 1 + world.random.nextInt(Trouble.Upgrade.MOST_AT_ONCE));
+        for (int i = 0; i < count; i++) {
+            region.replace(left.remove(0), Version.CURRENT, Trouble.Upgrade.DOWN_S);
+        }
+        if (!left.isEmpty()) {
+            world.after(everyS * count, () -> replaceNext(everyS));
+        }
+    }
+}
--- a/src/test/java/io/pepperfield/standin/SimNode.java
+++ b/src/test/java/io/pepperfield/standin/SimNode.java
@@ -14,6 +14,7 @@
 import io.pepperfield.store.HttpStateService;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /** A controller's process: it can end and begin anew, or stand still. */
 final class SimNode implements SimWorld.Host {
@@ -24,8 +25,9 @@
 
     final int index;
     private final SimWorld world;
-    private final Settings settings;
+    private final Function<Version, Settings> settingsOf;
     private final List<String> broken;
+    private Version version;
     private boolean alive;
     private Controller controller;
     private Peers peers;
@@ -35,10 +37,16 @@
     /** When it last sent something that the state service or another controller has answered. */
     private double heardOf;
 
-    SimNode(int index, SimWorld world, Settings settings, List<String> broken) {
+    SimNode(
+            int index,
+            SimWorld world,
+            Version version,
+            Function<Version, Settings> settingsOf,
+            List<String> broken) {
         this.index = index;
         this.world = world;
-        this.settings = settings;
+        this.version = version;
+        this.settingsOf = settingsOf;
         this.broken = broken;
     }
 
@@ -101,7 +109,9 @@
                                 done.accept(outcome);
                             });
                 };
-        HttpStateService state = new HttpStateService(loop, sender, settings.state());
+        Settings settings = settingsOf.apply(version);
+        Sender toState = version == Version.RECORDED ? RecordedVersion.around(sender) : sender;
+        HttpStateService state = new HttpStateService(loop, toState, settings.state());
         peers = new Peers(loop, settings, sender);
         controller =
                 new Controller(
@@ -124,6 +134,16 @@
         }
     }
 
+    /** Ends the process, unless it has ended already; it comes back as the other version. */
+    void replace(Version by, double forS) {
+        version = by;
+        crash(forS);
+    }
+
+    Version version() {
+        return version;
+    }
+
     /** The process stands still while its clocks run on; what comes for it waits. */
     void freeze(double until) {
         frozenUntil = until;
@@ -132,7 +152,9 @@
     @Override
     public void request(
             String from, String method, String path, byte[] body, Consumer<Reply> answer) {
-        take(controller::handle, SimWorld.call(method, path, body), answer);
+        byte[] known =
+                version == Version.RECORDED ? RecordedVersion.withoutAwaits(path, body) : body;
+        take(controller::handle, SimWorld.call(method, path, known), answer);
     }
 
     /** After a pause longer than a grant nothing may rest on what it knew before. */
--- /dev/null
+++ b/src/test/java/io/pepperfield/standin/StateLimits.java
@@ -0,0 +1,72 @@
+package io.pepperfield.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.config.Settings;
+import io.pepperfield.http.Call;
+import io.pepperfield.http.Json;
+
+/**
+ * What the state service allows: a larger value or transaction gets 400, what is beyond the rates
+ * 429. Both rates allow bursts of one second's worth.
+ */
+final class StateLimits {
+
+    static final int MALFORMED = 400;
+    static final int TOO_MANY = 429;
+    static final int ALLOWED = 0;
+    private static final int MOST_BYTES = 64 * 1024;
+    private static final int GUARDS_PER_CHANGE = 4;
+
+    private final Settings.State limits;
+    private double requests;
+    private double changes;
+    private double filledAt;
+
+    /** So many requests were refused for their size, and for the rates. */
+    int malformed;
+
+    int tooMany;
+
+    StateLimits(Settings.State limits, double now) {
+        this.limits = limits;
+        this.requests = limits.rps();
+        this.changes = limits.writeRps();
+        this.filledAt = now;
+    }
+
+    /** The status with which a request is refused, or {@link #ALLOWED}. */
+    int refusal(Call call, double now) {
+        requests = Math.min(limits.rps(), requests + (now - filledAt) * limits.rps());
+        changes = Math.min(limits.writeRps(), changes + (now - filledAt) * limits.writeRps());
+        filledAt = now;
+        boolean transaction = call.path().equals("/txn");
+        JsonNode body = transaction ? Json.read(call.body()) : null;
+        int writes = transaction ? body.path("apply").size() : 0;
+        if (transaction && tooLarge(body, call.body().length)) {
+            malformed++;
+            return MALFORMED;
+        }
+        if (requests < 1 || changes < writes) {
+            tooMany++;
+            return TOO_MANY;
+        }
+        requests -= 1;
+        changes -= writes;
+        return ALLOWED;
+    }
+
+    private boolean tooLarge(JsonNode transaction, int bytes) {
+        if (bytes > MOST_BYTES
+                || transaction.path("apply").size() > limits.txnOps()
+                || transaction.path("guards").size() > GUARDS_PER_CHANGE * limits.txnOps()) {
+            return true;
+        }
+        for (JsonNode change : transaction.path("apply")) {
+            if (change.has("data")
+                    && Json.write(change.get("data")).length > limits.valueKb() * 1024) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- a/src/test/java/io/pepperfield/standin/StateStandIn.java
+++ b/src/test/java/io/pepperfield/standin/StateStandIn.java
@@ -64,6 +64,15 @@
     /** While true nobody gets a new grant, so that nobody can be elected. */
     public boolean noGrants;
 
+    /** Until then every request about grants gets 429. */
+    double grantsRefusedUntil;
+
+    /** What it allows; null for everything. */
+    StateLimits limits;
+
+    /** Accepted jobs that were written a second time, which nobody may ever do. */
+    final List<String> rewrittenJobs = new ArrayList<>();
+
     /** Begins or ends an outage; at its end every grant has its full time again. */
     public void outage(boolean begins) {
         out = begins;
@@ -167,6 +176,11 @@
     public void handle(String from, Call call, Consumer<Reply> answer) {
         if (refused(from)) {
             answer.accept(Reply.empty(503));
+            return;
+        }
+        int refusal = out ? StateLimits.ALLOWED : refusal(call);
+        if (refusal != StateLimits.ALLOWED) {
+            answer.accept(Reply.empty(refusal));
         } else if (call.path().equals("/follow")) {
             String prefix = call.parameter("starts", "");
             long since = Long.parseLong(call.parameter("since", "0"));
@@ -184,6 +198,14 @@
         }
     }
 
+    private int refusal(Call call) {
+        double now = clock.getAsDouble();
+        if (call.path().startsWith("/grants") && now < grantsRefusedUntil) {
+            return StateLimits.TOO_MANY;
+        }
+        return limits == null ? StateLimits.ALLOWED : limits.refusal(call, now);
+    }
+
     private Reply now(Call call) {
         JsonNode body = Json.read(call.body());
         if (call.path().equals("/txn")) {
@@ -248,6 +270,9 @@
                 events.add(new Event(op.path("delete").asText(), null, generation));
             } else {
                 String key = op.path("set").asText();
+                if (key.startsWith("pepperfield/job/") && entries.containsKey(key)) {
+                    rewrittenJobs.add(key);
+                }
                 entries.put(
                         key, new Entry(op.get("data"), generation, op.path("claim").longValue()));
                 events.add(new Event(key, op.get("data"), generation));
--- a/src/test/java/io/pepperfield/standin/Trouble.java
+++ b/src/test/java/io/pepperfield/standin/Trouble.java
@@ -237,4 +237,40 @@
 
     /** The cloud answers everybody 503. */
     record CloudOutage(double forS) implements Trouble {}
+
+    /**
+     * Controllers are replaced by this version in random order, one or two at a time, within that
+     * time.
+     */
+    record Upgrade(double forS) implements Trouble {
+        static final int MOST_AT_ONCE = 2;
+        static final double DOWN_S = 5;
+
+        @Override
+        public double aftermathS() {
+            return DOWN_S;
+        }
+    }
+
+    /** Controllers end and come back as that version. */
+    record Replace(Controllers who, Version by, double forS) implements Trouble {}
+
+    /** The state service has its lower limits from now on. */
+    record LimitsFall() implements Trouble {
+        @Override
+        public double forS() {
+            return 0;
+        }
+    }
+
+    /** Every request about grants is refused as beyond the rate. */
+    record GrantsRefused(double forS) implements Trouble {}
+
+    /** Arrays of many small tasks of a team without a limit, one a second. */
+    record LargeArrays(int count, int tasks, double runS) implements Trouble {
+        @Override
+        public double forS() {
+            return count;
+        }
+    }
 }
--- a/src/test/java/io/pepperfield/standin/TroublePlayer.java
+++ b/src/test/java/io/pepperfield/standin/TroublePlayer.java
@@ -98,6 +98,19 @@
             world.slow(slow.byS(), until);
         } else if (trouble instanceof Trouble.ManyQuestions) {
             users.askMore(until);
+        } else if (trouble instanceof Trouble.Upgrade upgrade) {
+            new RollingUpgrade(region, Region.NODES).begin(upgrade);
+        } else if (trouble instanceof Trouble.Replace replace) {
+            each(replace.who(), node -> region.replace(node, replace.by(), replace.forS()));
+        } else if (trouble instanceof Trouble.LimitsFall) {
+            region.limitsFall();
+        } else if (trouble instanceof Trouble.GrantsRefused) {
+            region.refuseGrants(until);
+        } else if (trouble instanceof Trouble.LargeArrays arrays) {
+            for (int i = 0; i < arrays.count(); i++) {
+                int number = 800_000 + i;
+                world.after(i, () -> region.submitGuests(number, arrays.tasks(), arrays.runS()));
+            }
         } else {
             throw new IllegalArgumentException(trouble.toString());
         }
