Versions: every key and message in both directions

The traces hold shared run records, rentals, machine types and the leader key too. In the simulation all that controllers write, and say to each other, is checked against the forms of the recorded version. Tests for divided records, and for renewals and rates that are short.

--- a/src/test/java/io/pepperfield/peer/VersionsTest.java
+++ b/src/test/java/io/pepperfield/peer/VersionsTest.java
@@ -1,15 +1,27 @@
 package io.pepperfield.peer;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pepperfield.cloud.Cloud;
+import io.pepperfield.cloud.MachineType;
+import io.pepperfield.cloud.Renting;
+import io.pepperfield.cloud.TypesRecord;
+import io.pepperfield.fleet.Fleet;
 import io.pepperfield.http.Json;
+import io.pepperfield.jobs.Catalog;
 import io.pepperfield.jobs.JobMessages;
 import io.pepperfield.jobs.RunRecord;
 import io.pepperfield.jobs.Status;
+import io.pepperfield.leadership.Leadership;
 import io.pepperfield.standin.Trace;
+import io.pepperfield.standin.Transactions;
+import io.pepperfield.store.Keys;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 
@@ -50,6 +62,19 @@
                                     .toString(),
                             RunRecord.write(RunRecord.read(said)),
                             text);
+            case "shared" -> shared(said, text);
+            case "hire" -> hire(said);
+            case "types" -> {
+                List<MachineType> types = TypesRecord.read(said);
+                yield told(
+                        types.stream()
+                                .map(type -> type.name() + " " + type.zones())
+                                .toList()
+                                .toString(),
+                        TypesRecord.write(types),
+                        text);
+            }
+            case "leader" -> leader(said);
             case "relay" -> {
                 RelayMessages.Batch batch = RelayMessages.batch(said);
                 yield List.of(
@@ -94,6 +119,79 @@
         };
     }
 
+    /** As the catalog reads it, and as its jobs' lines are written again. */
+    private static List<String> shared(JsonNode said, String text) {
+        Catalog catalog = new Catalog(() -> 0);
+        ObjectNode again = Json.object();
+        List<String> read = new ArrayList<>();
+        said.fieldNames()
+                .forEachRemaining(
+                        id -> {
+                            catalog.changed(Keys.JOB + id, Json.object().put("n", 4));
+                            catalog.changed(Keys.SHARED + "41-1", said);
+                            List<RunRecord> lines = List.copyOf(catalog.get(id).lines());
+                            again.set(id, RunRecord.write(lines));
+                            lines.forEach(
+                                    line -> read.add(id + "/" + line.task() + " " + line.state()));
+                        });
+        return told(read.toString(), again, text);
+    }
+
+    /**
+     * An earlier leader's rental: asked for once more by its name, or its machines are expected.
+     */
+    private static List<String> hire(JsonNode said) {
+        List<String> read = new ArrayList<>();
+        Transactions state = new Transactions();
+        Fleet fleet = new Fleet(null, 42, 1);
+        Cloud cloud = new AskedCloud(read);
+        Renting renting = new Renting(state, cloud, null, fleet, 42, 1, 1, () -> true);
+        renting.restore("p41-1", said);
+        fleet.machines().forEach(m -> read.add("expects " + m.name + " " + m.type()));
+        return read;
+    }
+
+    /** Notes which rentals it is asked for, and answers nothing. */
+    private record AskedCloud(List<String> asked) implements Cloud {
+        @Override
+        public void types(Consumer<List<MachineType>> done) {}
+
+        @Override
+        public void rent(
+                String request,
+                String type,
+                String zone,
+                boolean spot,
+                int count,
+                Consumer<Rented> done) {
+            asked.add(
+                    "asks for "
+                            + request
+                            + ": "
+                            + count
+                            + " "
+                            + type
+                            + " in "
+                            + zone
+                            + ", "
+                            + spot);
+        }
+
+        @Override
+        public void release(List<String> names, Consumer<Boolean> done) {}
+
+        @Override
+        public void list(Consumer<List<Listed>> done) {}
+    }
+
+    /** Leads under the key that it wrote itself, and follows under another's. */
+    private static List<String> leader(JsonNode said) {
+        Transactions state = new Transactions();
+        Leadership leadership = new Leadership(state, state, "worker-9", 1, null);
+        leadership.leaderKey(said, 41);
+        return List.of("led by " + leadership.leader() + " with token " + leadership.leaderToken());
+    }
+
     private static List<String> told(String what, JsonNode now, String then) {
         return List.of(
                 what
--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -72,6 +72,7 @@
     private Region(long seed, Version version, Settings.State next) {
         world = new SimWorld(seed);
         state = new StateStandIn(world::now, 10_000);
+        state.broken = broken;
         state.limits = new StateLimits(LIMITS_NOW, world.now());
         stateLink = new StateLink(world, state);
         Map<String, SimJob> jobs = new LinkedHashMap<>();
@@ -681,9 +682,9 @@
         return got[0];
     }
 
-    /** Accepted jobs that were written a second time, or whose prerequisites are not durable. */
+    /** Accepted jobs whose prerequisites are not durable. */
     public List<String> alteredJobs() {
-        List<String> altered = new ArrayList<>(state.rewrittenJobs);
+        List<String> altered = new ArrayList<>();
         users.jobs.values().stream()
                 .filter(job -> job.accepted)
                 .filter(job -> !job.plan.awaits().equals(awaits(job.plan.id())))
--- a/src/test/java/io/pepperfield/standin/SimNode.java
+++ b/src/test/java/io/pepperfield/standin/SimNode.java
@@ -4,6 +4,7 @@
 import io.pepperfield.config.Settings;
 import io.pepperfield.fleet.HttpWorkers;
 import io.pepperfield.http.Call;
+import io.pepperfield.http.Json;
 import io.pepperfield.http.Outcome;
 import io.pepperfield.http.Reply;
 import io.pepperfield.http.Sender;
@@ -197,7 +198,18 @@
             @Override
             public void request(
                     String from, String method, String path, byte[] body, Consumer<Reply> answer) {
-                take(peers::handle, SimWorld.call(method, path, body), answer);
+                Call call = SimWorld.call(method, path, body);
+                checkForm(RecordedForms.request(method, path, Json.read(call.body())), call);
+                take(
+                        peers::handle,
+                        call,
+                        reply -> {
+                            checkForm(
+                                    reply.status() != 200
+                                            || RecordedForms.answer(path, Json.read(reply.body())),
+                                    call);
+                            answer.accept(reply);
+                        });
             }
 
             @Override
@@ -207,6 +219,12 @@
         };
     }
 
+    private void checkForm(boolean known, Call call) {
+        if (!known) {
+            broken.add(world.now() + " of another form: " + call.path() + " to node-" + index);
+        }
+    }
+
     /** An answer of a process that has ended meanwhile never leaves. */
     private void take(Handler by, Call call, Consumer<Reply> answer) {
         int mine = life;
--- a/src/test/java/io/pepperfield/standin/StateStandIn.java
+++ b/src/test/java/io/pepperfield/standin/StateStandIn.java
@@ -70,8 +70,11 @@
     /** What it allows; null for everything. */
     StateLimits limits;
 
-    /** Accepted jobs that were written a second time, which nobody may ever do. */
-    final List<String> rewrittenJobs = new ArrayList<>();
+    /**
+     * What no controller may ever write: an accepted job a second time, and what the recorded
+     * version could not read.
+     */
+    List<String> broken = new ArrayList<>();
 
     /** Begins or ends an outage; at its end every grant has its full time again. */
     public void outage(boolean begins) {
@@ -270,9 +273,7 @@
                 events.add(new Event(op.path("delete").asText(), null, generation));
             } else {
                 String key = op.path("set").asText();
-                if (key.startsWith("pepperfield/job/") && entries.containsKey(key)) {
-                    rewrittenJobs.add(key);
-                }
+                check(key, op.get("data"));
                 entries.put(
                         key, new Entry(op.get("data"), generation, op.path("claim").longValue()));
                 events.add(new Event(key, op.get("data"), generation));
@@ -284,6 +285,15 @@
         return Reply.json(200, result.put("generation", generation));
     }
 
+    private void check(String key, JsonNode data) {
+        if (key.startsWith("pepperfield/job/") && entries.containsKey(key)) {
+            broken.add(clock.getAsDouble() + " accepted twice: " + key);
+        }
+        if (!RecordedForms.value(key, data)) {
+            broken.add(clock.getAsDouble() + " of another form: " + key + " " + data);
+        }
+    }
+
     private Reply range(String prefix, String after, int limit) {
         ObjectNode body = Json.object().put("generation", generation);
         ArrayNode pairs = body.putArray("pairs");
--- a/src/test/java/io/pepperfield/store/BudgetTest.java
+++ b/src/test/java/io/pepperfield/store/BudgetTest.java
@@ -41,4 +41,44 @@
         ask("again", Urgency.JOB, 1);
         assertEquals(List.of("rush", "late refused", "again"), went);
     }
+
+    @Test
+    void aRenewalWaitsForNothingHoweverShortTheRatesAre() {
+        budget.share(2, 1, 1);
+        for (int i = 0; i < 20; i++) {
+            ask("question " + i, Urgency.READ, 0);
+            ask("submission " + i, Urgency.JOB, 1);
+            ask("start " + i, Urgency.RUN, 1);
+        }
+        for (int i = 0; i < 40; i++) {
+            went.clear();
+            ask("renewal", Urgency.GRANT, 0);
+            ask("election", Urgency.GRANT, 1);
+            assertEquals(List.of("renewal", "election"), went, "renewal " + i);
+            loop.run(0.25 * (i + 1));
+        }
+        // They are charged: the others wait for as long as it takes to pay for them.
+        went.clear();
+        ask("question", Urgency.READ, 0);
+        assertEquals(List.of(), went);
+    }
+
+    @Test
+    void ratesThatFallHoldFromThenOnAndNothingSavedUpIsLeftOver() {
+        budget.share(50, 40, 20);
+        loop.run(2);
+        budget.share(50, 10, 5);
+        for (int i = 0; i < 100; i++) {
+            ask("start", Urgency.RUN, 1);
+            ask("submission", Urgency.JOB, 1);
+        }
+        loop.run(2.5);
+        // A second's worth, and what half a second brings.
+        long starts = went.stream().filter("start"::equals).count();
+        long submissions = went.stream().filter("submission"::equals).count();
+        assertEquals(true, starts <= 10 + 6, "starts " + starts);
+        assertEquals(true, starts >= 10, "starts " + starts);
+        assertEquals(true, submissions <= 5 + 3, "submissions " + submissions);
+        assertEquals(true, submissions >= 5, "submissions " + submissions);
+    }
 }
--- a/src/test/java/io/pepperfield/store/WriterTest.java
+++ b/src/test/java/io/pepperfield/store/WriterTest.java
@@ -2,9 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.pepperfield.http.Json;
 import io.pepperfield.standin.Transactions;
 import io.pepperfield.store.Writer.Priority;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
@@ -165,6 +168,42 @@
                 "tried again once it may have changed");
     }
 
+    @Test
+    void aValueThatIsRefusedForItselfIsDividedAndWrittenAsAWhole() {
+        boolean[] divided = new boolean[1];
+        List<String> effects = new ArrayList<>();
+        Writer.Content content =
+                new Writer.Content() {
+                    @Override
+                    public Map<String, JsonNode> values() {
+                        Map<String, JsonNode> values = new LinkedHashMap<>();
+                        values.put("run 1", Json.object());
+                        if (divided[0]) {
+                            values.put("run 1b", Json.object());
+                        }
+                        return values;
+                    }
+
+                    @Override
+                    public boolean divide() {
+                        boolean possible = !divided[0];
+                        divided[0] = true;
+                        return possible;
+                    }
+                };
+        writer.mark("run 1", Priority.INTENT, content, List::of, () -> effects.add("start"), null);
+        writer.flush();
+        mark("run 2", Priority.INTENT);
+        refused();
+        // Two changes are allowed: the parts of the one leave together, and nothing beside them.
+        assertEquals(List.of(List.of("run 1"), List.of("run 1", "run 1b")), state.written);
+        assertEquals(List.of("run 1", "run 1b"), state.absent.get(1), "guarded by their stamps");
+        assertEquals(List.of(), effects);
+        answered();
+        assertEquals(List.of("start"), effects);
+        assertEquals(List.of("run 2"), state.written.get(2));
+    }
+
     private void refused() {
         state.underWay.accept(new StateService.TxnResult.Refused(400));
         state.pass();
