State service: a renewal never waits for a connection behind other requests

Nine kinds of requests can be under way at once, and there were six connections: while the service was slow, a renewal could wait for one of them and end a leadership. The newer of two lines is tested in both orders.

--- a/src/main/java/io/pepperfield/store/HttpStateService.java
+++ b/src/main/java/io/pepperfield/store/HttpStateService.java
@@ -15,7 +15,14 @@
 /** The state service over its published protocol; the only place that knows its field names. */
 public final class HttpStateService implements StateService {
 
-    private static final int CONNECTIONS = 6;
+    /**
+     * One for each kind of request that can be under way at once: the open watch, a confirmation, a
+     * reading in pages, submissions, cancellations, the leader's writes, a new token, the end of a
+     * grant and the renewal. While the service is slow, a renewal that had to wait for one of the
+     * others would come too late and end a leadership.
+     */
+    private static final int CONNECTIONS = 9;
+
     private static final int PAGE = 500;
 
     /**
--- a/src/test/java/io/pepperfield/jobs/SharedRecordsTest.java
+++ b/src/test/java/io/pepperfield/jobs/SharedRecordsTest.java
@@ -159,15 +159,20 @@
         // A divided record, of which an older version has written the first part whole again.
         catalog.changed(
                 Keys.run(spec.id(), 1),
-                Json.read("[[8,1,1,\"m1\",1],[9,2,2],[10,1,1,\"m1\",1],[11,3,0]]".getBytes()));
+                Json.read(
+                        "[[8,1,1,\"m1\",1],[9,2,2],[10,1,1,\"m1\",1],[11,3,0],[12,1,0]]"
+                                .getBytes()));
         catalog.changed(
                 Keys.run(spec.id(), 0),
-                Json.read("[[8,2,1,\"m2\",1],[9,1,1,\"m1\",1],[10,1,0],[11,2,3]]".getBytes()));
+                Json.read(
+                        "[[8,2,1,\"m2\",1],[9,1,1,\"m1\",1],[10,1,0],[11,2,3],[12,1,1,\"m1\",1]]"
+                                .getBytes()));
         Map<Integer, RunRecord> lines = new HashMap<>();
         catalog.get(spec.id()).lines().forEach(line -> lines.put(line.task(), line));
         assertEquals(new RunRecord(8, 2, RunRecord.State.LIVE, "m2", 1), lines.get(8));
         assertEquals(RunRecord.State.DONE, lines.get(9).state());
         assertEquals(RunRecord.State.GONE, lines.get(10).state());
         assertEquals(3, lines.get(11).attempt());
+        assertEquals(RunRecord.State.GONE, lines.get(12).state());
     }
 }
