Shared records: no more intents in one writing than a transaction takes guards

A shared record of the recorded version holds up to 64 jobs. When the limits had fallen and more of them were to begin at once than a transaction has guards, the writing was refused for ever and none began. Intents beyond that keep their earlier line and go into the next writing.

--- a/src/main/java/io/pepperfield/node/RunRecords.java
+++ b/src/main/java/io/pepperfield/node/RunRecords.java
@@ -22,6 +22,9 @@
  */
 final class RunRecords {
 
+    /** Each transaction is guarded by it. */
+    private static final int LEADER_KEY = 1;
+
     private final Writer writer;
     private final Replica replica;
     private final Ledger ledger;
@@ -32,6 +35,12 @@
     /** First keys of the records that this leader has divided. */
     private final Set<String> divided = new HashSet<>();
 
+    /**
+     * Jobs of shared records whose intents the last writing has left to the next one: each is
+     * guarded by its job's final state, and a transaction takes only so many guards.
+     */
+    private final Set<String> heldBack = new HashSet<>();
+
     /**
      * @param mostChanges in a transaction: a record is only divided if it fits into one
      */
@@ -58,7 +67,7 @@
                     priority,
                     sharedContent(key),
                     () -> openEnds(shared.jobs(key)),
-                    effect,
+                    effect == null ? null : () -> unlessHeldBack(job, task, priority, effect),
                     null);
             return;
         }
@@ -72,10 +81,37 @@
                 null);
     }
 
+    /** What was left out of this writing is not durable yet: it goes into the next one. */
+    private void unlessHeldBack(Job job, int task, Writer.Priority priority, Runnable effect) {
+        if (heldBack.contains(job.spec.id())) {
+            mark(job, task, priority, effect);
+        } else {
+            effect.run();
+        }
+    }
+
+    private void holdBack(Collection<Job> jobs) {
+        int left =
+                Math.max(1, Writer.GUARDS_PER_CHANGE * mostChanges - RunRecord.PARTS - LEADER_KEY);
+        for (Job job : jobs) {
+            heldBack.remove(job.spec.id());
+            if (intends(job) && left-- <= 0) {
+                heldBack.add(job.spec.id());
+            }
+        }
+    }
+
+    private boolean intends(Job job) {
+        return job.end() == null
+                && ledger.live(job).stream()
+                        .anyMatch(attempt -> attempt.phase() == Attempt.Phase.INTENDED);
+    }
+
     private Writer.Content sharedContent(String key) {
         return new Writer.Content() {
             @Override
             public Map<String, JsonNode> values() {
+                holdBack(shared.jobs(key));
                 return shared.content(key, member -> lines(member, 0));
             }
 
@@ -156,11 +192,7 @@
      */
     private List<String> openEnds(Collection<Job> of) {
         return of.stream()
-                .filter(
-                        job ->
-                                job.end() == null
-                                        && ledger.live(job).stream()
-                                                .anyMatch(a -> a.phase() == Attempt.Phase.INTENDED))
+                .filter(job -> intends(job) && !heldBack.contains(job.spec.id()))
                 .map(job -> Keys.END + job.spec.id())
                 .toList();
     }
@@ -196,6 +228,13 @@
         for (int task = chunk * job.spec.chunk(); task < end; task++) {
             int number = job.attempt(task);
             Attempt attempt = ledger.get(job, task);
+            if (attempt != null
+                    && attempt.phase() == Attempt.Phase.INTENDED
+                    && heldBack.contains(job.spec.id())) {
+                // As it was before: no order for this attempt has left.
+                attempt = null;
+                number--;
+            }
             if (job.isDone(task)) {
                 lines.add(new RunRecord(task, number, RunRecord.State.DONE, "", 0));
             } else if (attempt != null) {
--- a/src/main/java/io/pepperfield/store/Writer.java
+++ b/src/main/java/io/pepperfield/store/Writer.java
@@ -94,7 +94,7 @@
     private static final int MOST_BYTES = 40 * 1024;
 
     /** The state service takes so many times as many guards as changes. */
-    private static final int GUARDS_PER_CHANGE = 4;
+    public static final int GUARDS_PER_CHANGE = 4;
 
     /** HTTP's word for a request that will never be carried out as it is. */
     private static final int MALFORMED = 400;
--- a/src/test/java/io/pepperfield/node/UpgradeTest.java
+++ b/src/test/java/io/pepperfield/node/UpgradeTest.java
@@ -12,6 +12,8 @@
 import io.pepperfield.standin.Trouble.LateWrites;
 import io.pepperfield.standin.Trouble.LeaderChanges;
 import io.pepperfield.standin.Trouble.LimitsFall;
+import io.pepperfield.standin.Trouble.MachineReboot;
+import io.pepperfield.standin.Trouble.Machines;
 import io.pepperfield.standin.Trouble.NodeCrash;
 import io.pepperfield.standin.Trouble.NodeCut;
 import io.pepperfield.standin.Trouble.Pipelines;
@@ -211,6 +213,19 @@
                 seed);
     }
 
+    /** All jobs of a shared record of the old version begin once more, each with a guard. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void moreTasksBeginAtOnceThanATransactionHasGuards(long seed) {
+        play(
+                Scenario.jobs(4, 2)
+                        .at(10, new LargeArrays(44, 1, 100))
+                        .at(56, new Upgrade(9))
+                        .at(74, new LimitsFall())
+                        .at(75, new MachineReboot(Machines.share(1))),
+                seed);
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
     void theLimitsFallAmidAnElection(long seed) {
