Pipelines in the simulation: durable ends before any start, cancellations at every stage

PipelineRules takes over the checks from SimUsers and SimMachines and makes them stricter: too_early asks for the durable final state (before: for the completed tasks), ran_cancelled counts from the cancellation of an ancestor, and an answer that is older than what a user was told of an ancestor is a fault at once, not only after cancel_s.

--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -8,7 +8,6 @@
 import io.pepperfield.http.Reply;
 import io.pepperfield.peer.Partitions;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +35,7 @@
 
     public final SimWorld world;
     public final List<String> broken = new ArrayList<>();
+    public final Pipelines pipelines;
     final StateStandIn state;
     final StateLink stateLink;
     final ReportCopies copies;
@@ -55,8 +55,10 @@
         state = new StateStandIn(world::now, 10_000);
         stateLink = new StateLink(world, state);
         Map<String, SimJob> jobs = new LinkedHashMap<>();
-        machines = new SimMachines(world, broken, jobs);
-        users = new SimUsers(world, broken, machines, jobs);
+        PipelineRules rules = new PipelineRules(world, broken, jobs, this::durablyDone);
+        machines = new SimMachines(world, broken, jobs, rules);
+        users = new SimUsers(world, broken, machines, jobs, rules);
+        pipelines = new Pipelines(world, users, this::team);
         troubles = new TroublePlayer(this, machines, users);
         copies = new ReportCopies(world, nodes);
         machines.reported = copies::reported;
@@ -256,39 +258,6 @@
                         .inOneZone());
     }
 
-    /**
-     * A pipeline of five jobs: two need the first, one needs both, and the last needs that and the
-     * first. Each is submitted as soon as those that it needs are accepted; of one pipeline in
-     * three the last only when the others are over, of one in three a job is cancelled.
-     */
-    public void submitPipeline(int number) {
-        List<JobPlan> jobs = new ArrayList<>();
-        int[][] needs = {{}, {0}, {0}, {1, 2}, {0, 3}};
-        int cancelled = world.random.nextInt(3 * needs.length);
-        String team = team();
-        for (int i = 0; i < needs.length; i++) {
-            JobPlan plan =
-                    JobPlan.array(
-                                    number + i,
-                                    "batch",
-                                    team,
-                                    i == 4 ? "urgent" : "best_effort",
-                                    1 + world.random.nextInt(4),
-                                    2,
-                                    List.of(2 + 4 * world.random.nextDouble()),
-                                    true)
-                            .after(
-                                    Arrays.stream(needs[i])
-                                            .mapToObj(n -> JobPlan.id(number + n))
-                                            .toList());
-            jobs.add(
-                    i == cancelled
-                            ? plan.cancelledAt(world.now() + 30 * world.random.nextDouble())
-                            : plan);
-        }
-        users.submitPipeline(jobs, world.random.nextInt(3) == 0);
-    }
-
     /** A single small task, of one in four its user calls off. */
     public void submitSingle(int number) {
         JobPlan plan =
@@ -583,6 +552,11 @@
         return state.get(key);
     }
 
+    private boolean durablyDone(String id) {
+        JsonNode end = state.get("pepperfield/end/" + id);
+        return end != null && end.path("s").asText().equals("done");
+    }
+
     public List<String> reusedRentalNames() {
         return cloud.reused;
     }
--- a/src/test/java/io/pepperfield/standin/SimMachines.java
+++ b/src/test/java/io/pepperfield/standin/SimMachines.java
@@ -29,6 +29,7 @@
     private final SimWorld world;
     private final List<String> broken;
     private final Map<String, SimJob> jobs;
+    private final PipelineRules rules;
     private final Map<String, WorkerStandIn> workers = new TreeMap<>();
     private final Set<String> deleted = new HashSet<>();
     private final Map<String, Double> mutedUntil = new HashMap<>();
@@ -48,10 +49,12 @@
     int startsAfterCancel;
     int lostTasks;
 
-    SimMachines(SimWorld world, List<String> broken, Map<String, SimJob> jobs) {
+    SimMachines(
+            SimWorld world, List<String> broken, Map<String, SimJob> jobs, PipelineRules rules) {
         this.world = world;
         this.broken = broken;
         this.jobs = jobs;
+        this.rules = rules;
     }
 
     List<WorkerStandIn> all() {
@@ -231,11 +234,7 @@
         if (!Double.isNaN(job.cancelledAt)) {
             startsAfterCancel++;
         }
-        for (String needed : plan.awaits()) {
-            if (!jobs.get(needed).complete()) {
-                says("too_early: " + task + " before " + needed);
-            }
-        }
+        rules.begins(job, task);
         WorkerStandIn other = job.on.put(SimJob.number(task), worker);
         if (other != null && other.alive()) {
             says("ran_twice: " + task + " on " + other.name + " and " + worker.name);
@@ -289,14 +288,14 @@
         for (SimJob job : jobs.values()) {
             if (!job.saidRanCancelled
                     && !job.on.isEmpty()
-                    && world.now() > job.cancelledAt + Region.CANCEL_S) {
+                    && world.now() > rules.cancelledAt(job) + Region.CANCEL_S) {
                 says(
                         "ran_cancelled: "
                                 + job.plan.id()
                                 + " "
                                 + job.on.keySet()
                                 + ", cancelled at "
-                                + job.cancelledAt);
+                                + rules.cancelledAt(job));
                 job.saidRanCancelled = true;
             }
         }
--- /dev/null
+++ b/src/test/java/io/pepperfield/standin/SimPipeline.java
@@ -0,0 +1,96 @@
+package io.pepperfield.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** One pipeline of which a job is cancelled at a chosen moment. */
+final class SimPipeline {
+
+    private static final double STEP_S = 0.05;
+
+    private final SimWorld world;
+    private final SimUsers users;
+    private final PipelineShape shape;
+    private final List<JobPlan> plans;
+    private final int cancelled;
+    private final CancelMoment moment;
+    private int submitted;
+    private boolean cancelAsked;
+
+    SimPipeline(
+            SimWorld world,
+            SimUsers users,
+            PipelineShape shape,
+            List<JobPlan> plans,
+            int cancelled,
+            CancelMoment moment) {
+        this.world = world;
+        this.users = users;
+        this.shape = shape;
+        this.plans = plans;
+        this.cancelled = cancelled;
+        this.moment = moment;
+    }
+
+    /** Submits what may be submitted by now, cancels when it is time, and comes back soon. */
+    void step() {
+        boolean named = false;
+        while (submitted < plans.size() && acceptedBefore(submitted)) {
+            JobPlan next = plans.get(submitted++);
+            users.submit(next);
+            named |= next.awaits().contains(plans.get(cancelled).id());
+        }
+        if (!cancelAsked && submitted > cancelled && job(cancelled).accepted && due(named)) {
+            cancelAsked = true;
+            users.cancel(job(cancelled));
+        }
+        if (submitted < plans.size() || !cancelAsked && !job(cancelled).last.equals("cancelled")) {
+            world.after(STEP_S, this::step);
+        }
+    }
+
+    private SimJob job(int index) {
+        return users.jobs.get(plans.get(index).id());
+    }
+
+    private boolean acceptedBefore(int index) {
+        return plans.get(index).awaits().stream().allMatch(id -> users.jobs.get(id).accepted);
+    }
+
+    private boolean due(boolean named) {
+        SimJob job = job(cancelled);
+        return switch (moment) {
+            case ACCEPTED -> true;
+            case NAMED -> named || cancelled == plans.size() - 1;
+            case RUNNING -> !job.on.isEmpty() || job.complete();
+            case COMPLETE -> job.complete();
+            case DONE -> job.last.equals("done");
+        };
+    }
+
+    boolean wasCancelled() {
+        return job(cancelled).last.equals("cancelled");
+    }
+
+    /** Jobs that are not cancelled though one before them is, or are though nobody asked. */
+    List<String> wronglyEnded() {
+        List<String> wrong = new ArrayList<>();
+        Set<Integer> lost = new TreeSet<>();
+        for (int i = 0; i < plans.size(); i++) {
+            boolean needsLost = false;
+            for (int needed : shape.needs(i)) {
+                needsLost |= lost.contains(needed);
+            }
+            if (needsLost || job(i).cancelAsked && job(i).last.equals("cancelled")) {
+                lost.add(i);
+            }
+            String want = lost.contains(i) ? "cancelled" : "done";
+            if (!job(i).last.equals(want)) {
+                wrong.add(plans.get(i).id() + " is " + job(i).last + ", not " + want);
+            }
+        }
+        return wrong;
+    }
+}
--- a/src/test/java/io/pepperfield/standin/SimUsers.java
+++ b/src/test/java/io/pepperfield/standin/SimUsers.java
@@ -28,6 +28,7 @@
     private final List<String> broken;
     private final SimMachines machines;
     final Map<String, SimJob> jobs;
+    private final PipelineRules rules;
     private final List<String> leftWaiting = new ArrayList<>();
     private double stormUntil;
     private double looksUntil;
@@ -38,11 +39,17 @@
     /** When all troubles are over; only then users expect to be served. */
     double calmAt = Double.POSITIVE_INFINITY;
 
-    SimUsers(SimWorld world, List<String> broken, SimMachines machines, Map<String, SimJob> jobs) {
+    SimUsers(
+            SimWorld world,
+            List<String> broken,
+            SimMachines machines,
+            Map<String, SimJob> jobs,
+            PipelineRules rules) {
         this.world = world;
         this.broken = broken;
         this.machines = machines;
         this.jobs = jobs;
+        this.rules = rules;
         machines.completed = this::ended;
     }
 
@@ -96,32 +103,6 @@
         }
     }
 
-    /**
-     * The first moment at which a user was told that one of the jobs it needs is cancelled;
-     * infinite where there is none.
-     */
-    private double cancelledBefore(SimJob job) {
-        double first = Double.POSITIVE_INFINITY;
-        for (String needed : job.plan.awaits()) {
-            SimJob before = jobs.get(needed);
-            first =
-                    Math.min(
-                            first,
-                            Math.min(
-                                    cancelledBefore(before),
-                                    Double.isNaN(before.cancelledAt)
-                                            ? Double.POSITIVE_INFINITY
-                                            : before.cancelledAt));
-        }
-        return first;
-    }
-
-    /** Whether its user or that of a job that it needs has asked to cancel it. */
-    private boolean mayBeCancelled(SimJob job) {
-        return job.cancelAsked
-                || job.plan.awaits().stream().map(jobs::get).anyMatch(this::mayBeCancelled);
-    }
-
     void cancel(SimJob job) {
         job.cancelAsked = true;
         repeat(
@@ -227,7 +208,8 @@
             Consumer<Integer> then) {
         boolean accepted = job.accepted;
         String before = job.last;
-        boolean orphan = world.now() > Region.CANCEL_S + cancelledBefore(job);
+        double askedAt = world.now();
+        double ancestorCancelledAt = rules.ancestorCancelledAt(job);
         String asked =
                 path.replace("/api/jobs", method) + " at " + world.now() + " from node-" + node;
         send(
@@ -257,8 +239,8 @@
                                             + ", "
                                             + asked);
                         }
-                        if (orphan && !SimJob.isFinal(told) && method.equals("GET")) {
-                            says("orphaned: " + job.plan.id() + " is " + told + ", " + asked);
+                        if (status == 200) {
+                            rules.answered(job, told, askedAt, ancestorCancelledAt);
                         }
                         heard(job, told);
                     }
@@ -295,7 +277,7 @@
             says("not_done: " + job.plan.id() + " has completed " + job.completed);
         }
         if (status.equals("cancelled")) {
-            if (!mayBeCancelled(job)) {
+            if (!rules.mayBeCancelled(job)) {
                 says("went_back: " + job.plan.id() + " is cancelled and nobody asked");
             }
             if (Double.isNaN(job.cancelledAt)) {
--- a/src/test/java/io/pepperfield/standin/TroublePlayer.java
+++ b/src/test/java/io/pepperfield/standin/TroublePlayer.java
@@ -92,7 +92,7 @@
                 int number = 700_000 + 10 * i;
                 world.after(
                         i * pipelines.forS() / pipelines.count(),
-                        () -> region.submitPipeline(number));
+                        () -> region.pipelines.submitAny(number));
             }
         } else if (trouble instanceof Trouble.SlowLinks slow) {
             world.slow(slow.byS(), until);
