Pipelines: a lent rank leaves with its job, and a job is ready since the durable end before it

A job kept the rank of a dependant that was cancelled, until the leader changed: ranks were remembered (Job.raise). Now RankInheritance derives them from the unfinished jobs, counted by rank, in whatever order jobs become known; a step for each edge over which a rank changes. And under a new leader the times of a ready job's class began anew: the moment now rides in the value of the final state ("at"), which the recorded version ignores (VersionsTest holds its way of reading).

The operators' status says the rank and since when a waiting job waits.

--- a/src/main/java/io/pepperfield/jobs/Catalog.java
+++ b/src/main/java/io/pepperfield/jobs/Catalog.java
@@ -15,6 +15,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
@@ -49,6 +50,14 @@
         }
     }
 
+    /** A durable final state. */
+    private record End(Status status, OptionalLong doneMs) {
+
+        static End of(JsonNode data) {
+            return new End(JobMessages.end(data), JobMessages.doneMs(data));
+        }
+    }
+
     /** One accepted job. */
     public static final class Record {
         private final JobSpec spec;
@@ -65,8 +74,31 @@
         /** Jobs that it needs and that are not known to be done. */
         private final Set<String> awaited = new LinkedHashSet<>();
 
+        /** When it was done itself. */
+        private OptionalLong doneMs = OptionalLong.empty();
+
+        /** When the last of the jobs was done that it needs and that are done. */
+        private OptionalLong readyMs;
+
         private Record(JobSpec spec) {
             this.spec = spec;
+            this.readyMs = OptionalLong.of(spec.acceptedMs());
+        }
+
+        /**
+         * Of a job that is ready: the time of day at which it was submitted or the last job that it
+         * needs was done, whichever is later; empty where a final state does not say.
+         */
+        public OptionalLong readyMs() {
+            return readyMs;
+        }
+
+        private void neededIsDone(Record needed) {
+            readyMs =
+                    readyMs.isPresent() && needed.doneMs.isPresent()
+                            ? OptionalLong.of(
+                                    Math.max(readyMs.getAsLong(), needed.doneMs.getAsLong()))
+                            : OptionalLong.empty();
         }
 
         /** Whether all jobs that it needs are durably done. */
@@ -128,7 +160,7 @@
     }
 
     private final Map<String, Record> records = new HashMap<>();
-    private final Map<String, Status> endsBeforeJobs = new HashMap<>();
+    private final Map<String, End> endsBeforeJobs = new HashMap<>();
     private final Map<String, List<String>> inShared = new HashMap<>();
 
     /** Of each job that is not over, those that need it. */
@@ -226,22 +258,26 @@
             Record record = new Record(JobMessages.fromDurable(id, data));
             if (records.putIfAbsent(id, record) == null) {
                 awaits(record);
-                Status end = endsBeforeJobs.remove(id);
+                End end = endsBeforeJobs.remove(id);
                 if (end != null && record.end == null) {
                     end(record, end);
                 }
             }
         } else if (key.startsWith(Keys.END)) {
             String id = key.substring(Keys.END.length());
-            Status end = JobMessages.end(data);
+            End end = End.of(data);
             Record record = records.get(id);
             if (record == null) {
                 // A reading in pages brings the keys in their order, ends before jobs.
                 endsBeforeJobs.put(id, end);
             } else if (record.end == null) {
                 end(record, end);
-            } else if (record.end != end) {
-                LOG.error("{} was {} and is called {} in the state service", id, record.end, end);
+            } else if (record.end != end.status) {
+                LOG.error(
+                        "{} was {} and is called {} in the state service",
+                        id,
+                        record.end,
+                        end.status);
             }
         } else if (key.startsWith(Keys.SHARED)) {
             // What is left out now is over with nothing alive: its old lines must not come to life
@@ -268,6 +304,7 @@
         for (String needed : record.spec.awaits()) {
             Record other = records.get(needed);
             if (other != null && other.end == Status.DONE) {
+                record.neededIsDone(other);
                 continue;
             }
             record.awaited.add(needed);
@@ -276,7 +313,7 @@
             lost |= other != null && other.end == Status.CANCELLED;
         }
         if (lost) {
-            end(record, Status.CANCELLED);
+            end(record, new End(Status.CANCELLED, OptionalLong.empty()));
         }
     }
 
@@ -286,8 +323,9 @@
      * every node from the moment at which it knows the one final state, and nothing has to be
      * written for the jobs after it. Without recursion, since chains may be long.
      */
-    private void end(Record first, Status end) {
-        first.end = end;
+    private void end(Record first, End end) {
+        first.end = end.status;
+        first.doneMs = end.doneMs;
         ArrayDeque<Record> ended = new ArrayDeque<>(List.of(first));
         while (!ended.isEmpty()) {
             Record record = ended.poll();
@@ -300,6 +338,7 @@
             for (Record after : waiting == null ? List.<Record>of() : waiting) {
                 if (record.end == Status.DONE) {
                     after.awaited.remove(record.spec.id());
+                    after.neededIsDone(record);
                 } else if (after.end == null) {
                     after.end = Status.CANCELLED;
                     ended.add(after);
--- a/src/main/java/io/pepperfield/jobs/Job.java
+++ b/src/main/java/io/pepperfield/jobs/Job.java
@@ -32,7 +32,7 @@
      */
     private boolean awaiting;
 
-    /** Its description with the highest rank of all jobs that need it. */
+    /** Its description with the rank of {@link RankInheritance}. */
     private JobSpec placed;
 
     private final BitSet waiting;
@@ -113,16 +113,9 @@
         return placed;
     }
 
-    /**
-     * A job of that rank needs it: it may be treated as having the same. True where that is higher
-     * than before.
-     */
-    public boolean raise(JobSpec.Rank rank) {
-        boolean higher = rank.compareTo(placed.rank()) < 0;
-        if (higher) {
-            placed = spec.ranked(rank);
-        }
-        return higher;
+    /** The highest rank among its own and those of the unfinished jobs that need it. */
+    public void placedAs(JobSpec.Rank rank) {
+        placed = rank == spec.rank() ? spec : spec.ranked(rank);
     }
 
     public int doneCount() {
--- a/src/main/java/io/pepperfield/jobs/JobMessages.java
+++ b/src/main/java/io/pepperfield/jobs/JobMessages.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.regex.Pattern;
 
@@ -271,6 +272,21 @@
         return Json.object().put("s", status.word());
     }
 
+    /**
+     * @param doneMs time of day, from which the times of the jobs that need it count; versions that
+     *     do not know the field ignore it
+     */
+    public static ObjectNode durableDone(long doneMs) {
+        return durableEnd(Status.DONE).put("at", doneMs);
+    }
+
+    /** When the job was done, or empty where the version that wrote it did not say. */
+    public static OptionalLong doneMs(JsonNode durable) {
+        return durable.path("at").isIntegralNumber()
+                ? OptionalLong.of(durable.path("at").longValue())
+                : OptionalLong.empty();
+    }
+
     public static Status end(JsonNode durable) {
         return durable.path("s").asText().equals(Status.DONE.word())
                 ? Status.DONE
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -17,6 +17,7 @@
 import io.pepperfield.jobs.Job;
 import io.pepperfield.jobs.JobMessages;
 import io.pepperfield.jobs.JobSpec;
+import io.pepperfield.jobs.RankInheritance;
 import io.pepperfield.jobs.RunRecord;
 import io.pepperfield.jobs.SharedRecords;
 import io.pepperfield.jobs.Status;
@@ -26,7 +27,6 @@
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.Replica;
 import io.pepperfield.store.Writer;
-import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -56,6 +56,8 @@
     private final Renting renting;
     private final Cloud cloud;
     private final Map<String, Job> jobs = new LinkedHashMap<>();
+    private final RankInheritance ranks =
+            new RankInheritance((id, rank) -> jobs.get(id).placedAs(rank));
     private final RunRecords records;
     private final DirectOrders direct;
     private final LeaderOverview overview;
@@ -163,7 +165,9 @@
             }
         }
         records.restore(catalog.shared(), jobs);
-        List.copyOf(jobs.values()).forEach(job -> await(job, catalog.get(job.spec.id())));
+        jobs.values().stream()
+                .filter(job -> job.end() == null)
+                .forEach(job -> await(job, catalog.get(job.spec.id())));
         if (types.known()) {
             typesHeard();
         }
@@ -237,35 +241,33 @@
             await(jobs.get(id), record);
             dispatcher.wake();
         } else if (job != null && job.isAwaiting() && record.end() == null && record.ready()) {
-            job.ready(loop.now());
+            job.ready(readyAt(record));
             dispatcher.wake();
         } else if (job != null && job.end() == null && record.end() != null) {
             ended(job, record.end());
         }
     }
 
-    /** A job that needs others waits for them, and lends them its rank. */
+    /** A job that is not over waits for those that it needs, and lends them its rank. */
     private void await(Job job, Catalog.Record record) {
         if (!record.ready()) {
             job.awaiting();
         } else if (!job.spec.awaits().isEmpty()) {
-            // When it became ready is not durable: its times begin now.
-            job.ready(loop.now());
-        }
-        ArrayDeque<Job> raised = new ArrayDeque<>(List.of(job));
-        while (!raised.isEmpty()) {
-            Job after = raised.poll();
-            for (String needed : after.spec.awaits()) {
-                Job before = jobs.get(needed);
-                if (before != null && before.raise(after.placed().rank())) {
-                    raised.add(before);
-                }
-            }
+            job.ready(readyAt(record));
         }
+        ranks.added(job.spec);
+    }
+
+    /** By this leader's clock; now where the final states, by an older version, do not say. */
+    private double readyAt(Catalog.Record record) {
+        long sinceMs =
+                record.readyMs().isPresent() ? loop.wallMs() - record.readyMs().getAsLong() : 0;
+        return loop.now() - Math.max(0, sinceMs / 1000.0);
     }
 
     private void ended(Job job, Status end) {
         job.end(end, catalog.get(job.spec.id()).openAsOf());
+        ranks.removed(job.spec);
         if (end == Status.DONE) {
             records.drop(job);
         }
@@ -440,10 +442,11 @@
     private void endIfDone(Job job, Runnable settle) {
         if (over(job)) {
             String key = Keys.END + job.spec.id();
+            long doneMs = loop.wallMs();
             writer.mark(
                     key,
                     Writer.Priority.END,
-                    () -> JobMessages.durableEnd(Status.DONE),
+                    () -> JobMessages.durableDone(doneMs),
                     () -> {
                         settle.run();
                         ended(job, Status.DONE);
--- a/src/main/java/io/pepperfield/node/LeaderOverview.java
+++ b/src/main/java/io/pepperfield/node/LeaderOverview.java
@@ -10,6 +10,7 @@
 import io.pepperfield.placement.PlacementRequest;
 import io.pepperfield.placement.Share;
 import io.pepperfield.store.Writer;
+import java.util.Locale;
 import java.util.Map;
 
 /** What operators see of a leadership. */
@@ -152,6 +153,8 @@
                     .put("job", job.spec.id())
                     .put("team", job.spec.team())
                     .put("tasks", request.waiting())
+                    .put("rank", job.placed().rank().name().toLowerCase(Locale.ROOT))
+                    .put("waitedS", Math.round(10 * (now - job.readyAt())) / 10.0)
                     .put(
                             "why",
                             limited
--- a/src/test/java/io/pepperfield/jobs/PipelineTest.java
+++ b/src/test/java/io/pepperfield/jobs/PipelineTest.java
@@ -9,6 +9,7 @@
 import io.pepperfield.http.Json;
 import io.pepperfield.store.Keys;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -123,4 +124,39 @@
         assertEquals(
                 List.of(id(1)), JobMessages.fromDurable(id(2), JobMessages.durable(spec)).awaits());
     }
+
+    private void done(int number, long atMs) {
+        catalog.changed(Keys.END + id(number), JobMessages.durableDone(atMs));
+    }
+
+    private OptionalLong readyMs(int number) {
+        return catalog.get(id(number)).readyMs();
+    }
+
+    @Test
+    void itsTimesCountFromTheEndOfTheLastJobThatItNeeds() {
+        accepted(1);
+        accepted(2);
+        accepted(3, 1, 2);
+        done(2, 9_000);
+        done(1, 7_000);
+        assertEquals(OptionalLong.of(9_000), readyMs(3));
+        // Submitted when these are over: from its submission, where that is later.
+        accepted(4, 1, 2);
+        assertEquals(OptionalLong.of(9_000), readyMs(4));
+        catalog.changed(
+                Keys.JOB + id(5),
+                Json.object().put("at", 11_000).set("aw", Json.array().add(id(1))));
+        assertEquals(OptionalLong.of(11_000), readyMs(5));
+        // An end by the version before does not say when.
+        accepted(6);
+        accepted(7, 1, 6);
+        ended(6, Status.DONE);
+        assertEquals(OptionalLong.empty(), readyMs(7));
+        // A reading brings ends before jobs.
+        done(8, 12_000);
+        accepted(9, 8);
+        accepted(8);
+        assertEquals(OptionalLong.of(12_000), readyMs(9));
+    }
 }
--- /dev/null
+++ b/src/test/java/io/pepperfield/jobs/RankInheritanceTest.java
@@ -0,0 +1,112 @@
+package io.pepperfield.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pepperfield.http.Json;
+import io.pepperfield.jobs.JobSpec.Rank;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** Which rank the jobs of a pipeline are placed by, while jobs come and go. */
+class RankInheritanceTest {
+
+    private final Map<String, Rank> placed = new HashMap<>();
+    private final RankInheritance ranks = new RankInheritance(placed::put);
+
+    private static JobSpec job(int number, Rank rank, int... needed) {
+        var durable = Json.object().put("n", 1).put("k", 10).put("r", rank.ordinal());
+        for (int other : needed) {
+            durable.withArray("aw").add(id(other));
+        }
+        return JobMessages.fromDurable(id(number), durable);
+    }
+
+    private static String id(int number) {
+        return String.format("run-%06d", number);
+    }
+
+    private Rank rank(int number) {
+        return placed.get(id(number));
+    }
+
+    @Test
+    void aRankReachesAllThatIsNeededAndLeavesWithTheJobThatLentIt() {
+        JobSpec standard = job(3, Rank.STANDARD, 2);
+        JobSpec urgent = job(4, Rank.URGENT, 2);
+        ranks.added(job(1, Rank.BEST_EFFORT));
+        ranks.added(job(2, Rank.BEST_EFFORT, 1));
+        ranks.added(standard);
+        assertEquals(Rank.STANDARD, rank(1));
+        ranks.added(urgent);
+        assertEquals(Rank.URGENT, rank(1));
+        assertEquals(Rank.URGENT, rank(2));
+        ranks.removed(urgent);
+        assertEquals(Rank.STANDARD, rank(1));
+        assertEquals(Rank.STANDARD, rank(2));
+        ranks.removed(standard);
+        assertEquals(Rank.BEST_EFFORT, rank(1));
+        assertEquals(Rank.BEST_EFFORT, rank(2));
+    }
+
+    @Test
+    void aJobKeepsItsOwnRankWhereThatIsHigher() {
+        JobSpec last = job(2, Rank.BEST_EFFORT, 1);
+        ranks.added(job(1, Rank.PRODUCTION));
+        ranks.added(last);
+        ranks.removed(last);
+        assertEquals(Map.of(), placed);
+    }
+
+    @Test
+    void theOrderInWhichJobsBecomeKnownMakesNoDifference() {
+        List<JobSpec> jobs = new ArrayList<>();
+        Random random = new Random(5);
+        for (int i = 0; i < 60; i++) {
+            int[] needed = new int[i == 0 ? 0 : 1 + random.nextInt(2)];
+            for (int n = 0; n < needed.length; n++) {
+                needed[n] = random.nextInt(i);
+            }
+            jobs.add(job(i, Rank.values()[random.nextInt(4)], needed));
+        }
+        jobs.forEach(ranks::added);
+        List<JobSpec> gone =
+                jobs.subList(30, 60).stream().filter(j -> random.nextBoolean()).toList();
+        gone.forEach(ranks::removed);
+        Map<String, Rank> afterwards = new HashMap<>();
+        RankInheritance newLeaders = new RankInheritance(afterwards::put);
+        List<JobSpec> left = new ArrayList<>(jobs);
+        left.removeAll(gone);
+        Collections.shuffle(left, random);
+        left.forEach(newLeaders::added);
+        for (JobSpec job : left) {
+            assertEquals(
+                    placed.getOrDefault(job.id(), job.rank()),
+                    afterwards.getOrDefault(job.id(), job.rank()),
+                    job.id());
+        }
+    }
+
+    @Test
+    void workGrowsWithTheEdgesAndNothingIsKeptOfWhatIsOver() {
+        int many = 20_000;
+        List<JobSpec> jobs = new ArrayList<>(List.of(job(0, Rank.BEST_EFFORT)));
+        for (int i = 1; i < many; i++) {
+            // A chain on which a fan hangs.
+            jobs.add(job(i, Rank.BEST_EFFORT, i % 2 == 0 ? i - 2 : 0));
+        }
+        jobs.add(job(many, Rank.URGENT, many - 2));
+        jobs.forEach(ranks::added);
+        assertEquals(Rank.URGENT, rank(0));
+        assertTrue(ranks.steps() < 5L * many, "steps " + ranks.steps());
+        // All are cancelled with the first one.
+        jobs.forEach(ranks::removed);
+        assertTrue(ranks.steps() < 8L * many, "steps " + ranks.steps());
+        assertEquals(0, ranks.size());
+    }
+}
--- /dev/null
+++ b/src/test/java/io/pepperfield/node/PipelineQueueTest.java
@@ -0,0 +1,89 @@
+package io.pepperfield.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.http.Json;
+import io.pepperfield.standin.Region;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** By which rank and since when the jobs of a pipeline wait, also under the next leader. */
+class PipelineQueueTest {
+
+    private final Region region = new Region(31);
+
+    /** What the leader shows of a job that waits. */
+    private JsonNode waiting(String job) {
+        return Json.read(region.answer(region.leaderIndex(), "GET", "/api/nodes").body())
+                .path("waiting")
+                .valueStream()
+                .filter(line -> line.path("job").asText().equals(job))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private JsonNode job(String id) {
+        return Json.read(region.answer(1, "GET", "/api/jobs/" + id).body());
+    }
+
+    private void run(double seconds) {
+        region.world.run(region.world.now() + seconds);
+    }
+
+    private void changeLeader() {
+        String before = region.leader();
+        region.crash(region.leaderIndex(), 20);
+        run(6);
+        assertNotEquals(before, region.leader());
+    }
+
+    @Test
+    void aRankThatWasRaisedFallsBackAndIsTheSameUnderTheNextLeader() {
+        run(8);
+        // The team's whole limit for as long as this takes.
+        region.pipelines.submitArray(1, "production", 12, 2, 400);
+        run(20);
+        region.pipelines.submitArray(2, "best_effort", 1, 2, 5);
+        run(1);
+        region.pipelines.submitArray(3, "urgent", 1, 2, 5, 2);
+        region.pipelines.submitArray(4, "standard", 1, 2, 5, 2);
+        run(1);
+        assertEquals("urgent", waiting("run-000002").path("rank").asText());
+        assertEquals("waits for run-000002", waiting("run-000003").path("why").asText());
+        assertEquals("run-000002", job("run-000003").path("waitsFor").path(0).asText());
+        region.pipelines.cancel(3);
+        run(1);
+        assertEquals("standard", waiting("run-000002").path("rank").asText());
+        changeLeader();
+        assertEquals("standard", waiting("run-000002").path("rank").asText());
+        region.pipelines.cancel(4);
+        run(1);
+        assertEquals("best_effort", waiting("run-000002").path("rank").asText());
+        assertEquals(List.of(), region.broken);
+    }
+
+    @Test
+    void aJobWaitsSinceTheLastOneThatItNeedsWasDoneAlsoForTheNextLeader() {
+        run(8);
+        region.pipelines.submitArray(2, "production", 1, 2, 10);
+        run(1);
+        region.pipelines.submitArray(3, "urgent", 1, 4, 5, 2);
+        // Takes whatever room there is before the job of the lower rank.
+        region.pipelines.submitArray(1, "production", 12, 2, 400);
+        while (!job("run-000002").path("status").asText().equals("done")) {
+            assertTrue(region.world.now() < 100, "not done");
+            run(0.5);
+        }
+        double done = region.world.now();
+        run(5);
+        double waited = waiting("run-000003").path("waitedS").asDouble();
+        assertEquals(region.world.now() - done, waited, 2);
+        changeLeader();
+        assertEquals(
+                region.world.now() - done, waiting("run-000003").path("waitedS").asDouble(), 2);
+        assertEquals(List.of(), region.broken);
+    }
+}
--- a/src/test/java/io/pepperfield/peer/VersionsTest.java
+++ b/src/test/java/io/pepperfield/peer/VersionsTest.java
@@ -8,8 +8,10 @@
 import io.pepperfield.standin.Trace;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 
@@ -42,6 +44,23 @@
                             JobMessages.end(said).word(),
                             JobMessages.durableEnd(Status.valueOf(JobMessages.end(said).name())),
                             text);
+            case "end-now" -> {
+                OptionalLong doneMs = JobMessages.doneMs(said);
+                List<String> lines =
+                        new ArrayList<>(
+                                told(
+                                        JobMessages.end(said).word()
+                                                + " at "
+                                                + (doneMs.isPresent()
+                                                        ? doneMs.getAsLong()
+                                                        : "an unknown time"),
+                                        doneMs.isPresent()
+                                                ? JobMessages.durableDone(doneMs.getAsLong())
+                                                : JobMessages.durableEnd(Status.DONE),
+                                        text));
+                lines.add("the recorded version reads " + endAsRecorded(said).word());
+                yield lines;
+            }
             case "run" ->
                     told(
                             RunRecord.read(said).stream()
@@ -94,6 +113,13 @@
         };
     }
 
+    /** As {@code JobMessages.end} of the recorded version c7a624d; nothing else reads the value. */
+    private static Status endAsRecorded(JsonNode durable) {
+        return durable.path("s").asText().equals(Status.DONE.word())
+                ? Status.DONE
+                : Status.CANCELLED;
+    }
+
     private static List<String> told(String what, JsonNode now, String then) {
         return List.of(
                 what
--- a/src/test/java/io/pepperfield/standin/Pipelines.java
+++ b/src/test/java/io/pepperfield/standin/Pipelines.java
@@ -42,6 +42,18 @@
         pipeline.step();
     }
 
+    /** An array that needs the jobs with these numbers, which must be accepted. */
+    public void submitArray(
+            int number, String rank, int tasks, double cpus, double runS, int... needed) {
+        users.submit(
+                JobPlan.array(number, "batch", "red", rank, tasks, cpus, List.of(runS), true)
+                        .after(Arrays.stream(needed).mapToObj(JobPlan::id).toList()));
+    }
+
+    public void cancel(int number) {
+        users.cancel(users.jobs.get(JobPlan.id(number)));
+    }
+
     private List<JobPlan> plans(int number, PipelineShape shape, int mostTasks) {
         List<JobPlan> plans = new ArrayList<>();
         String of = team.get();
