Pipelines: work, memory and answers bounded for fans of thousands and full lists of needs

The projection predicted a needed job's remaining time anew for each edge, once for each of a fan's thousands; now once a pass, and a job reached over several ways is not looked at again. The catalog kept a copy of an id for each job that needs it, in the description and in the set of what is awaited; now a reference and a count, and the replica drops descriptions that the catalog holds. A job's state names the first 16 jobs it waits for and how many more there are; so does the operators' status.

PipelineTest compares lists in their order where it compared sets. Seen to fail: the new tests of ReadyTimes and of the catalog with the sources before.

--- a/src/main/java/io/pepperfield/jobs/Catalog.java
+++ b/src/main/java/io/pepperfield/jobs/Catalog.java
@@ -9,7 +9,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -30,6 +29,9 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Catalog.class);
 
+    /** So many of the jobs that one waits for are shown to its user. */
+    private static final int MOST_SHOWN = 16;
+
     /**
      * One durable run record, with how many of its tasks are done, may be alive, or failed where
      * they were last tried.
@@ -59,7 +61,7 @@
     }
 
     /** One accepted job. */
-    public static final class Record {
+    public final class Record {
         private final JobSpec spec;
         private Status end;
         private double openAsOf;
@@ -71,8 +73,8 @@
         private int running;
         private int failed;
 
-        /** Jobs that it needs and that are not known to be done. */
-        private final Set<String> awaited = new LinkedHashSet<>();
+        /** How many of the jobs that it needs are not known to be done. */
+        private int unfinished;
 
         /** When it was done itself. */
         private OptionalLong doneMs = OptionalLong.empty();
@@ -103,12 +105,15 @@
 
         /** Whether all jobs that it needs are durably done. */
         public boolean ready() {
-            return awaited.isEmpty();
+            return unfinished == 0;
         }
 
-        /** The jobs that it still waits for. */
-        public Set<String> awaited() {
-            return Collections.unmodifiableSet(awaited);
+        /**
+         * The jobs that it still waits for; found when asked for, as thousands of jobs may each
+         * need hundreds.
+         */
+        public List<String> awaited() {
+            return spec.awaits().stream().filter(id -> !isDone(id)).toList();
         }
 
         public JobSpec spec() {
@@ -151,8 +156,16 @@
                             running > 0 ? Status.RUNNING : Status.PENDING,
                             done,
                             running);
-            if (!awaited.isEmpty()) {
-                awaited.forEach(state.putArray("waitsFor")::add);
+            if (!ready()) {
+                // Users ask every few seconds: a list as long as a value allows would be most of
+                // what this node sends.
+                spec.awaits().stream()
+                        .filter(id -> !isDone(id))
+                        .limit(MOST_SHOWN)
+                        .forEach(state.withArray("waitsFor")::add);
+                if (unfinished > MOST_SHOWN) {
+                    state.put("waitsForMore", unfinished - MOST_SHOWN);
+                }
             }
             // Why a job that was submitted with a mistake does not get on.
             return failed > 0 ? state.put("failed", failed) : state;
@@ -161,6 +174,10 @@
 
     private final Map<String, Record> records = new HashMap<>();
     private final Map<String, End> endsBeforeJobs = new HashMap<>();
+
+    /** Ids that some job needs and whose own job a reading has not brought yet. */
+    private final Map<String, String> namedBeforeJobs = new HashMap<>();
+
     private final Map<String, List<String>> inShared = new HashMap<>();
 
     /** Of each job that is not over, those that need it. */
@@ -254,8 +271,10 @@
             return;
         }
         if (key.startsWith(Keys.JOB)) {
-            String id = key.substring(Keys.JOB.length());
-            Record record = new Record(JobMessages.fromDurable(id, data));
+            String named = key.substring(Keys.JOB.length());
+            String known = namedBeforeJobs.remove(named);
+            String id = known == null ? named : known;
+            Record record = new Record(JobMessages.fromDurable(id, data).needing(this::shared));
             if (records.putIfAbsent(id, record) == null) {
                 awaits(record);
                 End end = endsBeforeJobs.remove(id);
@@ -298,6 +317,24 @@
         }
     }
 
+    /**
+     * The id as the job itself has it: a copy for each job that needs it would fill the heap where
+     * thousands need hundreds, and descriptions stay for ever.
+     */
+    private String shared(String id) {
+        Record record = records.get(id);
+        if (record != null) {
+            return record.spec.id();
+        }
+        String known = namedBeforeJobs.putIfAbsent(id, id);
+        return known == null ? id : known;
+    }
+
+    private boolean isDone(String id) {
+        Record record = records.get(id);
+        return record != null && record.end == Status.DONE;
+    }
+
     /** Notes what the job needs; it is over at once if any of that is known to be cancelled. */
     private void awaits(Record record) {
         boolean lost = false;
@@ -307,7 +344,7 @@
                 record.neededIsDone(other);
                 continue;
             }
-            record.awaited.add(needed);
+            record.unfinished++;
             // Also where it is not known yet: a reading in pages may bring it later.
             dependants.computeIfAbsent(needed, n -> new ArrayList<>()).add(record);
             lost |= other != null && other.end == Status.CANCELLED;
@@ -337,7 +374,7 @@
             List<Record> waiting = dependants.remove(record.spec.id());
             for (Record after : waiting == null ? List.<Record>of() : waiting) {
                 if (record.end == Status.DONE) {
-                    after.awaited.remove(record.spec.id());
+                    after.unfinished--;
                     after.neededIsDone(record);
                 } else if (after.end == null) {
                     after.end = Status.CANCELLED;
--- a/src/main/java/io/pepperfield/jobs/JobSpec.java
+++ b/src/main/java/io/pepperfield/jobs/JobSpec.java
@@ -1,6 +1,7 @@
 package io.pepperfield.jobs;
 
 import java.util.List;
+import java.util.function.UnaryOperator;
 
 /**
  * What a user asked for.
@@ -79,12 +80,21 @@
 
     /** The same job with another rank. */
     public JobSpec ranked(Rank other) {
+        return copy(other, awaits);
+    }
+
+    /** The same job, with the ids of those that it needs as {@code shared} has them. */
+    JobSpec needing(UnaryOperator<String> shared) {
+        return awaits.isEmpty() ? this : copy(rank, awaits.stream().map(shared).toList());
+    }
+
+    private JobSpec copy(Rank otherRank, List<String> otherAwaits) {
         return new JobSpec(
                 id,
                 workload,
                 team,
                 shape,
-                other,
+                otherRank,
                 tasks,
                 cpus,
                 gpus,
@@ -102,7 +112,7 @@
                 dueS,
                 acceptedMs,
                 chunk,
-                awaits);
+                otherAwaits);
     }
 
     public boolean saves() {
--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -261,11 +261,11 @@
     }
 
     /**
-     * The catalog keeps run records in its own short form, for as long as they say something; of
-     * their keys only the stamps.
+     * The catalog keeps descriptions and run records in its own short form, the latter for as long
+     * as they say something; of their keys only the stamps are needed.
      */
     private void lighten(String key) {
-        if (key.startsWith(Keys.RUN) || key.startsWith(Keys.SHARED)) {
+        if (key.startsWith(Keys.JOB) || key.startsWith(Keys.RUN) || key.startsWith(Keys.SHARED)) {
             replica.lighten(key);
         }
     }
--- a/src/main/java/io/pepperfield/node/LeaderOverview.java
+++ b/src/main/java/io/pepperfield/node/LeaderOverview.java
@@ -10,12 +10,16 @@
 import io.pepperfield.placement.PlacementRequest;
 import io.pepperfield.placement.Share;
 import io.pepperfield.store.Writer;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 
 /** What operators see of a leadership. */
 final class LeaderOverview {
 
+    /** So many of the jobs that one waits for are named. */
+    private static final int MOST_SHOWN = 16;
+
     private final ClusterState cluster;
     private final Dispatcher dispatcher;
     private final Writer writer;
@@ -132,11 +136,7 @@
                                         .put("tasks", job.spec.tasks())
                                         .put(
                                                 "why",
-                                                "waits for "
-                                                        + String.join(
-                                                                ", ",
-                                                                catalog.get(job.spec.id())
-                                                                        .awaited())));
+                                                waitsFor(catalog.get(job.spec.id()).awaited())));
         for (PlacementRequest request : dispatcher.requests(now)) {
             Job job = cluster.jobs().get(request.job().id());
             if (job.suspect()) {
@@ -164,4 +164,11 @@
                                             : "no machine has room");
         }
     }
+
+    /** Bounded, as a job may need as many as its description holds. */
+    private static String waitsFor(List<String> jobs) {
+        String shown = String.join(", ", jobs.subList(0, Math.min(MOST_SHOWN, jobs.size())));
+        int more = jobs.size() - MOST_SHOWN;
+        return "waits for " + shown + (more > 0 ? " and " + more + " more" : "");
+    }
 }
--- a/src/main/java/io/pepperfield/predict/ReadyTimes.java
+++ b/src/main/java/io/pepperfield/predict/ReadyTimes.java
@@ -16,6 +16,7 @@
     private final Function<String, Collection<String>> needs;
     private final ToDoubleFunction<String> remaining;
     private final Map<String, Double> readyIn = new HashMap<>();
+    private final Map<String, Double> doneIn = new HashMap<>();
 
     /**
      * @param needs the jobs that a job needs and that are not done, without cycles
@@ -28,23 +29,28 @@
     }
 
     /**
-     * Seconds until the last job that it needs is predicted to be done. Without recursion: chains
-     * may be long.
+     * Seconds until the last job that it needs is predicted to be done. Without recursion, since
+     * chains may be long; each edge is gone over a fixed number of times, however often it is
+     * asked.
      */
     public double readyIn(String job) {
         ArrayDeque<String> open = new ArrayDeque<>();
         open.push(job);
         while (!open.isEmpty()) {
             String top = open.peek();
+            if (readyIn.containsKey(top)) {
+                // Needed by several, and reached through another of them meanwhile.
+                open.pop();
+                continue;
+            }
             double latest = 0;
             boolean known = true;
             for (String needed : needs.apply(top)) {
-                Double before = readyIn.get(needed);
-                if (before == null) {
+                if (readyIn.containsKey(needed)) {
+                    latest = Math.max(latest, doneIn(needed));
+                } else {
                     open.push(needed);
                     known = false;
-                } else {
-                    latest = Math.max(latest, before + remaining.applyAsDouble(needed));
                 }
             }
             if (known) {
@@ -54,4 +60,9 @@
         }
         return readyIn.get(job);
     }
+
+    /** Of a job whose readiness is known; a fan asks for the same one thousands of times. */
+    private double doneIn(String job) {
+        return doneIn.computeIfAbsent(job, id -> readyIn.get(id) + remaining.applyAsDouble(id));
+    }
 }
--- a/src/test/java/io/pepperfield/jobs/PipelineTest.java
+++ b/src/test/java/io/pepperfield/jobs/PipelineTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -10,7 +11,7 @@
 import io.pepperfield.store.Keys;
 import java.util.List;
 import java.util.OptionalLong;
-import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** What a node knows of jobs that need others, as the news of the state service reach it. */
@@ -45,7 +46,7 @@
         accepted(1);
         accepted(2);
         accepted(3, 1, 2);
-        assertEquals(Set.of(id(1), id(2)), catalog.get(id(3)).awaited());
+        assertEquals(List.of(id(1), id(2)), catalog.get(id(3)).awaited());
         assertEquals("pending", catalog.get(id(3)).answer().path("status").asText());
         assertEquals(2, catalog.get(id(3)).answer().path("waitsFor").size());
         catalog.takeAffected();
@@ -56,7 +57,7 @@
         assertEquals(List.of(id(3)), catalog.takeAffected());
         // Submitted when all that it needs is over.
         accepted(4, 1, 3);
-        assertEquals(Set.of(id(3)), catalog.get(id(4)).awaited());
+        assertEquals(List.of(id(3)), catalog.get(id(4)).awaited());
     }
 
     @Test
@@ -159,4 +160,30 @@
         accepted(8);
         assertEquals(OptionalLong.of(12_000), readyMs(9));
     }
+
+    @Test
+    void manyJobsThatNeedManyCostAReferenceEachAndAShortAnswer() {
+        int[] many = IntStream.range(0, 500).toArray();
+        // A reading may bring some of them only afterwards.
+        for (int number = 0; number < 250; number++) {
+            accepted(number);
+        }
+        accepted(1000, many);
+        for (int number = 250; number < 500; number++) {
+            accepted(number);
+        }
+        Catalog.Record record = catalog.get(id(1000));
+        for (int number : many) {
+            // The same object, not an equal one.
+            assertSame(catalog.get(id(number)).spec().id(), record.spec().awaits().get(number));
+        }
+        assertTrue(Json.write(record.answer()).length < 500, record.answer().toString());
+        assertEquals(id(0), record.answer().path("waitsFor").path(0).asText());
+        assertEquals(484, record.answer().path("waitsForMore").asInt());
+        for (int number : many) {
+            ended(number, Status.DONE);
+        }
+        assertTrue(record.ready());
+        assertFalse(record.answer().has("waitsFor"));
+    }
 }
--- a/src/test/java/io/pepperfield/predict/ReadyTimesTest.java
+++ b/src/test/java/io/pepperfield/predict/ReadyTimesTest.java
@@ -1,6 +1,7 @@
 package io.pepperfield.predict;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -41,4 +42,39 @@
         needs.put("fan", all);
         assertEquals(20_001, new ReadyTimes(needs::get, job -> 1).readyIn("fan"));
     }
+
+    @Test
+    void workGrowsWithTheEdgesAndEachJobsTimeIsPredictedOnce() {
+        Map<String, List<String>> needs = new HashMap<>();
+        int layers = 20;
+        int width = 100;
+        for (int layer = 0; layer < layers; layer++) {
+            for (int i = 0; i < width; i++) {
+                List<String> before = new ArrayList<>();
+                for (int n = 0; layer > 0 && n < width; n++) {
+                    before.add((layer - 1) + "/" + n);
+                }
+                needs.put(layer + "/" + i, before);
+            }
+        }
+        int[] predicted = new int[1];
+        int[] lookedUp = new int[1];
+        ReadyTimes times =
+                new ReadyTimes(
+                        job -> {
+                            lookedUp[0]++;
+                            return needs.get(job);
+                        },
+                        job -> {
+                            predicted[0]++;
+                            return 1;
+                        });
+        for (String job : needs.keySet()) {
+            times.readyIn(job);
+        }
+        assertEquals(layers - 1, times.readyIn((layers - 1) + "/0"));
+        int jobs = layers * width;
+        assertTrue(predicted[0] <= jobs, "predicted " + predicted[0]);
+        assertTrue(lookedUp[0] <= 2 * jobs, "looked up " + lookedUp[0]);
+    }
 }
