Pipelines: what is no list of ids is refused with its field and bound; the told path reaches dependants

A description that is too long for the state service is refused with the field that makes it so and the bytes that it may take; before, the text named neither. The trace of users' answers has every malformed awaits, a full one, a known job with either, duplicates, null, an empty list and an id among several that was never accepted; the command line shows the field on one line and ends with 1.

--- a/src/main/java/io/pepperfield/jobs/JobMessages.java
+++ b/src/main/java/io/pepperfield/jobs/JobMessages.java
@@ -220,6 +220,11 @@
         return node.put("t", job.oneZone()).put("sp", job.spread()).put("re", job.spot());
     }
 
+    /** What the list of needed jobs takes of the durable form. */
+    static int awaitsBytes(JobSpec job) {
+        return Json.write(durable(job)).length - Json.write(durable(job.withoutAwaits())).length;
+    }
+
     public static JobSpec fromDurable(String id, JsonNode n) {
         List<String> types = null;
         if (n.has("f")) {
--- a/src/main/java/io/pepperfield/jobs/JobSpec.java
+++ b/src/main/java/io/pepperfield/jobs/JobSpec.java
@@ -88,6 +88,10 @@
         return awaits.isEmpty() ? this : copy(rank, awaits.stream().map(shared).toList());
     }
 
+    JobSpec withoutAwaits() {
+        return copy(rank, List.of());
+    }
+
     private JobSpec copy(Rank otherRank, List<String> otherAwaits) {
         return new JobSpec(
                 id,
--- a/src/main/java/io/pepperfield/jobs/UserRequests.java
+++ b/src/main/java/io/pepperfield/jobs/UserRequests.java
@@ -100,8 +100,9 @@
             return;
         }
         JsonNode durable = JobMessages.durable(job);
-        if (Json.write(durable).length > mostValueBytes) {
-            unlessKnown(id, Reply.error(400, "the names are too long, or awaits too many"), answer);
+        String tooLong = tooLong(job, Json.write(durable).length);
+        if (tooLong != null) {
+            unlessKnown(id, Reply.error(400, tooLong), answer);
             return;
         }
         String refusal;
@@ -144,6 +145,23 @@
                 });
     }
 
+    /** Which field makes the description too long to be stored, or null. */
+    private String tooLong(JobSpec job, int bytes) {
+        if (bytes <= mostValueBytes) {
+            return null;
+        }
+        int listBytes = JobMessages.awaitsBytes(job);
+        return bytes - listBytes < mostValueBytes
+                ? "awaits: want at most "
+                        + (mostValueBytes - bytes + listBytes)
+                        + " bytes of JSON beside the other fields, not "
+                        + listBytes
+                : "flavours and names: want at most "
+                        + mostValueBytes
+                        + " bytes in all, not "
+                        + (bytes - listBytes);
+    }
+
     private void accept(String id, JsonNode durable, Consumer<Reply> answer) {
         submissions.create(
                 Keys.JOB + id,
--- a/src/test/java/io/pepperfield/jobs/UserAnswersTraceTest.java
+++ b/src/test/java/io/pepperfield/jobs/UserAnswersTraceTest.java
@@ -1,5 +1,6 @@
 package io.pepperfield.jobs;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Reply;
@@ -10,6 +11,7 @@
 import io.pepperfield.store.StateService;
 import io.pepperfield.store.Sync;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -55,8 +57,10 @@
     }
 
     private void say(String[] words, Reply reply) {
-        String status = Json.read(reply.body()).path("status").asText();
-        decisions.add((words[0] + " " + words[1] + ": " + reply.status() + " " + status).strip());
+        JsonNode body = Json.read(reply.body());
+        boolean tellsWhy = words.length > 2 && List.of("awaits", "full").contains(words[2]);
+        String said = body.path("status").asText(tellsWhy ? body.path("error").asText() : "");
+        decisions.add((words[0] + " " + words[1] + ": " + reply.status() + " " + said).strip());
     }
 
     private void begin() {
@@ -84,7 +88,7 @@
         sync.start();
     }
 
-    /** submit NUMBER [unfit | undecided | incomplete | needs NUMBER] */
+    /** submit NUMBER [unfit | undecided | incomplete | needs NUMBER | awaits JSON | full] */
     private static ObjectNode submission(String[] words) {
         String what = words.length > 2 ? words[2] : "";
         ObjectNode body =
@@ -110,6 +114,12 @@
                         .put("snapshotS", 0.0);
         if (what.equals("needs")) {
             body.putArray("awaits").add("run-00000" + words[3]);
+        } else if (what.equals("awaits")) {
+            body.set("awaits", Json.read(words[3].getBytes(StandardCharsets.UTF_8)));
+        } else if (what.equals("full")) {
+            for (int i = 0; i < 600; i++) {
+                body.withArray("awaits").add("run-" + (100_000 + i));
+            }
         }
         return what.equals("incomplete") ? body.without(List.of("rank")) : body;
     }
--- a/src/test/java/io/pepperfield/node/LeaseRenewalTest.java
+++ b/src/test/java/io/pepperfield/node/LeaseRenewalTest.java
@@ -30,7 +30,7 @@
     private final LeaseRenewal renewal =
             new LeaseRenewal(new Settings.Workers(4, 22, 47), catalog, () -> knownUpTo);
 
-    private void accepted(String id) {
+    private void accepted(String id, String... needed) {
         catalog.changed(
                 Keys.JOB + id,
                 JobMessages.durable(
@@ -57,7 +57,7 @@
                                 null,
                                 0,
                                 8,
-                                List.of())));
+                                List.of(needed))));
     }
 
     private void alive(String id, String machine) {
@@ -145,4 +145,28 @@
         assertFalse(
                 Order.anyStop(Json.read("[{\"verb\":\"run\"},{\"verb\":\"clear\"}]".getBytes())));
     }
+
+    /**
+     * It is cancelled with its ancestor, wherever that was confirmed and whether this node read of
+     * it or was told by another.
+     */
+    @Test
+    void theCancellationOfAnAncestorCountsForAJobThatNeedsIt() {
+        accepted("run-000001");
+        accepted("run-000002", "run-000001");
+        accepted("run-000003", "run-000002");
+        cancelled("run-000001");
+        // No leader starts anything of it; what a line calls alive all the same is waited for.
+        alive("run-000003", "m1");
+        knownUpTo = 70;
+        assertEquals(60, renewal.settledByOwnKnowledge(report("m1")));
+        Report running = report("m1", line("run-000003", 3, Report.State.RUNNING));
+        assertEquals(70, renewal.settledByOwnKnowledge(running));
+        assertEquals(
+                List.of(new Order.Stop(new TaskRef("run-000003", 0), 3, 0)),
+                renewal.stops(running));
+        // Read again as its own cancellation: still open as of 60, not as of later.
+        cancelled("run-000003");
+        assertEquals(60, renewal.settledByOwnKnowledge(report("m1")));
+    }
 }
--- a/src/test/java/io/pepperfield/node/LoopbackTest.java
+++ b/src/test/java/io/pepperfield/node/LoopbackTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.pepperfield.cli.Main;
 import io.pepperfield.config.Operators;
 import io.pepperfield.config.Settings;
 import io.pepperfield.config.SettingsReader;
@@ -19,8 +20,13 @@
 import io.pepperfield.standin.CloudStandIn;
 import io.pepperfield.standin.StateStandIn;
 import io.pepperfield.standin.WorkerStandIn;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -36,6 +42,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import picocli.CommandLine;
 
 /** Three controllers over loopback, with stand-ins of everything else behind real sockets. */
 class LoopbackTest implements WorkerStandIn.Truth {
@@ -309,6 +316,42 @@
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
+    private int submitByCommandLine(ObjectNode job, ByteArrayOutputStream said) throws IOException {
+        Path file = Files.createTempFile("job", ".json");
+        PrintStream before = System.err;
+        System.setErr(new PrintStream(said, true, StandardCharsets.UTF_8));
+        try {
+            Files.write(file, Json.write(job));
+            return new CommandLine(new Main())
+                    .execute("submit", file.toString(), "--server", "127.0.0.1:" + ports.get(1));
+        } finally {
+            System.setErr(before);
+            Files.delete(file);
+        }
+    }
+
+    @Test
+    void theCommandLineNamesTheOffendingFieldOnOneLine() throws Exception {
+        until(1, "POST", "/api/jobs", Json.write(job(1)), a -> a.status() == 201);
+        ObjectNode bad = job(2);
+        bad.putArray("awaits").add("run-000001").add(7);
+        ObjectNode stranger = job(2);
+        stranger.putArray("awaits").add("run-000001").add("run-000009");
+        ByteArrayOutputStream said = new ByteArrayOutputStream();
+        assertEquals(1, submitByCommandLine(bad, said));
+        assertEquals(1, submitByCommandLine(stranger, said));
+        List<String> lines =
+                said.toString(StandardCharsets.UTF_8)
+                        .lines()
+                        .filter(line -> line.startsWith("pepperfield: "))
+                        .toList();
+        assertEquals(
+                List.of(
+                        "pepperfield: 400: awaits: want an array of job ids",
+                        "pepperfield: 422: awaits: run-000009 was never accepted"),
+                lines);
+    }
+
     @Test
     void answersJobsAndSurvivesTheLeader() throws Exception {
         until(0, "POST", "/api/jobs", Json.write(job(1)), a -> a.status() == 201);
--- a/src/test/java/io/pepperfield/node/PipelineQueueTest.java
+++ b/src/test/java/io/pepperfield/node/PipelineQueueTest.java
@@ -1,6 +1,7 @@
 package io.pepperfield.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -26,7 +27,18 @@
     }
 
     private JsonNode job(String id) {
-        return Json.read(region.answer(1, "GET", "/api/jobs/" + id).body());
+        return job(1, id);
+    }
+
+    private JsonNode job(int node, String id) {
+        return Json.read(region.answer(node, "GET", "/api/jobs/" + id).body());
+    }
+
+    private boolean waits(int node, String job) {
+        return Json.read(region.answer(node, "GET", "/api/nodes").body())
+                .path("waiting")
+                .valueStream()
+                .anyMatch(line -> line.path("job").asText().equals(job));
     }
 
     private void run(double seconds) {
@@ -86,4 +98,30 @@
                 region.world.now() - done, waiting("run-000003").path("waitedS").asDouble(), 2);
         assertEquals(List.of(), region.broken);
     }
+
+    @Test
+    void aLeaderWithoutTheStateServiceIsToldOfACancellationAndActsOnItsDependantsToo() {
+        run(8);
+        region.pipelines.submitArray(1, "production", 12, 2, 400);
+        run(20);
+        region.pipelines.submitArray(2, "best_effort", 1, 2, 5);
+        run(1);
+        region.pipelines.submitArray(3, "standard", 1, 2, 5, 2);
+        run(1);
+        region.pipelines.submitArray(4, "standard", 1, 2, 5, 3);
+        run(1);
+        int leader = region.leaderIndex();
+        assertTrue(waits(leader, "run-000002") && waits(leader, "run-000004"));
+        region.world.cut("node-" + leader, "10.2.0.1", region.world.now() + 2);
+        // Answered by another, whose word reaches the leader directly.
+        region.pipelines.cancel(2, (leader + 1) % 3);
+        run(0.5);
+        assertEquals(leader, region.leaderIndex());
+        for (String lost : List.of("run-000002", "run-000003", "run-000004")) {
+            assertFalse(waits(leader, lost), lost);
+            assertEquals("cancelled", job(leader, lost).path("status").asText());
+        }
+        run(30);
+        assertEquals(List.of(), region.broken);
+    }
 }
--- a/src/test/java/io/pepperfield/standin/Pipelines.java
+++ b/src/test/java/io/pepperfield/standin/Pipelines.java
@@ -50,6 +50,10 @@
                         .after(Arrays.stream(needed).mapToObj(JobPlan::id).toList()));
     }
 
+    public void cancel(int number, int node) {
+        users.cancelAt(users.jobs.get(JobPlan.id(number)), node);
+    }
+
     public void cancel(int number) {
         users.cancel(users.jobs.get(JobPlan.id(number)));
     }
--- a/src/test/java/io/pepperfield/standin/SimUsers.java
+++ b/src/test/java/io/pepperfield/standin/SimUsers.java
@@ -103,6 +103,13 @@
         }
     }
 
+    /** Once, at that node. */
+    void cancelAt(SimJob job, int node) {
+        job.cancelAsked = true;
+        String path = "/api/jobs/" + job.plan.id() + "/cancel";
+        ask(job, node, "POST", path, new byte[0], 5000, status -> {});
+    }
+
     void cancel(SimJob job) {
         job.cancelAsked = true;
         repeat(
