--- a/src/main/java/io/pepperfield/jobs/Catalog.java
+++ b/src/main/java/io/pepperfield/jobs/Catalog.java
@@ -9,13 +9,13 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
@@ -30,6 +30,9 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Catalog.class);
 
+    /** So many of the jobs that one waits for are shown to its user. */
+    private static final int MOST_SHOWN = 16;
+
     /**
      * One durable run record, with how many of its tasks are done, may be alive, or failed where
      * they were last tried.
@@ -50,8 +53,16 @@
         }
     }
 
+    /** A durable final state. */
+    private record End(Status status, OptionalLong doneMs) {
+
+        static End of(JsonNode data) {
+            return new End(JobMessages.end(data), JobMessages.doneMs(data));
+        }
+    }
+
     /** One accepted job. */
-    public static final class Record {
+    public final class Record {
         private final JobSpec spec;
         private Status end;
         private double openAsOf;
@@ -63,21 +74,47 @@
         private int running;
         private int failed;
 
-        /** Jobs that it needs and that are not known to be done. */
-        private final Set<String> awaited = new LinkedHashSet<>();
+        /** How many of the jobs that it needs are not known to be done. */
+        private int unfinished;
+
+        /** When it was done itself. */
+        private OptionalLong doneMs = OptionalLong.empty();
+
+        /** When the last of the jobs was done that it needs and that are done. */
+        private OptionalLong readyMs;
 
         private Record(JobSpec spec) {
             this.spec = spec;
+            this.readyMs = OptionalLong.of(spec.acceptedMs());
+        }
+
+        /**
+         * Of a job that is ready: the time of day at which it was submitted or the last job that it
+         * needs was done, whichever is later; empty where a final state does not say.
+         */
+        public OptionalLong readyMs() {
+            return readyMs;
+        }
+
+        private void neededIsDone(Record needed) {
+            readyMs =
+                    readyMs.isPresent() && needed.doneMs.isPresent()
+                            ? OptionalLong.of(
+                                    Math.max(readyMs.getAsLong(), needed.doneMs.getAsLong()))
+                            : OptionalLong.empty();
         }
 
         /** Whether all jobs that it needs are durably done. */
         public boolean ready() {
-            return awaited.isEmpty();
+            return unfinished == 0;
         }
 
-        /** The jobs that it still waits for. */
-        public Set<String> awaited() {
-            return Collections.unmodifiableSet(awaited);
+        /**
+         * The jobs that it still waits for; found when asked for, as thousands of jobs may each
+         * need hundreds.
+         */
+        public List<String> awaited() {
+            return spec.awaits().stream().filter(id -> !isDone(id)).toList();
         }
 
         /** What its user asked for. */
@@ -132,8 +169,16 @@
                             running > 0 ? Status.RUNNING : Status.PENDING,
                             done,
                             running);
-            if (!awaited.isEmpty()) {
-                awaited.forEach(state.putArray("waitsFor")::add);
+            if (!ready()) {
+                // Users ask every few seconds: a list as long as a value allows would be most of
+                // what this node sends.
+                spec.awaits().stream()
+                        .filter(id -> !isDone(id))
+                        .limit(MOST_SHOWN)
+                        .forEach(state.withArray("waitsFor")::add);
+                if (unfinished > MOST_SHOWN) {
+                    state.put("waitsForMore", unfinished - MOST_SHOWN);
+                }
             }
             // Why a job that was submitted with a mistake does not get on.
             return failed > 0 ? state.put("failed", failed) : state;
@@ -141,7 +186,11 @@
     }
 
     private final Map<String, Record> records = new HashMap<>();
-    private final Map<String, Status> endsBeforeJobs = new HashMap<>();
+    private final Map<String, End> endsBeforeJobs = new HashMap<>();
+
+    /** Ids that some job needs and whose own job a reading has not brought yet. */
+    private final Map<String, String> namedBeforeJobs = new HashMap<>();
+
     private final Map<String, List<String>> inShared = new HashMap<>();
 
     /** Of each job in a shared record, the record that named it last. */
@@ -238,26 +287,32 @@
             return;
         }
         if (key.startsWith(Keys.JOB)) {
-            String id = key.substring(Keys.JOB.length());
-            Record record = new Record(JobMessages.fromDurable(id, data));
+            String named = key.substring(Keys.JOB.length());
+            String known = namedBeforeJobs.remove(named);
+            String id = known == null ? named : known;
+            Record record = new Record(JobMessages.fromDurable(id, data).needing(this::shared));
             if (records.putIfAbsent(id, record) == null) {
                 awaits(record);
-                Status end = endsBeforeJobs.remove(id);
+                End end = endsBeforeJobs.remove(id);
                 if (end != null && record.end == null) {
                     end(record, end);
                 }
             }
         } else if (key.startsWith(Keys.END)) {
             String id = key.substring(Keys.END.length());
-            Status end = JobMessages.end(data);
+            End end = End.of(data);
             Record record = records.get(id);
             if (record == null) {
                 // A reading in pages brings the keys in their order, ends before jobs.
                 endsBeforeJobs.put(id, end);
             } else if (record.end == null) {
                 end(record, end);
-            } else if (record.end != end) {
-                LOG.error("{} was {} and is called {} in the state service", id, record.end, end);
+            } else if (record.end != end.status) {
+                LOG.error(
+                        "{} was {} and is called {} in the state service",
+                        id,
+                        record.end,
+                        end.status);
             }
         } else if (key.startsWith(Keys.SHARED)) {
             sharedRecord(key, data);
@@ -288,21 +343,40 @@
         }
     }
 
+    /**
+     * The id as the job itself has it: a copy for each job that needs it would fill the heap where
+     * thousands need hundreds, and descriptions stay for ever.
+     */
+    private String shared(String id) {
+        Record record = records.get(id);
+        if (record != null) {
+            return record.spec.id();
+        }
+        String known = namedBeforeJobs.putIfAbsent(id, id);
+        return known == null ? id : known;
+    }
+
+    private boolean isDone(String id) {
+        Record record = records.get(id);
+        return record != null && record.end == Status.DONE;
+    }
+
     /** Notes what the job needs; it is over at once if any of that is known to be cancelled. */
     private void awaits(Record record) {
         boolean lost = false;
         for (String needed : record.spec.awaits()) {
             Record other = records.get(needed);
             if (other != null && other.end == Status.DONE) {
+                record.neededIsDone(other);
                 continue;
             }
-            record.awaited.add(needed);
+            record.unfinished++;
             // Also where it is not known yet: a reading in pages may bring it later.
             dependants.computeIfAbsent(needed, n -> new ArrayList<>()).add(record);
             lost |= other != null && other.end == Status.CANCELLED;
         }
         if (lost) {
-            end(record, Status.CANCELLED);
+            end(record, new End(Status.CANCELLED, OptionalLong.empty()));
         }
     }
 
@@ -312,8 +386,9 @@
      * every node from the moment at which it knows the one final state, and nothing has to be
      * written for the jobs after it. Without recursion, since chains may be long.
      */
-    private void end(Record first, Status end) {
-        first.end = end;
+    private void end(Record first, End end) {
+        first.end = end.status;
+        first.doneMs = end.doneMs;
         ArrayDeque<Record> ended = new ArrayDeque<>(List.of(first));
         while (!ended.isEmpty()) {
             Record record = ended.poll();
@@ -325,7 +400,8 @@
             List<Record> waiting = dependants.remove(record.spec.id());
             for (Record after : waiting == null ? List.<Record>of() : waiting) {
                 if (record.end == Status.DONE) {
-                    after.awaited.remove(record.spec.id());
+                    after.unfinished--;
+                    after.neededIsDone(record);
                 } else if (after.end == null) {
                     after.end = Status.CANCELLED;
                     ended.add(after);
--- a/src/test/java/io/pepperfield/jobs/PipelineTest.java
+++ b/src/test/java/io/pepperfield/jobs/PipelineTest.java
@@ -3,13 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.http.Json;
 import io.pepperfield.store.Keys;
 import java.util.List;
-import java.util.Set;
+import java.util.OptionalLong;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** What a node knows of jobs that need others, as the news of the state service reach it. */
@@ -44,7 +46,7 @@
         accepted(1);
         accepted(2);
         accepted(3, 1, 2);
-        assertEquals(Set.of(id(1), id(2)), catalog.get(id(3)).awaited());
+        assertEquals(List.of(id(1), id(2)), catalog.get(id(3)).awaited());
         assertEquals("pending", catalog.get(id(3)).answer().path("status").asText());
         assertEquals(2, catalog.get(id(3)).answer().path("waitsFor").size());
         catalog.takeAffected();
@@ -55,7 +57,7 @@
         assertEquals(List.of(id(3)), catalog.takeAffected());
         // Submitted when all that it needs is over.
         accepted(4, 1, 3);
-        assertEquals(Set.of(id(3)), catalog.get(id(4)).awaited());
+        assertEquals(List.of(id(3)), catalog.get(id(4)).awaited());
     }
 
     @Test
@@ -123,4 +125,65 @@
         assertEquals(
                 List.of(id(1)), JobMessages.fromDurable(id(2), JobMessages.durable(spec)).awaits());
     }
+
+    private void done(int number, long atMs) {
+        catalog.changed(Keys.END + id(number), JobMessages.durableDone(atMs));
+    }
+
+    private OptionalLong readyMs(int number) {
+        return catalog.get(id(number)).readyMs();
+    }
+
+    @Test
+    void itsTimesCountFromTheEndOfTheLastJobThatItNeeds() {
+        accepted(1);
+        accepted(2);
+        accepted(3, 1, 2);
+        done(2, 9_000);
+        done(1, 7_000);
+        assertEquals(OptionalLong.of(9_000), readyMs(3));
+        // Submitted when these are over: from its submission, where that is later.
+        accepted(4, 1, 2);
+        assertEquals(OptionalLong.of(9_000), readyMs(4));
+        catalog.changed(
+                Keys.JOB + id(5),
+                Json.object().put("at", 11_000).set("aw", Json.array().add(id(1))));
+        assertEquals(OptionalLong.of(11_000), readyMs(5));
+        // An end by the version before does not say when.
+        accepted(6);
+        accepted(7, 1, 6);
+        ended(6, Status.DONE);
+        assertEquals(OptionalLong.empty(), readyMs(7));
+        // A reading brings ends before jobs.
+        done(8, 12_000);
+        accepted(9, 8);
+        accepted(8);
+        assertEquals(OptionalLong.of(12_000), readyMs(9));
+    }
+
+    @Test
+    void manyJobsThatNeedManyCostAReferenceEachAndAShortAnswer() {
+        int[] many = IntStream.range(0, 500).toArray();
+        // A reading may bring some of them only afterwards.
+        for (int number = 0; number < 250; number++) {
+            accepted(number);
+        }
+        accepted(1000, many);
+        for (int number = 250; number < 500; number++) {
+            accepted(number);
+        }
+        Catalog.Record record = catalog.get(id(1000));
+        for (int number : many) {
+            // The same object, not an equal one.
+            assertSame(catalog.get(id(number)).spec().id(), record.spec().awaits().get(number));
+        }
+        assertTrue(Json.write(record.answer()).length < 500, record.answer().toString());
+        assertEquals(id(0), record.answer().path("waitsFor").path(0).asText());
+        assertEquals(484, record.answer().path("waitsForMore").asInt());
+        for (int number : many) {
+            ended(number, Status.DONE);
+        }
+        assertTrue(record.ready());
+        assertFalse(record.answer().has("waitsFor"));
+    }
 }
