--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -1,9 +1,7 @@
 package io.pepperfield.standin;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.pepperfield.config.Operators;
 import io.pepperfield.config.Settings;
-import io.pepperfield.config.Settings.Address;
 import io.pepperfield.http.Call;
 import io.pepperfield.http.Reply;
 import io.pepperfield.peer.Partitions;
@@ -26,14 +24,6 @@
     public static final double LEASE_S = 6;
     public static final double CANCEL_S = 20;
     static final int NODES = 3;
-    private static final Map<String, Double> LIMITS =
-            Map.of("red", 24.0, "blue", 24.0, "guests", Double.POSITIVE_INFINITY);
-
-    /** What the state service allows at first. */
-    private static final Settings.State LIMITS_NOW = new Settings.State(150, 60, 8, 32);
-
-    /** What it allows from some moment after an upgrade. */
-    private static final Settings.State LIMITS_NEXT = new Settings.State(100, 30, 1, 8);
 
     /** Answers a simulated node's requests. */
     private interface Handler {
@@ -59,12 +49,12 @@
     private int leaderChanges;
 
     public Region(long seed) {
-        this(seed, Version.CURRENT, LIMITS_NOW);
+        this(seed, Version.CURRENT, RegionSettings.LIMITS_NOW);
     }
 
     /** A region before its upgrade: the recorded version runs, and the limits are going to fall. */
     public static Region beforeUpgrade(long seed) {
-        return new Region(seed, Version.RECORDED, LIMITS_NEXT);
+        return new Region(seed, Version.RECORDED, RegionSettings.LIMITS_NEXT);
     }
 
     /**
@@ -74,7 +64,7 @@
         world = new SimWorld(seed);
         state = new StateStandIn(world::now, 10_000);
         state.broken = broken;
-        state.limits = new StateLimits(LIMITS_NOW, world.now());
+        state.limits = new StateLimits(RegionSettings.LIMITS_NOW, world.now());
         stateLink = new StateLink(world, state);
         Map<String, SimJob> jobs = new LinkedHashMap<>();
         PipelineRules rules = new PipelineRules(world, broken, jobs, this::durablyDone);
@@ -95,7 +85,12 @@
                             i,
                             world,
                             version,
-                            of -> settings(index, of == Version.RECORDED ? LIMITS_NOW : next),
+                            of ->
+                                    RegionSettings.of(
+                                            index,
+                                            of == Version.RECORDED
+                                                    ? RegionSettings.LIMITS_NOW
+                                                    : next),
                             broken);
             nodes.add(node);
             world.listen("10.0.0." + (i + 1) + ":8080", node);
@@ -137,51 +132,6 @@
                 });
     }
 
-    /** What a team's tasks may use of CPUs together. */
-    static double limit(String team) {
-        return LIMITS.get(team);
-    }
-
-    private static Settings settings(int index, Settings.State limits) {
-        List<Settings.Member> members = new ArrayList<>();
-        for (int i = 0; i < NODES; i++) {
-            if (i != index) {
-                members.add(
-                        new Settings.Member(
-                                "node-" + i, "east", new Address("10.0.0." + (i + 1), 8081)));
-            }
-        }
-        Map<String, Settings.Team> teams = new LinkedHashMap<>();
-        for (String team : List.of("red", "blue")) {
-            teams.put(team, new Settings.Team(team, 12, limit(team), 0, 0));
-        }
-        teams.put("guests", new Settings.Team("guests", 0, limit("guests"), 0, 0));
-        Settings.Deployment deployment =
-                new Settings.Deployment(
-                        NODES,
-                        List.of("east", "west"),
-                        5,
-                        teams,
-                        // Services should find their image, so that placing and stopping have their
-                        // second way to go.
-                        List.of(new Settings.Objective("wait", "gate", 0.5, 0.9, 0)),
-                        new Settings.Workers(REPORT_S, LEASE_S, CANCEL_S),
-                        limits,
-                        new Settings.Cloud(20, 2),
-                        new Settings.Quota(1, 256, 1000));
-        Operators operators = new Operators(10, 0.2, 0.2, 0.85, 0.85, 3);
-        return new Settings(
-                "node-" + index,
-                "east",
-                new Address("10.0.0." + (index + 1), 8080),
-                new Address("10.0.0." + (index + 1), 8081),
-                members,
-                new Address("10.2.0.2", 8443),
-                new Address("10.2.0.1", 2379),
-                deployment,
-                operators);
-    }
-
     // ---- scenarios
 
     /** Plans a scenario's jobs and troubles; to be run until {@link Scenario#endsAt}. */
@@ -488,7 +438,7 @@
 
     /** From now on the state service has its lower limits. */
     public void limitsFall() {
-        state.limits = new StateLimits(LIMITS_NEXT, world.now());
+        state.limits = new StateLimits(RegionSettings.LIMITS_NEXT, world.now());
     }
 
     /** Until then every request about grants is refused as beyond the rate. */
--- /dev/null
+++ b/src/test/java/io/pepperfield/standin/RegionSettings.java
@@ -0,0 +1,70 @@
+package io.pepperfield.standin;
+
+import io.pepperfield.config.Operators;
+import io.pepperfield.config.Settings;
+import io.pepperfield.config.Settings.Address;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The settings of a simulated region's controllers. */
+final class RegionSettings {
+
+    private static final Map<String, Double> TEAM_LIMITS =
+            Map.of("red", 24.0, "blue", 24.0, "guests", Double.POSITIVE_INFINITY);
+
+    /** What the state service allows at first. */
+    static final Settings.State LIMITS_NOW = new Settings.State(150, 60, 8, 32);
+
+    /** What it allows from some moment after an upgrade. */
+    static final Settings.State LIMITS_NEXT = new Settings.State(100, 30, 1, 8);
+
+    private RegionSettings() {}
+
+    /** What a team's tasks may use of CPUs together. */
+    static double limit(String team) {
+        return TEAM_LIMITS.get(team);
+    }
+
+    /** Of the controller with that index, which keeps these limits of the state service. */
+    static Settings of(int index, Settings.State limits) {
+        List<Settings.Member> members = new ArrayList<>();
+        for (int i = 0; i < Region.NODES; i++) {
+            if (i != index) {
+                members.add(
+                        new Settings.Member(
+                                "node-" + i, "east", new Address("10.0.0." + (i + 1), 8081)));
+            }
+        }
+        Map<String, Settings.Team> teams = new LinkedHashMap<>();
+        for (String team : List.of("red", "blue")) {
+            teams.put(team, new Settings.Team(team, 12, limit(team), 0, 0));
+        }
+        teams.put("guests", new Settings.Team("guests", 0, limit("guests"), 0, 0));
+        Settings.Deployment deployment =
+                new Settings.Deployment(
+                        Region.NODES,
+                        List.of("east", "west"),
+                        5,
+                        teams,
+                        // Services should find their image, so that placing and stopping have their
+                        // second way to go.
+                        List.of(new Settings.Objective("wait", "gate", 0.5, 0.9, 0)),
+                        new Settings.Workers(Region.REPORT_S, Region.LEASE_S, Region.CANCEL_S),
+                        limits,
+                        new Settings.Cloud(20, 2),
+                        new Settings.Quota(1, 256, 1000));
+        Operators operators = new Operators(10, 0.2, 0.2, 0.85, 0.85, 3);
+        return new Settings(
+                "node-" + index,
+                "east",
+                new Address("10.0.0." + (index + 1), 8080),
+                new Address("10.0.0." + (index + 1), 8081),
+                members,
+                new Address("10.2.0.2", 8443),
+                new Address("10.2.0.1", 2379),
+                deployment,
+                operators);
+    }
+}
--- a/src/test/java/io/pepperfield/standin/SimMachines.java
+++ b/src/test/java/io/pepperfield/standin/SimMachines.java
@@ -254,7 +254,7 @@
             says("wrong_place: " + task + " in " + worker.zone + ", others of its job elsewhere");
         }
         double used = used(plan.team());
-        if (used > Region.limit(plan.team()) + SLACK) {
+        if (used > RegionSettings.limit(plan.team()) + SLACK) {
             says("quota: " + plan.team() + " uses " + used + " with " + task);
         }
     }
@@ -308,7 +308,7 @@
      */
     boolean fits(SimJob job) {
         JobPlan plan = job.plan;
-        if (used(plan.team()) + plan.cpus() > Region.limit(plan.team()) + SLACK) {
+        if (used(plan.team()) + plan.cpus() > RegionSettings.limit(plan.team()) + SLACK) {
             return false;
         }
         for (WorkerStandIn worker : workers.values()) {
--- a/src/test/java/io/pepperfield/standin/TroublePlayer.java
+++ b/src/test/java/io/pepperfield/standin/TroublePlayer.java
@@ -22,6 +22,21 @@
 
     void begin(Trouble trouble) {
         double until = world.now() + trouble.forS();
+        boolean begun =
+                beginForServices(trouble, until)
+                        || beginForMachines(trouble, until)
+                        || beginForControllers(trouble, until)
+                        || beginForUsers(trouble, until);
+        if (!begun) {
+            throw new IllegalArgumentException(trouble.toString());
+        }
+    }
+
+    /**
+     * The state service, the cloud, and the network between all. False where the trouble is of
+     * another kind.
+     */
+    private boolean beginForServices(Trouble trouble, double until) {
         if (trouble instanceof Trouble.StateOutage) {
             region.stateOutage(until);
         } else if (trouble instanceof Trouble.CloudOutage) {
@@ -34,7 +49,21 @@
             region.stateLink.late(late.share(), until, late.atOnce());
         } else if (trouble instanceof Trouble.LateReports late) {
             region.copies.copy(late.share(), until, late.forNext());
-        } else if (trouble instanceof Trouble.MachineDeaf deaf) {
+        } else if (trouble instanceof Trouble.SlowLinks slow) {
+            world.slow(slow.byS(), until);
+        } else if (trouble instanceof Trouble.LimitsFall) {
+            region.limitsFall();
+        } else if (trouble instanceof Trouble.GrantsRefused) {
+            region.refuseGrants(until);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    /** Machines and their workers. False where the trouble is of another kind. */
+    private boolean beginForMachines(Trouble trouble, double until) {
+        if (trouble instanceof Trouble.MachineDeaf deaf) {
             each(deaf.which(), worker -> worker.deafen(until));
         } else if (trouble instanceof Trouble.MachineMute mute) {
             each(mute.which(), worker -> machines.mute(worker, until));
@@ -53,7 +82,17 @@
             each(reboot.which(), machines::reboot);
         } else if (trouble instanceof Trouble.CommandsHeld held) {
             each(held.which(), worker -> machines.holdCommands(worker, held.heldS(), until));
-        } else if (trouble instanceof Trouble.ZoneCut cut) {
+        } else if (trouble instanceof Trouble.QuickBoots) {
+            machines.boots(0.3, 0, until);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    /** Controllers. False where the trouble is of another kind. */
+    private boolean beginForControllers(Trouble trouble, double until) {
+        if (trouble instanceof Trouble.ZoneCut cut) {
             each(cut.inside(), node -> region.cutZone(cut.zone(), node, until));
         } else if (trouble instanceof Trouble.NodeCut cut) {
             each(cut.who(), node -> cut.from().forEach(side -> cut(node, side, cut.way(), until)));
@@ -67,7 +106,19 @@
             }
         } else if (trouble instanceof Trouble.NodeFreeze freeze) {
             each(freeze.who(), node -> region.freeze(node, until));
-        } else if (trouble instanceof Trouble.CancelNow cancel) {
+        } else if (trouble instanceof Trouble.Upgrade upgrade) {
+            new RollingUpgrade(region, Region.NODES).begin(upgrade);
+        } else if (trouble instanceof Trouble.Replace replace) {
+            each(replace.who(), node -> region.replace(node, replace.by(), replace.forS()));
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    /** Users and what they ask for. False where the trouble is of another kind. */
+    private boolean beginForUsers(Trouble trouble, double until) {
+        if (trouble instanceof Trouble.CancelNow cancel) {
             users.cancelRunning(cancel.count(), Trouble.CancelNow.WITHIN_S).stream()
                     .limit(cancel.hangS() > 0 ? Trouble.CancelNow.MOST_HUNG : 0)
                     .forEach(worker -> worker.hang(world.now() + cancel.hangS()));
@@ -79,8 +130,6 @@
             for (int i = 0; i < odd.forS() * 4; i++) {
                 world.after(i / 4.0, users::oddRequest);
             }
-        } else if (trouble instanceof Trouble.QuickBoots) {
-            machines.boots(0.3, 0, until);
         } else if (trouble instanceof Trouble.Swarm swarm) {
             int first = 100_000 * ++swarms;
             for (int i = 0; i < swarm.perS() * swarm.forS(); i++) {
@@ -94,26 +143,17 @@
                         i * pipelines.forS() / pipelines.count(),
                         () -> region.pipelines.submitAny(number));
             }
-        } else if (trouble instanceof Trouble.SlowLinks slow) {
-            world.slow(slow.byS(), until);
         } else if (trouble instanceof Trouble.ManyQuestions) {
             users.askMore(until);
-        } else if (trouble instanceof Trouble.Upgrade upgrade) {
-            new RollingUpgrade(region, Region.NODES).begin(upgrade);
-        } else if (trouble instanceof Trouble.Replace replace) {
-            each(replace.who(), node -> region.replace(node, replace.by(), replace.forS()));
-        } else if (trouble instanceof Trouble.LimitsFall) {
-            region.limitsFall();
-        } else if (trouble instanceof Trouble.GrantsRefused) {
-            region.refuseGrants(until);
         } else if (trouble instanceof Trouble.LargeArrays arrays) {
             for (int i = 0; i < arrays.count(); i++) {
                 int number = 800_000 + i;
                 world.after(i, () -> region.submitGuests(number, arrays.tasks(), arrays.runS()));
             }
         } else {
-            throw new IllegalArgumentException(trouble.toString());
+            return false;
         }
+        return true;
     }
 
     private double downS() {
