Leader: jobs and attempts, their recovery and the cloud's list are parts of their own

The tracker owns the jobs, the ledger and the run records; the inventory the list request under way; the leader keeps the fleet, the reports and the rounds. Behaviour, keys, messages and log texts stay (the short log name of two lines changes from Leader to JobTracker).

--- a/src/main/java/io/pepperfield/cloud/MachineType.java
+++ b/src/main/java/io/pepperfield/cloud/MachineType.java
@@ -15,7 +15,18 @@
         double bootS,
         List<String> zones) {
 
+    /** The price per hour of a spot or an ordinary machine. */
     public double price(boolean spot) {
         return spot ? spotPrice : price;
     }
+
+    /** Whether the other type differs in its prices at most. */
+    public boolean sameButForPrices(MachineType other) {
+        return equals(other.withPrices(price, spotPrice));
+    }
+
+    private MachineType withPrices(double hourly, double spotHourly) {
+        return new MachineType(
+                name, cpus, gpus, memGb, cacheGb, fetchGbPerS, hourly, spotHourly, bootS, zones);
+    }
 }
--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -384,14 +384,11 @@
                                     loop,
                                     settings,
                                     leadership,
-                                    replica,
-                                    catalog,
-                                    writer,
+                                    new DurableState(replica, catalog, writer, sync::contactAt),
                                     partitionOrders,
                                     cloud,
                                     types,
-                                    renewal,
-                                    sync::contactAt);
+                                    renewal);
                     reports.lead(leader);
                     leader.takeOver();
                     relay.kept(loop.now()).forEach(leader::remembered);
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -1,36 +1,22 @@
 package io.pepperfield.node;
 
 import io.pepperfield.cloud.Cloud;
-import io.pepperfield.cloud.MachineType;
 import io.pepperfield.cloud.Renting;
 import io.pepperfield.cloud.TypesRecord;
 import io.pepperfield.config.Aims;
 import io.pepperfield.config.Settings;
 import io.pepperfield.fleet.Attempt;
 import io.pepperfield.fleet.Fleet;
-import io.pepperfield.fleet.Ledger;
 import io.pepperfield.fleet.Machine;
 import io.pepperfield.fleet.Order;
 import io.pepperfield.fleet.Report;
-import io.pepperfield.http.Json;
-import io.pepperfield.jobs.Catalog;
-import io.pepperfield.jobs.Job;
-import io.pepperfield.jobs.JobMessages;
-import io.pepperfield.jobs.JobSpec;
-import io.pepperfield.jobs.RunRecord;
-import io.pepperfield.jobs.SharedRecords;
-import io.pepperfield.jobs.Status;
 import io.pepperfield.leadership.Leadership;
 import io.pepperfield.peer.PartitionOrders;
 import io.pepperfield.peer.RelayMessages;
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.Replica;
 import io.pepperfield.store.Writer;
-import java.util.ArrayDeque;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.function.DoubleSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -41,185 +27,127 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
 
+    /** Of a report period: how old the state service's last answer may be for starts. */
+    private static final double FRESH = 0.8;
+
     private final Loop loop;
     private final Settings settings;
     private final Leadership leadership;
-    private final Replica replica;
-    private final Catalog catalog;
-    private final Writer writer;
-    private final PartitionOrders workers;
+    private final DurableState durable;
     private final Types types;
     private final LeaseRenewal renewal;
-    private final DoubleSupplier knownUpTo;
     private final Fleet fleet;
-    private final Ledger ledger = new Ledger();
     private final Renting renting;
-    private final Cloud cloud;
-    private final Map<String, Job> jobs = new LinkedHashMap<>();
-    private final RunRecords records;
+    private final JobTracker jobs;
     private final DirectOrders direct;
     private final LeaderOverview overview;
     private final ClusterState cluster;
+    private final CloudInventory inventory;
     private final Dispatcher dispatcher;
     private final Sizer sizer;
     private final Watch watch;
     private final double reportS;
+    private final double leaseS;
     private final double startedAt;
-    private double mintedAt;
-    private double lookedAt = Double.NEGATIVE_INFINITY;
-    private double listedAt = Double.NEGATIVE_INFINITY;
-    private boolean listing;
+    private double tokenRequestedAt;
+    private double bootsUpdatedAt = Double.NEGATIVE_INFINITY;
     private boolean acting;
-    private boolean over;
 
     Leader(
             Loop loop,
             Settings settings,
             Leadership leadership,
-            Replica replica,
-            Catalog catalog,
-            Writer writer,
+            DurableState durable,
             PartitionOrders workers,
             Cloud cloud,
             Types types,
-            LeaseRenewal renewal,
-            DoubleSupplier knownUpTo) {
+            LeaseRenewal renewal) {
         this.loop = loop;
         this.settings = settings;
         this.leadership = leadership;
-        this.replica = replica;
-        this.catalog = catalog;
-        this.writer = writer;
-        this.workers = workers;
-        this.cloud = cloud;
+        this.durable = durable;
         this.types = types;
         this.renewal = renewal;
-        this.knownUpTo = knownUpTo;
         this.reportS = settings.deployment().workers().reportS();
-        this.fleet =
-                new Fleet(this, leadership.token(), settings.deployment().workers().leaseS() / 2);
-        this.renting =
-                new Renting(
-                        loop,
-                        cloud,
-                        writer,
-                        fleet,
-                        leadership.token(),
-                        reportS,
-                        settings.operators().chargeS(),
-                        leadership::confirmed);
-        this.records =
-                new RunRecords(
-                        writer,
-                        replica,
-                        ledger,
-                        new SharedRecords(
-                                leadership.token(), 2 * settings.deployment().state().txnOps()));
-        this.direct = new DirectOrders(loop, fleet, leadership, workers, () -> fresh(loop.now()));
+        this.leaseS = settings.deployment().workers().leaseS();
         this.startedAt = loop.now();
-        this.mintedAt = startedAt;
-        this.cluster =
-                new ClusterState(
+        this.tokenRequestedAt = startedAt;
+        this.fleet = new Fleet(this, leadership.token(), leaseS / 2);
+        this.renting = renting(cloud);
+        this.direct = new DirectOrders(loop, fleet, leadership, workers, () -> fresh(loop.now()));
+        this.jobs =
+                new JobTracker(
                         loop,
                         settings,
-                        new Aims(settings.deployment().objectives()),
-                        types,
+                        durable,
+                        leadership.token(),
                         fleet,
-                        ledger,
-                        jobs,
-                        renting,
-                        new Boots(types, settings.operators().chargeS()),
-                        new Latencies());
-        Dispatcher.Starter starter =
-                new Dispatcher.Starter() {
-                    @Override
-                    public void start(Job job, int task, Machine machine) {
-                        begin(job, task, machine);
-                    }
-
-                    @Override
-                    public void stop(Attempt attempt, double drainS) {
-                        fleet.stop(attempt, drainS);
-                        direct.add(attempt);
-                    }
-                };
-        this.dispatcher = new Dispatcher(cluster, starter);
+                        direct,
+                        this::wakeDispatcher);
+        this.cluster = clusterState();
+        this.dispatcher = new Dispatcher(cluster, jobs);
         this.sizer = new Sizer(cluster);
-        this.overview = new LeaderOverview(cluster, dispatcher, writer, catalog);
-        this.watch = new Watch(cluster, dispatcher, workers, starter);
+        this.overview =
+                new LeaderOverview(cluster, dispatcher, durable.writer(), durable.catalog());
+        this.watch = new Watch(cluster, dispatcher, workers, jobs);
+        this.inventory =
+                new CloudInventory(loop, cloud, settings.deployment().cloud(), fleet, renting);
+    }
+
+    private Renting renting(Cloud cloud) {
+        return new Renting(
+                loop,
+                cloud,
+                durable.writer(),
+                fleet,
+                leadership.token(),
+                reportS,
+                settings.operators().chargeS(),
+                leadership::confirmed);
+    }
+
+    private ClusterState clusterState() {
+        return new ClusterState(
+                loop,
+                settings,
+                new Aims(settings.deployment().objectives()),
+                types,
+                fleet,
+                jobs.ledger(),
+                jobs.jobs(),
+                renting,
+                new Boots(types, settings.operators().chargeS()),
+                new Latencies());
+    }
+
+    private void wakeDispatcher() {
+        dispatcher.wake();
     }
 
     /**
-     * Builds its books from the replica, which must hold everything written before this leadership
-     * began.
+     * Reads what earlier leaders have left in the replica, which must hold everything written
+     * before this leadership began.
      */
     void takeOver() {
-        double now = loop.now();
-        replica.each(
-                Keys.HIRE, (key, data) -> renting.restore(key.substring(Keys.HIRE.length()), data));
-        for (Catalog.Record record : catalog.all()) {
-            if (record.end() != Status.DONE) {
-                restore(record, now);
-            }
-        }
-        records.restore(catalog.shared(), jobs);
-        List.copyOf(jobs.values()).forEach(job -> await(job, catalog.get(job.spec.id())));
+        durable.replica()
+                .each(
+                        Keys.HIRE,
+                        (key, data) -> renting.restore(key.substring(Keys.HIRE.length()), data));
+        jobs.restoreAll();
         if (types.known()) {
             typesHeard();
         }
         LOG.info(
                 "taking over {} jobs, {} attempts, {} machines",
-                jobs.size(),
-                ledger.size(),
+                jobs.jobs().size(),
+                jobs.ledger().size(),
                 fleet.machines().size());
     }
 
-    private void restore(Catalog.Record record, double now) {
-        Job job =
-                new Job(
-                        record.spec(),
-                        now - Math.max(0, (loop.wallMs() - record.spec().acceptedMs()) / 1000.0));
-        if (record.end() != null) {
-            job.end(record.end(), record.openAsOf());
-        }
-        boolean live = false;
-        for (byte[] chunk : record.chunks()) {
-            for (RunRecord line : RunRecord.read(Json.read(chunk))) {
-                job.restore(line.task(), line.attempt(), line.state() == RunRecord.State.LIVE);
-                if (line.state() == RunRecord.State.DONE) {
-                    job.markDone(line.task());
-                } else if (line.state() == RunRecord.State.FAILED) {
-                    // Or every change of leader would let a job that fails everywhere loose on the
-                    // fleet once more.
-                    job.failedBefore();
-                } else if (line.state() == RunRecord.State.LIVE) {
-                    live = true;
-                    Attempt attempt =
-                            fleet.restore(
-                                    job,
-                                    line.task(),
-                                    line.attempt(),
-                                    line.machine(),
-                                    line.tenure(),
-                                    now);
-                    ledger.add(attempt);
-                    if (job.end() != null) {
-                        fleet.stop(attempt, 0);
-                    }
-                }
-            }
-        }
-        if (job.end() == null || live) {
-            if (job.doneCount() > 0) {
-                job.succeeded();
-            }
-            jobs.put(job.spec.id(), job);
-            endIfDone(job, () -> {});
-        }
-    }
-
+    /** The leadership has ended: what is still answered changes nothing. */
     void stop() {
-        over = true;
+        jobs.stop();
+        inventory.stop();
         renting.stop();
         watch.stop();
         direct.stop();
@@ -227,103 +155,33 @@
 
     /** The replica brought a new job or a final state. */
     void catalogChanged(String id) {
-        Catalog.Record record = catalog.get(id);
-        if (record == null) {
-            return;
-        }
-        Job job = jobs.get(id);
-        if (job == null && record.end() == null) {
-            jobs.put(id, new Job(record.spec(), loop.now()));
-            await(jobs.get(id), record);
-            dispatcher.wake();
-        } else if (job != null && job.isAwaiting() && record.end() == null && record.ready()) {
-            job.ready(loop.now());
-            dispatcher.wake();
-        } else if (job != null && job.end() == null && record.end() != null) {
-            ended(job, record.end());
-        }
-    }
-
-    /** A job that needs others waits for them, and lends them its rank. */
-    private void await(Job job, Catalog.Record record) {
-        if (!record.ready()) {
-            job.awaiting();
-        } else if (!job.spec.awaits().isEmpty()) {
-            // When it became ready is not durable: its times begin now.
-            job.ready(loop.now());
-        }
-        ArrayDeque<Job> raised = new ArrayDeque<>(List.of(job));
-        while (!raised.isEmpty()) {
-            Job after = raised.poll();
-            for (String needed : after.spec.awaits()) {
-                Job before = jobs.get(needed);
-                if (before != null && before.raise(after.placed().rank())) {
-                    raised.add(before);
-                }
-            }
-        }
-    }
-
-    private void ended(Job job, Status end) {
-        job.end(end, catalog.get(job.spec.id()).openAsOf());
-        if (end == Status.DONE) {
-            records.drop(job);
-        }
-        for (Attempt attempt : ledger.of(job)) {
-            fleet.stop(attempt, 0);
-            direct.add(attempt);
-        }
-        forgetIfOver(job);
-        dispatcher.wake();
-    }
-
-    private void forgetIfOver(Job job) {
-        if (job.end() != null && !ledger.has(job)) {
-            jobs.remove(job.spec.id());
-            records.over(job);
-        }
+        jobs.catalogChanged(id);
     }
 
     /** Keeps the types where a controller that cannot ask the cloud finds them. */
     void typesHeard() {
-        Replica.Entry known = replica.get(Keys.TYPES);
-        if (known == null || !sameButForPrices(TypesRecord.read(known.data()))) {
-            writer.mark(
-                    Keys.TYPES,
-                    Writer.Priority.PATIENT,
-                    () -> TypesRecord.write(types.all()),
-                    null,
-                    null);
+        Replica.Entry known = durable.replica().get(Keys.TYPES);
+        if (known == null || !types.sameButForPrices(TypesRecord.read(known.data()))) {
+            durable.writer()
+                    .mark(
+                            Keys.TYPES,
+                            Writer.Priority.PATIENT,
+                            () -> TypesRecord.write(types.all()),
+                            null,
+                            null);
         }
     }
 
-    private boolean sameButForPrices(List<MachineType> durable) {
-        return durable.size() == types.all().size()
-                && durable.stream()
-                        .allMatch(
-                                t -> {
-                                    MachineType now = types.get(t.name());
-                                    return now != null
-                                            && new MachineType(
-                                                            now.name(),
-                                                            now.cpus(),
-                                                            now.gpus(),
-                                                            now.memGb(),
-                                                            now.cacheGb(),
-                                                            now.fetchGbPerS(),
-                                                            t.price(),
-                                                            t.spotPrice(),
-                                                            now.bootS(),
-                                                            now.zones())
-                                                    .equals(t);
-                                });
-    }
-
+    /**
+     * The token was minted anew; orders under the one before are refused by whoever has seen it.
+     */
     void renewedToken(long token) {
         fleet.token(token);
-        mintedAt = loop.now();
+        tokenRequestedAt = loop.now();
     }
 
+    // ---- reports
+
     /** The orders that answer a worker's report, or null where it must not be answered with 200. */
     List<Order> report(Report report, String through) {
         double now = loop.now();
@@ -334,14 +192,19 @@
         }
         Machine machine = fleet.get(report.machine());
         machine.reportsThrough(through);
-        // A run order on its way, whose job was cancelled since, could begin after the last stop
-        // that this leader can give.
-        double settledUpTo =
-                fleet.unsettledCancelled(machine).stream()
-                        .mapToDouble(attempt -> attempt.job.openAsOf())
-                        .min()
-                        .orElse(Double.POSITIVE_INFINITY);
-        return renewal.allowed(settledUpTo, now) ? orders : null;
+        return renewal.allowed(settledUpTo(machine), now) ? orders : null;
+    }
+
+    /**
+     * Up to when all cancellations are settled on a machine whose report is being answered. A run
+     * order on its way, whose job was cancelled since, could begin after the last stop that this
+     * leader can give.
+     */
+    private double settledUpTo(Machine machine) {
+        return fleet.unsettledCancelled(machine).stream()
+                .mapToDouble(attempt -> attempt.job.openAsOf())
+                .min()
+                .orElse(Double.POSITIVE_INFINITY);
     }
 
     /**
@@ -349,39 +212,42 @@
      * much again is not the ordinary case.
      */
     private boolean fresh(double now) {
-        return now - knownUpTo.getAsDouble() < 0.8 * reportS;
+        return now - durable.confirmedAt().getAsDouble() < FRESH * reportS;
     }
 
     /** The answer to what a partition owner has passed on. */
     RelayMessages.Verdict relayed(RelayMessages.Beat beat, String through) {
-        Report report = beat instanceof RelayMessages.Beat.Whole whole ? whole.report() : null;
-        if (beat instanceof RelayMessages.Beat.Same same) {
-            report =
-                    fleet.repeated(
-                            same.machine(),
-                            same.tenure(),
-                            same.base(),
-                            same.serial(),
-                            same.token());
-            if (report == null) {
-                return new RelayMessages.Verdict.WantsWhole();
-            }
+        Report report = wholeReport(beat);
+        if (report == null) {
+            return new RelayMessages.Verdict.WantsWhole();
         }
         if (report.token() > leadership.token()) {
             leadership.sawToken(report.token());
             return new RelayMessages.Verdict.Refused();
         }
         List<Order> orders = report(report, through);
-        return orders == null
-                ? new RelayMessages.Verdict.Refused()
-                : new RelayMessages.Verdict.Orders(
-                        Order.reply(leadership.token(), orders).path("orders"));
+        if (orders == null) {
+            return new RelayMessages.Verdict.Refused();
+        }
+        return new RelayMessages.Verdict.Orders(
+                Order.reply(leadership.token(), orders).path("orders"));
     }
 
+    /** The report itself, or null where it only names one before that is not known here. */
+    private Report wholeReport(RelayMessages.Beat beat) {
+        if (beat instanceof RelayMessages.Beat.Same same) {
+            return fleet.repeated(
+                    same.machine(), same.tenure(), same.base(), same.serial(), same.token());
+        }
+        return ((RelayMessages.Beat.Whole) beat).report();
+    }
+
+    /** A worker's answer to direct orders. */
     void heard(Report report) {
         fleet.heard(report, loop.now());
     }
 
+    /** What a partition owner remembers of a machine. */
     void remembered(RelayMessages.Kept kept) {
         fleet.remembered(kept.report(), loop.now() - kept.ageS());
     }
@@ -408,88 +274,14 @@
 
     @Override
     public void completed(Attempt attempt, double ranS) {
-        Job job = attempt.job;
-        ledger.remove(attempt);
-        dispatcher.wake();
-        if (job.end() != null) {
-            attempt.settle();
-            forgetIfOver(job);
-            return;
-        }
-        job.markDone(attempt.task);
-        job.succeeded();
-        if (ranS > 0) {
-            sizer.finished(job, ranS);
-        }
-        // Done must be durable before the machine may forget it, or a later leader would run the
-        // task again.
-        if (over(job) && records.sharesRecord(job)) {
-            // The final state says it as well, and spares the record that others share a change for
-            // each of them.
-            endIfDone(job, attempt::settle);
-        } else {
-            records.mark(job, attempt.task, Writer.Priority.PATIENT, attempt::settle);
-            endIfDone(job, () -> {});
-        }
-    }
-
-    private static boolean over(Job job) {
-        return job.end() == null && !job.spec.service() && job.allDone();
-    }
-
-    private void endIfDone(Job job, Runnable settle) {
-        if (over(job)) {
-            String key = Keys.END + job.spec.id();
-            writer.mark(
-                    key,
-                    Writer.Priority.END,
-                    () -> JobMessages.durableEnd(Status.DONE),
-                    () -> {
-                        settle.run();
-                        ended(job, Status.DONE);
-                    },
-                    () -> {
-                        settle.run();
-                        ended(job, JobMessages.end(replica.get(key).data()));
-                    });
+        if (jobs.completed(attempt) && ranS > 0) {
+            sizer.finished(attempt.job, ranS);
         }
     }
 
     @Override
     public void gone(Attempt attempt, Report.Cause cause) {
-        Job job = attempt.job;
-        ledger.remove(attempt);
-        dispatcher.wake();
-        boolean failed = cause == Report.Cause.ERROR || cause == Report.Cause.NO_SUCH;
-        if (failed) {
-            // One line for a job: the tasks of a broken array fail by the hundred.
-            LOG.debug(
-                    "{} attempt {} failed on {}: {}",
-                    attempt.ref,
-                    attempt.number,
-                    attempt.machine.describe(),
-                    cause);
-            if (job.failed(
-                    attempt.machine.name, loop.now(), reportS, settings.operators().chargeS())) {
-                LOG.info(
-                        "{} has failed on {} and is tried one task at a time until one is completed",
-                        job.spec.id(),
-                        job.failedOn());
-            }
-        }
-        // What fails of a job that nowhere succeeded says nothing about the machine: several broken
-        // jobs would idle the fleet.
-        if (failed
-                ? job.doneCount() > 0
-                : cause != Report.Cause.STOPPED && cause != Report.Cause.OTHER) {
-            attempt.machine.avoid(loop.now() + 2 * reportS);
-        }
-        if (failed) {
-            job.markFailed(attempt.task);
-        }
-        job.requeue(attempt.task);
-        records.mark(job, attempt.task, Writer.Priority.PATIENT, null);
-        forgetIfOver(job);
+        jobs.gone(attempt, cause);
     }
 
     @Override
@@ -513,89 +305,52 @@
         if (acting && leadership.confirmed()) {
             dispatcher.flush();
         }
-        writer.flush();
+        durable.writer().flush();
         direct.flush();
     }
 
+    /** To be called several times in a report period. */
     void tick() {
-        double now = loop.now();
         if (!leadership.confirmed()) {
             return;
         }
-        if (!acting) {
-            acting = now - startedAt >= reportS || fleet.machines().stream().allMatch(Machine::up);
-            return;
+        double now = loop.now();
+        if (acting) {
+            act(now);
+        } else {
+            acting = mayBegin(now);
         }
-        if (now - lookedAt >= reportS / 4) {
-            lookedAt = now;
+    }
+
+    /**
+     * Whether all machines are known, or have had the time of a report to make themselves known.
+     */
+    private boolean mayBegin(double now) {
+        return now - startedAt >= reportS || fleet.machines().stream().allMatch(Machine::up);
+    }
+
+    private void act(double now) {
+        if (now - bootsUpdatedAt >= reportS / 4) {
+            bootsUpdatedAt = now;
             cluster.boots().look(fleet, now);
         }
         if (!watch.tick(now)) {
             // All of them dead at once is less likely than this node cut off, while another may
             // reach them.
-            leadership.abdicate("no worker reports here", settings.deployment().workers().leaseS());
+            leadership.abdicate("no worker reports here", leaseS);
             return;
         }
-        if (fleet.newerTokenWanted()
-                && now - mintedAt >= settings.deployment().workers().leaseS() / 4) {
-            mintedAt = now;
-            leadership.mint();
-        }
-        if (now - listedAt
-                        >= Math.max(
-                                settings.deployment().cloud().listLagS() / 2,
-                                4 / settings.deployment().cloud().rps())
-                && !listing) {
-            list(now);
-        }
+        mintWantedToken(now);
+        inventory.tick(now);
         sizer.tick(now);
         dispatcher.tick(now);
     }
 
-    private void begin(Job job, int task, Machine machine) {
-        Attempt attempt = fleet.intend(job, task, job.begin(task), machine, loop.now());
-        ledger.add(attempt);
-        records.mark(
-                job,
-                task,
-                job.placed().rank() == JobSpec.Rank.BEST_EFFORT
-                        ? Writer.Priority.LATER
-                        : Writer.Priority.INTENT,
-                () -> {
-                    if (!over && fleet.ordered(attempt)) {
-                        direct.add(attempt);
-                    }
-                });
-    }
-
-    private void list(double now) {
-        listedAt = now;
-        listing = true;
-        cloud.list(
-                listed -> {
-                    listing = false;
-                    if (over || listed == null) {
-                        return;
-                    }
-                    for (Cloud.Listed item : listed) {
-                        if (fleet.wasReleased(item.name())) {
-                            continue;
-                        }
-                        // A machine that nobody expects was rented by a request that had been given
-                        // up: it is used or returned.
-                        Machine machine =
-                                fleet.expect(
-                                        item.name(),
-                                        item.type(),
-                                        item.zone(),
-                                        item.spot(),
-                                        loop.now() - item.ageS(),
-                                        loop.now());
-                        if (item.status().equals("failed")) {
-                            renting.release(machine, "listed as failed");
-                        }
-                    }
-                });
+    private void mintWantedToken(double now) {
+        if (fleet.newerTokenWanted() && now - tokenRequestedAt >= leaseS / 4) {
+            tokenRequestedAt = now;
+            leadership.mint();
+        }
     }
 
     /** What operators see of this leadership. */
--- a/src/main/java/io/pepperfield/node/Types.java
+++ b/src/main/java/io/pepperfield/node/Types.java
@@ -39,6 +39,16 @@
         return types.values();
     }
 
+    /** Whether the given types are the same as these, except for their prices. */
+    boolean sameButForPrices(List<MachineType> others) {
+        return others.size() == types.size() && others.stream().allMatch(this::offered);
+    }
+
+    private boolean offered(MachineType other) {
+        MachineType type = types.get(other.name());
+        return type != null && type.sameButForPrices(other);
+    }
+
     @Override
     public String refusal(JobSpec job) throws UserRequests.Undecided {
         Settings.Team team = settings.deployment().teams().get(job.team());
