--- /dev/null
+++ b/src/main/java/io/pepperfield/node/RateSharing.java
@@ -0,0 +1,63 @@
+package io.pepperfield.node;
+
+import io.pepperfield.config.Settings;
+
+/**
+ * This node's part of the state service's rates. The leader writes most. Submissions and
+ * cancellations come to all nodes, but seldom to all at once: each may use a quarter of the changes
+ * for them, a single one left twice as many, and where that is too much together, the service's own
+ * refusal is the limit.
+ */
+final class RateSharing {
+
+    /** Of the state service's changes, for what comes from users to one node. */
+    static final double USERS_PART = 0.25;
+
+    private static final double LEADERS_WRITES = 0.75;
+    private static final double LEADERS_REQUESTS = 0.45;
+    private static final double OTHERS_REQUESTS = 0.5;
+    private static final double REQUESTS_ALONE = 0.95;
+
+    private final Controller.Rates rates;
+    private final Settings.State limits;
+    private final int size;
+
+    /** Controllers that users may have come to, as far as this one knows. */
+    private int live;
+
+    RateSharing(Controller.Rates rates, Settings settings) {
+        this.rates = rates;
+        this.limits = settings.deployment().state();
+        this.size = settings.deployment().size();
+        this.live = size;
+    }
+
+    /** So many controllers are known to be live. */
+    void live(int controllers, boolean leading) {
+        if (controllers != live) {
+            live = controllers;
+            share(leading);
+        }
+    }
+
+    /** Sets the rates for a node that leads, or does not. */
+    void share(boolean leading) {
+        double leadersWrites = leading ? limits.writeRps() * LEADERS_WRITES : 0;
+        rates.share(
+                limits.rps() * requestsPart(leading),
+                leadersWrites,
+                limits.writeRps() * usersPart());
+    }
+
+    private double usersPart() {
+        return Math.min(2 * USERS_PART, Math.max(USERS_PART, 3 * USERS_PART / live));
+    }
+
+    private double requestsPart(boolean leading) {
+        int others = size - 1;
+        if (others == 0) {
+            return REQUESTS_ALONE;
+        }
+        return leading ? LEADERS_REQUESTS : OTHERS_REQUESTS / others;
+    }
+}
--- a/src/main/java/io/pepperfield/node/ReportHandler.java
+++ b/src/main/java/io/pepperfield/node/ReportHandler.java
@@ -37,7 +37,7 @@
     private final Members members;
     private final LeaseRenewal renewal;
     private final Standstill standstill;
-    private final Warnings warnings;
+    private final Warnings warnings = new Warnings();
     private final double reportS;
     private final ZoneWatch zoneWatch = new ZoneWatch();
 
@@ -58,8 +58,7 @@
             Sync sync,
             Members members,
             LeaseRenewal renewal,
-            Standstill standstill,
-            Warnings warnings) {
+            Standstill standstill) {
         this.loop = loop;
         this.settings = settings;
         this.leadership = leadership;
@@ -69,7 +68,6 @@
         this.members = members;
         this.renewal = renewal;
         this.standstill = standstill;
-        this.warnings = warnings;
         this.reportS = settings.deployment().workers().reportS();
         this.reachability = new Reachability(reportS, settings.deployment().workers().leaseS());
     }
