Fleet: proofs, orders, tokens and the tracking of answers are parts of their own

AttemptProofs takes what reports show, OrderPlanner answers them, LeaderTokens holds the tokens of one leadership, AnswerTracking whether a machine hears. Behaviour stays.

--- a/src/main/java/io/pepperfield/fleet/Fleet.java
+++ b/src/main/java/io/pepperfield/fleet/Fleet.java
@@ -3,7 +3,6 @@
 import io.pepperfield.fleet.Report.Cause;
 import io.pepperfield.jobs.Job;
 import io.pepperfield.jobs.Status;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,8 +14,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The leader's machines and attempts, and the proofs that an attempt is gone. Pure state: reports
- * and times go in, orders and events come out.
+ * The leader's machines and the attempts on them. Pure state: reports and times go in, orders and
+ * events come out. {@link AttemptProofs} decides which attempts are gone, {@link OrderPlanner} what
+ * a report is answered with.
  */
 public final class Fleet {
 
@@ -45,31 +45,30 @@
     }
 
     private final Listener listener;
-    private final long electedToken;
     private final double standInS;
-    private long token;
+    private final LeaderTokens tokens;
+    private final AttemptProofs proofs;
+    private final OrderPlanner planner;
     private final Map<String, Machine> machines = new LinkedHashMap<>();
 
     /** Released with the cloud's word: a late report of one must not bring it back. */
     private final Set<String> released = new HashSet<>();
 
-    private boolean newerTokenWanted;
-    private boolean startsHeld;
-
     /**
      * @param standInS for how long after a machine's last report its answers to direct messages
      *     show that it can be counted on
      */
     public Fleet(Listener listener, long electedToken, double standInS) {
         this.listener = listener;
-        this.electedToken = electedToken;
         this.standInS = standInS;
-        this.token = electedToken;
+        this.tokens = new LeaderTokens(electedToken);
+        this.proofs = new AttemptProofs(tokens, listener);
+        this.planner = new OrderPlanner(tokens);
     }
 
+    /** The leadership's token was minted anew. */
     public void token(long renewed) {
-        token = renewed;
-        newerTokenWanted = false;
+        tokens.renew(renewed);
     }
 
     /**
@@ -77,7 +76,7 @@
      * service for so long that others may have cancelled the job meanwhile.
      */
     public void holdStarts(boolean hold) {
-        startsHeld = hold;
+        planner.holdStarts(hold);
     }
 
     /**
@@ -91,7 +90,7 @@
                         attempt ->
                                 attempt.job.end() == Status.CANCELLED
                                         && attempt.phase == Attempt.Phase.ORDERED
-                                        && attempt.directToken >= token)
+                                        && attempt.directToken >= tokens.current())
                 .toList();
     }
 
@@ -100,17 +99,20 @@
      * is carried out.
      */
     public boolean newerTokenWanted() {
-        return newerTokenWanted;
+        return tokens.newerWanted();
     }
 
+    /** All that may exist, in the order in which they became known. */
     public Collection<Machine> machines() {
         return machines.values();
     }
 
+    /** The machine of that name, or null. */
     public Machine get(String name) {
         return machines.get(name);
     }
 
+    /** Whether the cloud has confirmed that the machine is gone. */
     public boolean wasReleased(String name) {
         return released.contains(name);
     }
@@ -143,7 +145,7 @@
                         machine,
                         tenure,
                         Attempt.Phase.ORDERED,
-                        electedToken - 1,
+                        tokens.elected() - 1,
                         now);
         attempt.restored = true;
         machine.attempts.put(attempt.ref, attempt);
@@ -151,6 +153,9 @@
         return attempt;
     }
 
+    /**
+     * An attempt whose intent is about to be written; nothing may be ordered before it is durable.
+     */
     public Attempt intend(Job job, int task, int number, Machine machine, double now) {
         Attempt attempt =
                 new Attempt(
@@ -177,7 +182,7 @@
                 || attempt.machine.tenure != attempt.tenure
                 || attempt.machine.releasing) {
             // Nothing has left for it, so it is certain never to have been alive.
-            end(attempt, Cause.STOPPED);
+            proofs.end(attempt, Cause.STOPPED);
             return false;
         }
         attempt.phase = Attempt.Phase.ORDERED;
@@ -189,7 +194,7 @@
      * late.
      */
     public void sendingDirect(List<Attempt> attempts) {
-        attempts.forEach(a -> a.directToken = Math.max(a.directToken, token));
+        attempts.forEach(a -> a.directToken = Math.max(a.directToken, tokens.current()));
     }
 
     /** Wants the attempt stopped; an intent that has not left yet ends once its write does. */
@@ -198,7 +203,7 @@
             attempt.stopWanted = true;
             attempt.drainS = drainS;
             if (attempt.phase == Attempt.Phase.ORDERED) {
-                newerTokenWanted = true;
+                tokens.wantNewer();
             }
         }
     }
@@ -209,10 +214,7 @@
      */
     public List<Order> beat(Report report, double now) {
         Machine known = machines.get(report.machine());
-        if (known != null
-                && (report.tenure() < known.beatTenure
-                        || report.tenure() == known.beatTenure
-                                && report.serial() <= known.beatSerial)) {
+        if (known != null && known.knowsBeat(report)) {
             // A late copy: its sender has given it up, and it says nothing about whether the
             // machine is still there.
             return null;
@@ -227,33 +229,12 @@
         machine.beatSerial = report.serial();
         machine.reportedAt = now;
         machine.lastBeat = report;
-        listen(machine, report, anew, seenBefore, now);
-        List<Order> orders = ordersFor(machine, report);
-        machine.answeredToken = token;
+        machine.answers.reported(report, anew, seenBefore, now);
+        List<Order> orders = planner.answer(machine, report);
+        machine.answers.answered(tokens.current());
         return orders;
     }
 
-    /**
-     * Whether answers reach the machine: its report shows what the answer to the one before
-     * offered, or a token that it had not seen then. That reports arrive says nothing of it, and a
-     * session that ended although its reports were answered says the contrary.
-     */
-    private static void listen(
-            Machine machine, Report report, boolean anew, long seenBefore, double now) {
-        boolean heeded = report.token() > seenBefore;
-        boolean missed = anew || report.token() < machine.answeredToken;
-        for (Attempt attempt : machine.offered) {
-            heeded |= attempt.phase != Attempt.Phase.ORDERED;
-            missed |= attempt.phase == Attempt.Phase.ORDERED && !attempt.stopWanted;
-        }
-        machine.offered.clear();
-        if (heeded && !anew) {
-            machine.deafSince = Double.NaN;
-        } else if (missed && !machine.deaf()) {
-            machine.deafSince = now;
-        }
-    }
-
     /**
      * What a partition owner remembers of a machine whose next report is still to come. It is as
      * old as it is: it proves no absence, and nothing is answered to it.
@@ -277,19 +258,10 @@
     public Report repeated(String name, long tenure, long base, long serial, long token) {
         Machine machine = machines.get(name);
         Report last = machine == null ? null : machine.lastBeat;
-        return last == null || last.tenure() != tenure || last.serial() != base
-                ? null
-                : new Report(
-                        last.machine(),
-                        last.address(),
-                        last.type(),
-                        last.zone(),
-                        last.spot(),
-                        tenure,
-                        serial,
-                        token,
-                        last.noticeS(),
-                        last.lines());
+        if (last == null || last.tenure() != tenure || last.serial() != base) {
+            return null;
+        }
+        return last.repeatedAs(serial, token);
     }
 
     /**
@@ -305,7 +277,7 @@
                 // in vain.
                 machine.answeredAt =
                         machine.up() ? Math.min(now, machine.reportedAt + standInS) : now;
-                machine.deafSince = Double.NaN;
+                machine.answers.responded();
             }
         }
     }
@@ -318,8 +290,7 @@
         machine.kind(report.type(), report.spot());
         machine.zone = report.zone();
         machine.address = report.address();
-        if (report.tenure() < machine.tenure
-                || report.tenure() == machine.tenure && report.serial() <= machine.serial) {
+        if (machine.knows(report)) {
             return machine;
         }
         boolean appeared = !machine.up() || report.tenure() > machine.tenure;
@@ -331,168 +302,16 @@
         // proven gone for good.
         machine.reborn |= report.token() < machine.seenToken;
         machine.seenToken = Math.max(machine.seenToken, report.token());
-        machine.heardLeader |= report.token() >= electedToken;
+        machine.heardLeader |= report.token() >= tokens.elected();
         machine.takenAt = report.noticeS() == null ? Double.NaN : now + report.noticeS();
-        if (!machine.reborn && report.token() >= electedToken) {
-            endEarlierSessions(machine);
-        }
-        Set<TaskRef> shown = new HashSet<>();
-        for (Report.Line line : report.lines()) {
-            Attempt attempt = machine.attempts.get(line.ref());
-            if (attempt != null
-                    && attempt.number == line.attempt()
-                    && attempt.tenure == machine.tenure) {
-                shown.add(line.ref());
-                show(attempt, line, now);
-            }
-        }
-        if (beat && !machine.reborn) {
-            absent(machine, shown);
-        }
+        proofs.take(machine, report, beat, now);
         if (appeared && beat) {
             listener.appeared(machine);
         }
         return machine;
     }
 
-    /**
-     * Proof 2: a worker that begins a new session has killed and forgotten all of the one before.
-     * Only a report that shows this leader's token tells so: sessions begin at 1 again on a machine
-     * that was back at once, and a late copy from before that names a higher session than the one
-     * in which its tasks run now.
-     */
-    private void endEarlierSessions(Machine machine) {
-        for (Attempt attempt : List.copyOf(machine.attempts.values())) {
-            if (attempt.tenure < machine.tenure) {
-                machine.attempts.remove(attempt.ref, attempt);
-                if (attempt.live()) {
-                    end(attempt, Cause.OTHER);
-                }
-            }
-        }
-    }
-
-    private void show(Attempt attempt, Report.Line line, double now) {
-        if (!attempt.live() || attempt.phase == Attempt.Phase.INTENDED) {
-            return;
-        }
-        switch (line.state()) {
-            case PULLING -> attempt.phase = Attempt.Phase.PULLING;
-            case RUNNING, SAVING -> {
-                boolean first = Double.isNaN(attempt.runningSince);
-                // One that an earlier leader has begun may have run for long before it is first
-                // seen here.
-                attempt.startSeen |=
-                        first && (!attempt.restored || attempt.phase == Attempt.Phase.PULLING);
-                attempt.phase =
-                        line.state() == Report.State.RUNNING
-                                ? Attempt.Phase.RUNNING
-                                : Attempt.Phase.SAVING;
-                if (first) {
-                    attempt.runningSince = now;
-                    listener.started(attempt);
-                }
-            }
-            case ENDED -> {
-                if (line.cause() == Cause.DONE) {
-                    attempt.phase = Attempt.Phase.ENDED;
-                    attempt.machine.count(attempt, -1);
-                    attempt.machine.failedJobs.clear();
-                    listener.completed(attempt, attempt.startSeen ? now - attempt.runningSince : 0);
-                } else {
-                    // Proof 1. The machine goes on holding the attempt until cleared, so no late
-                    // order starts it again.
-                    attempt.settled = true;
-                    end(attempt, line.cause());
-                }
-            }
-        }
-    }
-
-    /**
-     * Proof 4, for attempts that the machine's own report does not hold: it has seen a newer token
-     * than any direct order for them carried, and what answers to its earlier reports offered is
-     * over, since a report answers one at a time.
-     */
-    private void absent(Machine machine, Set<TaskRef> shown) {
-        for (Attempt attempt : List.copyOf(machine.attempts.values())) {
-            if (shown.contains(attempt.ref) || attempt.phase == Attempt.Phase.INTENDED) {
-                continue;
-            }
-            if (machine.seenToken <= attempt.directToken) {
-                continue;
-            }
-            if (!attempt.live()) {
-                machine.attempts.remove(attempt.ref, attempt);
-            } else if (attempt.phase != Attempt.Phase.ORDERED
-                    || attempt.stopWanted
-                    || attempt.restored) {
-                machine.attempts.remove(attempt.ref, attempt);
-                end(attempt, Cause.OTHER);
-            }
-        }
-    }
-
-    private void end(Attempt attempt, Cause cause) {
-        attempt.phase = Attempt.Phase.ENDED;
-        attempt.machine.count(attempt, -1);
-        if (cause == Cause.ERROR) {
-            attempt.machine.failedJobs.add(attempt.job);
-        }
-        if (attempt.machine.tenure != attempt.tenure) {
-            attempt.machine.attempts.remove(attempt.ref, attempt);
-        }
-        listener.gone(attempt, cause);
-    }
-
-    private List<Order> ordersFor(Machine machine, Report report) {
-        List<Order> orders = new ArrayList<>();
-        if (report.tenure() != machine.tenure) {
-            return orders;
-        }
-        Set<TaskRef> known = new HashSet<>();
-        for (Attempt attempt : machine.attempts.values()) {
-            if (attempt.phase == Attempt.Phase.INTENDED || attempt.tenure != machine.tenure) {
-                continue;
-            }
-            known.add(attempt.ref);
-            if (!attempt.live()) {
-                // A clear makes the worker forget; a direct run under a token it still accepts
-                // would start it once more.
-                if (attempt.settled && machine.seenToken > attempt.directToken) {
-                    orders.add(new Order.Clear(attempt.ref, attempt.number));
-                } else if (attempt.settled) {
-                    newerTokenWanted = true;
-                }
-            } else if (attempt.stopWanted) {
-                orders.add(new Order.Stop(attempt.ref, attempt.number, attempt.drainS));
-                newerTokenWanted |=
-                        attempt.phase == Attempt.Phase.ORDERED
-                                && machine.seenToken <= attempt.directToken;
-            } else if (attempt.phase == Attempt.Phase.ORDERED
-                    && !attempt.restored
-                    && !machine.releasing
-                    && !startsHeld) {
-                orders.add(new Order.Run(attempt.ref, attempt.number));
-                machine.offered.add(attempt);
-            }
-        }
-        for (Report.Line line : report.lines()) {
-            Attempt attempt = machine.attempts.get(line.ref());
-            boolean ours = attempt != null && attempt.number == line.attempt();
-            if (ours && (known.contains(line.ref()) || attempt.phase == Attempt.Phase.INTENDED)) {
-                continue;
-            }
-            // An attempt that no durable record knows any more, by a leader before this one.
-            if (line.state() != Report.State.ENDED) {
-                orders.add(new Order.Stop(line.ref(), line.attempt(), 0));
-            } else if (machine.seenToken >= electedToken) {
-                orders.add(new Order.Clear(line.ref(), line.attempt()));
-            }
-        }
-        return orders;
-    }
-
+    /** The cloud is asked to take the machine back: it gets no more work. */
     public void releasing(Machine machine) {
         machine.releasing = true;
     }
@@ -507,25 +326,26 @@
         if (machine.live > 0) {
             LOG.debug("{} is gone with {} attempts", machine.describe(), machine.live);
         }
-        for (Attempt attempt : List.copyOf(machine.attempts.values())) {
-            if (attempt.live()) {
-                end(attempt, Cause.OTHER);
-            }
-        }
+        proofs.endAll(machine);
     }
 
     /** How many machines have this many seconds of silence or more, among those that were up. */
     public Map<String, Integer> census(double now, double silentS) {
         Map<String, Integer> census = new HashMap<>();
         for (Machine machine : machines.values()) {
-            String state =
-                    machine.releasing
-                            ? "releasing"
-                            : !machine.up()
-                                    ? "awaited"
-                                    : machine.silentFor(now) > silentS ? "silent" : "up";
+            String state = state(machine, now, silentS);
             census.merge(state, 1, Integer::sum);
         }
         return census;
     }
+
+    private static String state(Machine machine, double now, double silentS) {
+        if (machine.releasing) {
+            return "releasing";
+        }
+        if (!machine.up()) {
+            return "awaited";
+        }
+        return machine.silentFor(now) > silentS ? "silent" : "up";
+    }
 }
--- a/src/main/java/io/pepperfield/fleet/Machine.java
+++ b/src/main/java/io/pepperfield/fleet/Machine.java
@@ -5,12 +5,10 @@
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.placement.Capacity;
 import io.pepperfield.steering.Pool;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -55,20 +53,12 @@
      */
     boolean expected;
 
-    /** Loop time since which nothing shows that answers and orders reach it, NaN while they do. */
-    double deafSince = Double.NaN;
+    /** Whether answers to its reports reach it. */
+    final AnswerTracking answers = new AnswerTracking();
 
     /** Its worker has forgotten what it had seen: only its return settles what was alive on it. */
     boolean reborn;
 
-    /**
-     * The token that the last answer to it carried, and the run orders in that answer: its next
-     * report should show them.
-     */
-    long answeredToken;
-
-    final List<Attempt> offered = new ArrayList<>();
-
     /** The last report taken as a message of its own; what a short one repeats. */
     Report lastBeat;
 
@@ -144,18 +134,29 @@
         return rentedAt;
     }
 
+    /** Whether what is known of it is at least as new as the report. */
+    boolean knows(Report report) {
+        return report.tenure() < tenure || report.tenure() == tenure && report.serial() <= serial;
+    }
+
+    /** Whether this report, or a newer one, has come as a message of its own. */
+    boolean knowsBeat(Report report) {
+        return report.tenure() < beatTenure
+                || report.tenure() == beatTenure && report.serial() <= beatSerial;
+    }
+
     public double silentFor(double now) {
         return now - Math.max(answeredAt, up() ? reportedAt : awaitedSince);
     }
 
     /** How long nothing has been heard from it, or nothing has shown that it hears. */
     public double lostFor(double now) {
-        return deaf() ? Math.max(silentFor(now), now - deafSince) : silentFor(now);
+        return deaf() ? Math.max(silentFor(now), answers.deafFor(now)) : silentFor(now);
     }
 
     /** Its reports arrive, but what they show says that neither answers nor orders reach it. */
     public boolean deaf() {
-        return !Double.isNaN(deafSince);
+        return answers.deaf();
     }
 
     /**
--- a/src/main/java/io/pepperfield/fleet/Report.java
+++ b/src/main/java/io/pepperfield/fleet/Report.java
@@ -37,6 +37,12 @@
 
     public record Line(TaskRef ref, int attempt, State state, Cause cause) {}
 
+    /** The report that differs from this one only in its serial and token. */
+    Report repeatedAs(long newSerial, long newToken) {
+        return new Report(
+                machine, address, type, zone, spot, tenure, newSerial, newToken, noticeS, lines);
+    }
+
     /** Null where the message is no report: refused whole, since half of one proves nothing. */
     public static Report read(JsonNode n) {
         if (!n.path("host").isTextual()
