Relay: the remembered reports and the message being filled are parts of their own

LastReports owns what this node remembers of each machine, ForwardedBatch the size of a message; the relay keeps the link to the leader and what waits. The message's fields and their order stay.

--- a/src/main/java/io/pepperfield/peer/Relay.java
+++ b/src/main/java/io/pepperfield/peer/Relay.java
@@ -1,11 +1,8 @@
 package io.pepperfield.peer;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.config.Settings;
 import io.pepperfield.fleet.Order;
 import io.pepperfield.fleet.Report;
-import io.pepperfield.http.Json;
 import io.pepperfield.http.Outcome;
 import io.pepperfield.http.Sender;
 import io.pepperfield.node.Loop;
@@ -14,9 +11,7 @@
 import io.pepperfield.peer.RelayMessages.Verdict;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
 import java.util.function.Consumer;
@@ -31,12 +26,6 @@
     /** Workers wait so long for an answer. */
     private static final double PATIENCE_S = 4;
 
-    /**
-     * The peers' listener takes four times as much as one for users; a report alone may be a
-     * quarter of it.
-     */
-    private static final int MOST_BYTES = 128 * 1024;
-
     /**
      * A report of a worker that waits for its answer; null verdicts mean that no leader answered.
      */
@@ -53,21 +42,6 @@
         }
     }
 
-    private static final class Known {
-        Report report;
-        byte[] raw;
-        double at;
-
-        /**
-         * A time up to which all cancellations were settled on the machine by a leader's word; see
-         * {@link Relay#settledUpTo}.
-         */
-        double settledUpTo = Double.NEGATIVE_INFINITY;
-
-        /** Whether the leader has it, as far as this node knows. */
-        boolean passedOn;
-    }
-
     private final Loop loop;
     private final Sender client;
     private final Settings settings;
@@ -76,7 +50,7 @@
     private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
     private final ArrayDeque<byte[]> heard = new ArrayDeque<>();
     private final ArrayDeque<String> keptToSend = new ArrayDeque<>();
-    private final Map<String, Known> known = new HashMap<>();
+    private final LastReports lastReports;
     private Settings.Member leader;
     private long token;
     private Set<String> live = Set.of();
@@ -91,6 +65,7 @@
         this.client = client;
         this.settings = settings;
         this.reportS = settings.deployment().workers().reportS();
+        this.lastReports = new LastReports(reportS);
     }
 
     /**
@@ -110,13 +85,8 @@
         live = Set.of();
         keptToSend.clear();
         if (leader != null) {
-            known.forEach(
-                    (machine, last) -> {
-                        last.passedOn = false;
-                        if (loop.now() - last.at < 1.25 * reportS) {
-                            keptToSend.add(machine);
-                        }
-                    });
+            lastReports.leaderChanged();
+            keptToSend.addAll(lastReports.recentMachines(loop.now()));
         }
     }
 
@@ -135,8 +105,7 @@
      * through this node.
      */
     public double settledUpTo(String machine) {
-        Known last = known.get(machine);
-        return last == null ? Double.NEGATIVE_INFINITY : last.settledUpTo;
+        return lastReports.settledUpTo(machine);
     }
 
     /**
@@ -155,21 +124,14 @@
         return token;
     }
 
+    /** The controllers that take reports, as the leader said last. */
     public Set<String> live() {
         return live;
     }
 
     /** The last reports of this node's partition, for a leader that begins: as old as they are. */
     public List<Kept> kept(double now) {
-        List<Kept> all = new ArrayList<>();
-        known.values()
-                .forEach(
-                        last -> {
-                            if (now - last.at < 1.25 * reportS) {
-                                all.add(new Kept(last.report, now - last.at));
-                            }
-                        });
-        return all;
+        return lastReports.recent(now);
     }
 
     /**
@@ -179,16 +141,7 @@
      * @param settledUpTo up to when that leader's answer settles all cancellations there
      */
     public void remember(Report report, byte[] raw, double settledUpTo) {
-        Known last = known.computeIfAbsent(report.machine(), m -> new Known());
-        last.settledUpTo = Math.max(last.settledUpTo, settledUpTo);
-        if (last.report == null
-                || report.tenure() > last.report.tenure()
-                || report.tenure() == last.report.tenure()
-                        && report.serial() > last.report.serial()) {
-            last.report = report;
-            last.raw = raw;
-            last.at = loop.now();
-        }
+        lastReports.remember(report, raw, settledUpTo, loop.now());
     }
 
     /**
@@ -230,48 +183,12 @@
     private void send(double now) {
         underWay = true;
         sentAt = now;
-        ObjectNode body =
-                Json.object()
-                        .put("node", settings.node())
-                        .put("life", life)
-                        .put("seq", ++sequence)
-                        .put("epoch", token);
-        List<Waiting> batch = new ArrayList<>();
-        ArrayNode beats = body.putArray("beats");
-        int bytes = 0;
-        while (!waiting.isEmpty() && bytes < MOST_BYTES) {
-            Waiting next = waiting.poll();
-            batch.add(next);
-            Known last = known.get(next.report.machine());
-            if (!next.whole && last != null && last.passedOn && repeats(next.report, last.report)) {
-                beats.addArray()
-                        .add(next.report.machine())
-                        .add(next.report.tenure())
-                        .add(last.report.serial())
-                        .add(next.report.serial())
-                        .add(next.report.token());
-                bytes += 64;
-            } else {
-                beats.addRawValue(RelayMessages.raw(next.raw));
-                bytes += next.raw.length;
-            }
-        }
-        ArrayNode answers = body.putArray("heard");
-        while (!heard.isEmpty() && bytes < MOST_BYTES) {
-            byte[] raw = heard.poll();
-            answers.addRawValue(RelayMessages.raw(raw));
-            bytes += raw.length;
-        }
-        ArrayNode kept = body.putArray("kept");
-        while (!keptToSend.isEmpty() && bytes < MOST_BYTES) {
-            Known last = known.get(keptToSend.poll());
-            if (last != null) {
-                kept.addObject()
-                        .put("ageMs", Math.round((now - last.at) * 1000))
-                        .putRawValue("report", RelayMessages.raw(last.raw));
-                bytes += last.raw.length;
-            }
+        ForwardedBatch message = new ForwardedBatch(settings.node(), life, ++sequence, token);
+        List<Waiting> batch = addReports(message);
+        while (!heard.isEmpty() && message.hasRoom()) {
+            message.addAnswer(heard.poll());
         }
+        addRemembered(message, now);
         Settings.Member to = leader;
         // Well within a worker's patience, so that it can still be answered without orders, also
         // one that waits behind these.
@@ -281,60 +198,76 @@
                 1,
                 "POST",
                 "/peer/relay",
-                Json.write(body),
+                message.write(),
                 Math.round(1000 * Math.min(reportS / 2, PATIENCE_S / 3)),
                 outcome -> loop.post(() -> answered(to, now, batch, outcome)));
     }
 
-    private static boolean repeats(Report now, Report before) {
-        return now.tenure() == before.tenure()
-                && now.noticeS() == null
-                && before.noticeS() == null
-                && now.address().equals(before.address())
-                && now.lines().equals(before.lines());
+    private List<Waiting> addReports(ForwardedBatch message) {
+        List<Waiting> batch = new ArrayList<>();
+        while (!waiting.isEmpty() && message.hasRoom()) {
+            Waiting next = waiting.poll();
+            batch.add(next);
+            LastReports.Entry last = lastReports.get(next.report.machine());
+            if (!next.whole && last != null && last.leaderKnows(next.report)) {
+                message.addRepeated(next.report, last.report());
+            } else {
+                message.addReport(next.raw);
+            }
+        }
+        return batch;
+    }
+
+    private void addRemembered(ForwardedBatch message, double now) {
+        while (!keptToSend.isEmpty() && message.hasRoom()) {
+            LastReports.Entry last = lastReports.get(keptToSend.poll());
+            if (last != null) {
+                message.addRemembered(last.raw(), now - last.at());
+            }
+        }
     }
 
     private void answered(Settings.Member from, double sent, List<Waiting> batch, Outcome outcome) {
         underWay = false;
-        Answer answer =
-                outcome instanceof Outcome.Answered a && a.status() == 200
-                        ? RelayMessages.readAnswer(a.json(), batch.size())
-                        : null;
+        Answer answer = answer(outcome, batch.size());
         if (answer == null || from != leader) {
-            batch.forEach(
-                    w -> {
-                        Known last = known.get(w.report.machine());
-                        if (last != null) {
-                            last.passedOn = false;
-                        }
-                        w.done.accept(null);
-                    });
+            batch.forEach(this::refuse);
             return;
         }
         token = Math.max(token, answer.token());
         live = answer.live();
         linked = true;
         linkedAt = Math.max(linkedAt, sent);
+        double knownUpTo = sent - answer.contactAgoS();
         for (int i = 0; i < batch.size(); i++) {
-            Waiting w = batch.get(i);
-            if (answer.verdicts().get(i) instanceof Verdict.WantsWhole && !w.whole) {
-                w.whole = true;
-                waiting.add(w);
-                continue;
-            }
-            if (answer.verdicts().get(i) instanceof Verdict.Orders orders) {
-                remember(
-                        w.report,
-                        w.raw,
-                        settledUpTo(Order.anyStop(orders.orders()), sent - answer.contactAgoS()));
-                Known last = known.get(w.report.machine());
-                last.passedOn = last.report == w.report;
-            }
-            w.done.accept(answer.verdicts().get(i));
+            take(batch.get(i), answer.verdicts().get(i), knownUpTo);
+        }
+        lastReports.forgetBefore(loop.now() - settings.deployment().workers().cancelS());
+    }
+
+    private static Answer answer(Outcome outcome, int reports) {
+        if (outcome instanceof Outcome.Answered answered && answered.status() == 200) {
+            return RelayMessages.readAnswer(answered.json(), reports);
+        }
+        return null;
+    }
+
+    private void refuse(Waiting report) {
+        lastReports.notPassedOn(report.report.machine());
+        report.done.accept(null);
+    }
+
+    private void take(Waiting report, Verdict verdict, double knownUpTo) {
+        if (verdict instanceof Verdict.WantsWhole && !report.whole) {
+            report.whole = true;
+            waiting.add(report);
+            return;
         }
-        if (known.size() > 64) {
-            double old = loop.now() - settings.deployment().workers().cancelS();
-            known.values().removeIf(k -> k.at < old);
+        if (verdict instanceof Verdict.Orders orders) {
+            double settledUpTo = settledUpTo(Order.anyStop(orders.orders()), knownUpTo);
+            remember(report.report, report.raw, settledUpTo);
+            lastReports.passedOn(report.report);
         }
+        report.done.accept(verdict);
     }
 }
