--- /dev/null
+++ b/src/main/java/io/pepperfield/http/Connection.java
@@ -0,0 +1,100 @@
+package io.pepperfield.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+
+/** One connection of a pool and the exchange it carries. */
+final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+    private final ConnectionPool pool;
+    private final Channel channel;
+    private Exchange exchange;
+    private boolean retired;
+
+    Connection(ConnectionPool pool, Channel channel) {
+        this.pool = pool;
+        this.channel = channel;
+    }
+
+    ConnectionPool pool() {
+        return pool;
+    }
+
+    void send(Exchange next) {
+        exchange = next;
+        next.sentOver(this);
+        channel.writeAndFlush(request(next));
+    }
+
+    private FullHttpRequest request(Exchange of) {
+        byte[] body = of.body();
+        ByteBuf content = body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body);
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1, HttpMethod.valueOf(of.method()), of.path(), content);
+        request.headers().set(HttpHeaderNames.HOST, pool.address());
+        if (body != null) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        }
+        return request;
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    /** Closes it while it carries nothing; the pool has counted it out already. */
+    void retire() {
+        retired = true;
+        channel.close();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+        Exchange answered = exchange;
+        exchange = null;
+        if (answered == null || response.decoderResult().isFailure()) {
+            if (answered != null) {
+                answered.fail("malformed answer");
+            }
+            ctx.close();
+            return;
+        }
+        answered.finish(
+                new Outcome.Answered(
+                        response.status().code(), ByteBufUtil.getBytes(response.content())));
+        if (HttpUtil.isKeepAlive(response)) {
+            pool.free(this);
+        } else {
+            ctx.close();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        if (retired) {
+            return;
+        }
+        Exchange unanswered = exchange;
+        exchange = null;
+        pool.lost(this, unanswered);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+}
