--- a/src/main/java/io/pepperfield/cloud/Cloud.java
+++ b/src/main/java/io/pepperfield/cloud/Cloud.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-/** The cloud as the slices see it; every callback runs on the owner. */
+/** The cloud as the slices see it; every callback runs on the event loop. */
 public interface Cloud {
 
     record Listed(
--- a/src/main/java/io/pepperfield/fleet/Workers.java
+++ b/src/main/java/io/pepperfield/fleet/Workers.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-/** The direct way to the workers; callbacks run on the owner. */
+/** The direct way to the workers; callbacks run on the event loop. */
 public interface Workers {
 
     sealed interface Result {
--- a/src/main/java/io/pepperfield/leadership/Leadership.java
+++ b/src/main/java/io/pepperfield/leadership/Leadership.java
@@ -21,7 +21,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
 
-    /** The owner's reaction to changes of role; called on the owner. */
+    /** The owner's reaction to changes of role; called on the event loop. */
     public interface Listener {
         void elected(long token);
 
--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -30,7 +30,7 @@
 
 /**
  * One controller: every node answers users; the leading one also answers workers and decides. All
- * of it runs on the owner.
+ * of it runs on the event loop.
  */
 public final class Controller implements Leadership.Listener {
 
--- a/src/main/java/io/pepperfield/node/Owner.java
+++ b/src/main/java/io/pepperfield/node/EventLoop.java
@@ -12,9 +12,9 @@
  * The one thread that owns all state. It takes commands from its queue in batches; what follows
  * from a batch is done once.
  */
-public final class Owner implements Loop {
+public final class EventLoop implements Loop {
 
-    private static final Logger LOG = LoggerFactory.getLogger(Owner.class);
+    private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
     private static final int MOST_IN_BATCH = 256;
 
     private record Timer(long at, long order, Runnable command) implements Comparable<Timer> {
@@ -55,7 +55,7 @@
         queue.add(command);
     }
 
-    /** Called on the owner only; other threads post. */
+    /** Called on its own thread only; other threads post. */
     @Override
     public void after(double seconds, Runnable command) {
         timers.add(
--- a/src/main/java/io/pepperfield/node/Loop.java
+++ b/src/main/java/io/pepperfield/node/Loop.java
@@ -1,6 +1,6 @@
 package io.pepperfield.node;
 
-/** What the one owner of all state offers to the slices: its clock and its queue. */
+/** The event loop that owns all state, as its users see it: a clock and a queue. */
 public interface Loop {
 
     /** Steady time in seconds. */
@@ -9,9 +9,9 @@
     /** Time of day in milliseconds, within the bound of the settings. */
     long wallMs();
 
-    /** Runs the command on the owner, after those already queued. */
+    /** Runs the command on the event loop, after those already queued. */
     void post(Runnable command);
 
-    /** Runs the command on the owner once that many seconds have passed. */
+    /** Runs the command on the event loop once that many seconds have passed. */
     void after(double seconds, Runnable command);
 }
--- a/src/main/java/io/pepperfield/node/Service.java
+++ b/src/main/java/io/pepperfield/node/Service.java
@@ -20,7 +20,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** One controller process: a network thread, the owner, and the slices wired to both. */
+/** One controller process: a network thread, the event loop, and the slices wired to both. */
 public final class Service {
 
     private static final Logger LOG = LoggerFactory.getLogger(Service.class);
@@ -29,7 +29,7 @@
     private static final int MOST_ANSWER_BYTES = 4 * 1024 * 1024;
 
     private final Settings settings;
-    private final Owner owner = new Owner();
+    private final EventLoop eventLoop = new EventLoop();
     private final EventLoopGroup network =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private HttpServer users;
@@ -51,22 +51,24 @@
                     String.join("; ", shortage));
         }
         HttpClient client = new HttpClient(network, MOST_ANSWER_BYTES);
-        HttpStateService state = new HttpStateService(owner, client, settings.state());
+        HttpStateService state = new HttpStateService(eventLoop, client, settings.state());
         HttpCloud cloud =
-                new HttpCloud(owner, client, settings.cloud(), settings.deployment().cloud().rps());
+                new HttpCloud(
+                        eventLoop, client, settings.cloud(), settings.deployment().cloud().rps());
         HttpWorkers workers =
                 new HttpWorkers(
-                        owner,
+                        eventLoop,
                         new HttpClient(
                                 network,
                                 MOST_ANSWER_BYTES,
                                 settings.deployment().quota().sockets() * 15 / 100),
                         settings.deployment().workers().reportS());
-        Peers peers = new Peers(owner, settings, client);
-        Relay relay = new Relay(owner, client, settings);
+        Peers peers = new Peers(eventLoop, settings, client);
+        Relay relay = new Relay(eventLoop, client, settings);
         Controller controller =
-                new Controller(owner, settings, state, cloud, workers, peers, relay, state::share);
-        owner.handlers(controller::flush, controller::failed);
+                new Controller(
+                        eventLoop, settings, state, cloud, workers, peers, relay, state::share);
+        eventLoop.handlers(controller::flush, controller::failed);
         int sockets = settings.deployment().quota().sockets();
         users =
                 new HttpServer(
@@ -76,17 +78,18 @@
                                         Controller.JOBS,
                                         Controller.questionsAtOnce(settings),
                                         (call, answer) ->
-                                                owner.post(() -> handle(controller, call, answer))))
+                                                eventLoop.post(
+                                                        () -> handle(controller, call, answer))))
                         .limit(Controller.BEAT, sockets * 6 / 10);
         others =
                 new HttpServer(
                         network,
                         sockets / 10,
                         4 * HttpServer.MOST_BYTES,
-                        (call, answer) -> owner.post(() -> peers.handle(call, answer)));
+                        (call, answer) -> eventLoop.post(() -> peers.handle(call, answer)));
         int port = users.start(settings.bind().host(), settings.bind().port());
         others.start(settings.peerListen().host(), settings.peerListen().port());
-        owner.post(controller::start);
+        eventLoop.post(controller::start);
         LOG.info(
                 "{} in {} listens on {}:{}",
                 settings.node(),
@@ -109,13 +112,13 @@
 
     /** Works on the calling thread until stopped. */
     public void run() {
-        owner.run();
+        eventLoop.run();
     }
 
     public void stop() {
         users.close();
         others.close();
-        owner.stop();
+        eventLoop.stop();
         network.shutdownGracefully();
     }
 }
