--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -60,7 +60,7 @@
     private final PartitionOrders partitionOrders;
     private final Members members;
     private final ReportHandler reports;
-    private final Standstill standstill;
+    private final PauseDetector pauseDetector;
     private final LeaseRenewal renewal;
     private final LivenessLog livenessLog;
     private final Types types;
@@ -116,8 +116,8 @@
         this.leadership = new Leadership(loop, state, settings.node(), grantS, this);
         this.tickS = grantS / 20;
         this.catalog = new Catalog(sync::contactAt);
-        this.standstill =
-                new Standstill(loop, grantS, () -> Math.max(sync.contactAt(), relay.linkedAt()));
+        this.pauseDetector =
+                new PauseDetector(loop, grantS, () -> Math.max(sync.contactAt(), relay.linkedAt()));
         this.renewal = new LeaseRenewal(times, catalog, sync::contactAt);
         this.reports =
                 new ReportHandler(
@@ -129,7 +129,7 @@
                         sync,
                         members,
                         renewal,
-                        standstill);
+                        pauseDetector);
         this.writer = writer(state);
         this.users = userRequests(state);
         this.overview = new NodeOverview(settings, leadership, sync, members, reports);
@@ -188,7 +188,7 @@
 
         @Override
         public void direct(long token, RelayMessages.Direct message) {
-            if (standstill.stale()) {
+            if (pauseDetector.stale()) {
                 // Meant for then; by now another may lead, and the machine be told otherwise.
                 return;
             }
@@ -279,7 +279,7 @@
 
     private void tick() {
         loop.after(tickS, this::tick);
-        standstill.stale();
+        pauseDetector.stale();
         rates.live(liveControllers(), leadership.leading());
         if (sync.loaded()) {
             leadership.replicaLoaded();
@@ -329,7 +329,7 @@
 
     /** At the end of each batch of commands. */
     public void flush() {
-        standstill.stale();
+        pauseDetector.stale();
         if (leader != null) {
             leader.flush();
         }
--- a/src/main/java/io/pepperfield/node/Standstill.java
+++ b/src/main/java/io/pepperfield/node/PauseDetector.java
@@ -7,33 +7,32 @@
 /**
  * Notices that this process did not run for longer than a grant lasts. What it knows is then of
  * before, when it may have led or owned a partition that others have taken over: neither answers
- * nor orders may rest on it until somebody has answered something that it asked after waking.
+ * nor orders may rest on it until somebody has answered something that it asked after resuming.
  */
-final class Standstill {
+final class PauseDetector {
 
-    private static final Logger LOG = LoggerFactory.getLogger(Standstill.class);
+    private static final Logger LOG = LoggerFactory.getLogger(PauseDetector.class);
 
     private final Loop loop;
     private final double grantS;
-    private final DoubleSupplier lastWordAt;
+    private final DoubleSupplier lastAnswerAt;
 
     /**
-     * When this process last finished a batch of commands, and when it last woke from standing
-     * still.
+     * When this process last finished a batch of commands, and when it last resumed after a pause.
      */
-    private double awakeAt;
+    private double activeAt;
 
-    private double wokeAt = Double.NEGATIVE_INFINITY;
+    private double resumedAt = Double.NEGATIVE_INFINITY;
 
     /**
-     * @param lastWordAt sending time of the last question that the state service or the leader has
-     *     answered
+     * @param lastAnswerAt sending time of the last question that the state service or the leader
+     *     has answered
      */
-    Standstill(Loop loop, double grantS, DoubleSupplier lastWordAt) {
+    PauseDetector(Loop loop, double grantS, DoubleSupplier lastAnswerAt) {
         this.loop = loop;
         this.grantS = grantS;
-        this.lastWordAt = lastWordAt;
-        this.awakeAt = loop.now();
+        this.lastAnswerAt = lastAnswerAt;
+        this.activeAt = loop.now();
     }
 
     /**
@@ -41,11 +40,11 @@
      */
     boolean stale() {
         double now = loop.now();
-        if (now - awakeAt > grantS) {
-            LOG.info("stood still for {} s", Math.round(now - awakeAt));
-            wokeAt = now;
+        if (now - activeAt > grantS) {
+            LOG.info("stood still for {} s", Math.round(now - activeAt));
+            resumedAt = now;
         }
-        awakeAt = now;
-        return wokeAt > lastWordAt.getAsDouble();
+        activeAt = now;
+        return resumedAt > lastAnswerAt.getAsDouble();
     }
 }
--- a/src/main/java/io/pepperfield/node/ReportHandler.java
+++ b/src/main/java/io/pepperfield/node/ReportHandler.java
@@ -36,7 +36,7 @@
     private final Sync sync;
     private final Members members;
     private final LeaseRenewal renewal;
-    private final Standstill standstill;
+    private final PauseDetector pauseDetector;
     private final Warnings warnings = new Warnings();
     private final double reportS;
     private final ZoneWatch zoneWatch = new ZoneWatch();
@@ -58,7 +58,7 @@
             Sync sync,
             Members members,
             LeaseRenewal renewal,
-            Standstill standstill) {
+            PauseDetector pauseDetector) {
         this.loop = loop;
         this.settings = settings;
         this.leadership = leadership;
@@ -67,7 +67,7 @@
         this.sync = sync;
         this.members = members;
         this.renewal = renewal;
-        this.standstill = standstill;
+        this.pauseDetector = pauseDetector;
         this.reportS = settings.deployment().workers().reportS();
         this.reachability = new Reachability(reportS, settings.deployment().workers().leaseS());
     }
@@ -89,7 +89,7 @@
         }
         double now = loop.now();
         zoneWatch.heard(report.zone().equals(settings.zone()));
-        if (standstill.stale()) {
+        if (pauseDetector.stale()) {
             answer.accept(Reply.error(503, "has stood still"));
         } else if (leadership.leading()) {
             if (report.token() > leadership.token()) {
@@ -172,7 +172,7 @@
     }
 
     private void relayed(Report report, RelayMessages.Verdict verdict, Consumer<Reply> answer) {
-        if (standstill.stale()) {
+        if (pauseDetector.stale()) {
             answer.accept(Reply.error(503, "has stood still"));
         } else if (verdict instanceof RelayMessages.Verdict.Orders orders
                 && relay.token() >= report.token()) {
@@ -253,7 +253,10 @@
         if (batch.token() > leadership.token() && leadership.leading()) {
             leadership.sawToken(batch.token());
         }
-        if (standstill.stale() || !leadership.leading() || leader == null || !mayLeadWorkers(now)) {
+        if (pauseDetector.stale()
+                || !leadership.leading()
+                || leader == null
+                || !mayLeadWorkers(now)) {
             answer.accept(Reply.error(503, "not leading"));
             return;
         }
