--- a/src/main/java/io/pepperfield/node/Watch.java
+++ b/src/main/java/io/pepperfield/node/FailureDetector.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 
 /** Machines that say nothing, do not hear, never came up, are faulty or about to be taken. */
-final class Watch {
+final class FailureDetector {
 
     /**
      * Of the time that a cancellation may take; the rest is for the cloud to return the machine.
@@ -26,10 +26,10 @@
     /** Until when the silence of a zone's machines is taken for a cut. */
     private final Map<String, Double> cutUntil = new HashMap<>();
 
-    private boolean over;
+    private boolean stopped;
     private double askedForRoomAt = Double.NEGATIVE_INFINITY;
 
-    Watch(
+    FailureDetector(
             ClusterState cluster,
             Dispatcher dispatcher,
             Workers workers,
@@ -41,7 +41,7 @@
     }
 
     void stop() {
-        over = true;
+        stopped = true;
     }
 
     /**
@@ -75,7 +75,7 @@
                     workers.probe(
                             machine.address(),
                             report -> {
-                                if (!over && report != null) {
+                                if (!stopped && report != null) {
                                     cluster.fleet().heard(report, cluster.loop().now());
                                 }
                             });
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -45,7 +45,7 @@
     private final CloudInventory inventory;
     private final Dispatcher dispatcher;
     private final Sizer sizer;
-    private final Watch watch;
+    private final FailureDetector failureDetector;
     private final double reportS;
     private final double leaseS;
     private final double startedAt;
@@ -89,7 +89,7 @@
         this.sizer = new Sizer(cluster);
         this.overview =
                 new LeaderOverview(cluster, dispatcher, durable.writer(), durable.catalog());
-        this.watch = new Watch(cluster, dispatcher, workers, jobs);
+        this.failureDetector = new FailureDetector(cluster, dispatcher, workers, jobs);
         this.inventory =
                 new CloudInventory(loop, cloud, settings.deployment().cloud(), fleet, renting);
     }
@@ -149,7 +149,7 @@
         jobs.stop();
         inventory.stop();
         renting.stop();
-        watch.stop();
+        failureDetector.stop();
         direct.stop();
     }
 
@@ -334,7 +334,7 @@
             bootsUpdatedAt = now;
             cluster.boots().look(fleet, now);
         }
-        if (!watch.tick(now)) {
+        if (!failureDetector.tick(now)) {
             // All of them dead at once is less likely than this node cut off, while another may
             // reach them.
             leadership.abdicate("no worker reports here", leaseS);
--- a/src/test/java/io/pepperfield/node/WatchTest.java
+++ b/src/test/java/io/pepperfield/node/FailureDetectorTest.java
@@ -27,7 +27,7 @@
  * Which silent machines are given up: twelve in the east and twelve in the west, reports every
  * second, leases of six.
  */
-class WatchTest implements Loop, Fleet.Listener {
+class FailureDetectorTest implements Loop, Fleet.Listener {
 
     private final Settings settings =
             new Settings(
@@ -55,10 +55,10 @@
     private final List<Runnable> posted = new ArrayList<>();
     private final Types types = new Types(settings);
     private final Boots boots = new Boots(types, 60);
-    private final Watch watch;
+    private final FailureDetector failureDetector;
     private double now;
 
-    WatchTest() {
+    FailureDetectorTest() {
         types.heard(
                 List.of(
                         new MachineType(
@@ -99,8 +99,8 @@
                         renting,
                         boots,
                         new Latencies());
-        watch =
-                new Watch(
+        failureDetector =
+                new FailureDetector(
                         cluster,
                         null,
                         new HttpWorkers(
@@ -118,7 +118,7 @@
     }
 
     private void tick() {
-        watch.tick(now);
+        failureDetector.tick(now);
         List.copyOf(posted).forEach(Runnable::run);
         posted.clear();
     }
