--- a/src/main/java/io/pepperfield/cloud/Renting.java
+++ b/src/main/java/io/pepperfield/cloud/Renting.java
@@ -85,7 +85,7 @@
 
     private boolean releasing;
     private int sequence;
-    private boolean over;
+    private boolean stopped;
 
     /**
      * @param retryS after how long a request without an answer is repeated
@@ -114,7 +114,7 @@
 
     /** The leadership has ended: nothing is sent from here any more. */
     public void stop() {
-        over = true;
+        stopped = true;
     }
 
     /** Takes over an earlier leader's rental from its durable record. */
@@ -185,7 +185,7 @@
     }
 
     private void request(Hire hire) {
-        if (over) {
+        if (stopped) {
             return;
         }
         if (!confirmed.getAsBoolean()) {
@@ -199,7 +199,7 @@
                 hire.pool.spot(),
                 hire.count,
                 result -> {
-                    if (over) {
+                    if (stopped) {
                         return;
                     }
                     if (result instanceof Cloud.Rented.Failed failed) {
@@ -260,7 +260,7 @@
     }
 
     private void send() {
-        if (releasing || over || toRelease.isEmpty()) {
+        if (releasing || stopped || toRelease.isEmpty()) {
             return;
         }
         releasing = true;
@@ -285,7 +285,7 @@
                             names,
                             done -> {
                                 releasing = false;
-                                if (over) {
+                                if (stopped) {
                                     return;
                                 }
                                 if (!done) {
--- a/src/main/java/io/pepperfield/node/DirectOrders.java
+++ b/src/main/java/io/pepperfield/node/DirectOrders.java
@@ -25,7 +25,7 @@
     private final PartitionOrders workers;
     private final BooleanSupplier fresh;
     private final Map<Machine, List<Attempt>> toSend = new LinkedHashMap<>();
-    private boolean over;
+    private boolean stopped;
 
     /**
      * @param fresh whether the state service has answered of late, or starts have to wait
@@ -45,7 +45,7 @@
 
     /** The leadership has ended: what is still answered changes nothing. */
     void stop() {
-        over = true;
+        stopped = true;
     }
 
     void add(Attempt attempt) {
@@ -90,7 +90,7 @@
                 machine.tenure(),
                 orders,
                 result -> {
-                    if (!over && result instanceof Workers.Result.Heard heard) {
+                    if (!stopped && result instanceof Workers.Result.Heard heard) {
                         fleet.heard(heard.report(), loop.now());
                     }
                 });
--- a/src/main/java/io/pepperfield/node/JobTracker.java
+++ b/src/main/java/io/pepperfield/node/JobTracker.java
@@ -293,7 +293,7 @@
     private void forgetIfOver(Job job) {
         if (job.end() != null && !ledger.has(job)) {
             jobs.remove(job.spec.id());
-            records.over(job);
+            records.forget(job);
         }
     }
 }
--- a/src/main/java/io/pepperfield/node/LeaseRenewal.java
+++ b/src/main/java/io/pepperfield/node/LeaseRenewal.java
@@ -24,16 +24,16 @@
 
     private final Settings.Workers times;
     private final Catalog catalog;
-    private final DoubleSupplier knownUpTo;
+    private final DoubleSupplier confirmedAt;
 
     /**
-     * @param knownUpTo sending time of this node's last question that was answered with all changes
-     *     up to then
+     * @param confirmedAt sending time of this node's last question that was answered with all
+     *     changes up to then
      */
-    LeaseRenewal(Settings.Workers times, Catalog catalog, DoubleSupplier knownUpTo) {
+    LeaseRenewal(Settings.Workers times, Catalog catalog, DoubleSupplier confirmedAt) {
         this.times = times;
         this.catalog = catalog;
-        this.knownUpTo = knownUpTo;
+        this.confirmedAt = confirmedAt;
     }
 
     /**
@@ -55,7 +55,7 @@
      */
     double settledByOwnKnowledge(Report report) {
         return Math.min(
-                knownUpTo.getAsDouble(),
+                confirmedAt.getAsDouble(),
                 catalog.openAsOf(
                         report.machine(),
                         attempt ->
--- a/src/main/java/io/pepperfield/node/RunRecords.java
+++ b/src/main/java/io/pepperfield/node/RunRecords.java
@@ -90,7 +90,7 @@
     }
 
     /** The job is over and nothing of it may be alive. */
-    void over(Job job) {
+    void forget(Job job) {
         shared.over(job.spec.id());
     }
 
