--- a/src/main/java/io/pepperfield/node/Boots.java
+++ b/src/main/java/io/pepperfield/node/BootTracker.java
@@ -14,9 +14,9 @@
 import org.slf4j.LoggerFactory;
 
 /** What boots take at present, by type and zone, and how long to wait for a machine by that. */
-final class Boots {
+final class BootTracker {
 
-    private static final Logger LOG = LoggerFactory.getLogger(Boots.class);
+    private static final Logger LOG = LoggerFactory.getLogger(BootTracker.class);
 
     /** Of the expected time: beyond it a machine is not counted on any more and replaced. */
     private static final double COMING = 2;
@@ -34,7 +34,7 @@
     private final Set<String> bootSeen = new HashSet<>();
     private final Set<String> late = new HashSet<>();
 
-    Boots(Types types, double unitS) {
+    BootTracker(Types types, double unitS) {
         this.types = types;
         this.times = new BootTimes(2 * unitS);
         this.unitS = unitS;
@@ -45,13 +45,13 @@
     }
 
     /** A machine that this leader has rented reports for the first time. */
-    void up(Machine machine, double at) {
+    void reported(Machine machine, double at) {
         times.seen(place(machine.type(), machine.zone()), machine.rentedAt(), at);
         bootSeen.add(machine.name);
     }
 
     /** Looks at what is awaited; to be called a few times in a report period. */
-    void look(Fleet fleet, double now) {
+    void update(Fleet fleet, double now) {
         Map<String, List<Double>> awaited = new HashMap<>();
         Map<String, List<Double>> unseen = new HashMap<>();
         bootSeen.removeIf(name -> fleet.get(name) == null);
--- a/src/main/java/io/pepperfield/node/ClusterState.java
+++ b/src/main/java/io/pepperfield/node/ClusterState.java
@@ -28,7 +28,7 @@
         Ledger ledger,
         Map<String, Job> jobs,
         Renting renting,
-        Boots boots,
+        BootTracker boots,
         Latencies passes) {
 
     double reportS() {
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -116,7 +116,7 @@
                 jobs.ledger(),
                 jobs.jobs(),
                 renting,
-                new Boots(types, settings.operators().chargeS()),
+                new BootTracker(types, settings.operators().chargeS()),
                 new Latencies());
     }
 
@@ -293,7 +293,7 @@
                 Math.round(loop.now() - machine.rentedAt()));
         // One from before this leader may have been up for long already.
         if (!machine.up() && machine.rentedAt() >= startedAt) {
-            cluster.boots().up(machine, loop.now());
+            cluster.boots().reported(machine, loop.now());
         }
         dispatcher.wake();
     }
@@ -332,7 +332,7 @@
     private void act(double now) {
         if (now - bootsUpdatedAt >= reportS / 4) {
             bootsUpdatedAt = now;
-            cluster.boots().look(fleet, now);
+            cluster.boots().update(fleet, now);
         }
         if (!failureDetector.tick(now)) {
             // All of them dead at once is less likely than this node cut off, while another may
--- a/src/test/java/io/pepperfield/node/DispatcherTest.java
+++ b/src/test/java/io/pepperfield/node/DispatcherTest.java
@@ -43,7 +43,7 @@
                             ledger,
                             jobs,
                             null,
-                            new Boots(types, 60),
+                            new BootTracker(types, 60),
                             new Latencies()),
                     this);
     private final List<String> said = new ArrayList<>();
--- a/src/test/java/io/pepperfield/node/FailureDetectorTest.java
+++ b/src/test/java/io/pepperfield/node/FailureDetectorTest.java
@@ -54,7 +54,7 @@
     private final Map<String, Integer> serials = new HashMap<>();
     private final List<Runnable> posted = new ArrayList<>();
     private final Types types = new Types(settings);
-    private final Boots boots = new Boots(types, 60);
+    private final BootTracker boots = new BootTracker(types, 60);
     private final FailureDetector failureDetector;
     private double now;
 
@@ -188,10 +188,10 @@
         for (int i = 0; i < 4; i++) {
             report("east" + i, "east");
             now = 6;
-            boots.up(fleet.get("east" + i), now);
+            boots.reported(fleet.get("east" + i), now);
         }
         for (now = 6; now < 19; now += 0.5) {
-            boots.look(fleet, now);
+            boots.update(fleet, now);
             for (int i = 0; i < 4; i++) {
                 report("east" + i, "east");
             }
@@ -207,7 +207,7 @@
         assertTrue(boots.late(types.get("box"), "west"));
         // A leader that begins now has seen no boot at all: what is up speaks for the east, where a
         // few stragglers are no news.
-        Boots next = new Boots(types, 60);
+        BootTracker next = new BootTracker(types, 60);
         for (int i = 0; i < 3; i++) {
             fleet.expect("straggler" + i, "box", "east", false, 0, now);
         }
@@ -222,7 +222,7 @@
         for (int i = 0; i < 6; i++) {
             fleet.gone("west" + i);
         }
-        boots.look(fleet, now);
+        boots.update(fleet, now);
         assertEquals(5, boots.expected(types.get("box"), "west"));
     }
 
--- a/src/test/java/io/pepperfield/node/SizerTest.java
+++ b/src/test/java/io/pepperfield/node/SizerTest.java
@@ -80,7 +80,7 @@
                             ledger,
                             jobs,
                             renting,
-                            new Boots(types, 60),
+                            new BootTracker(types, 60),
                             new Latencies()));
     private final List<String> rented = new ArrayList<>();
     private final Map<String, Integer> serials = new HashMap<>();
