--- a/src/main/java/io/pepperfield/node/BootTracker.java
+++ b/src/main/java/io/pepperfield/node/BootTracker.java
@@ -24,7 +24,7 @@
     /** Of the expected time: beyond it a machine is given up. */
     private static final double WAIT = 3;
 
-    private final Types types;
+    private final MachineTypes types;
     private final BootTimes times;
     private final double unitS;
 
@@ -34,7 +34,7 @@
     private final Set<String> bootSeen = new HashSet<>();
     private final Set<String> late = new HashSet<>();
 
-    BootTracker(Types types, double unitS) {
+    BootTracker(MachineTypes types, double unitS) {
         this.types = types;
         this.times = new BootTimes(2 * unitS);
         this.unitS = unitS;
--- a/src/main/java/io/pepperfield/node/ClusterState.java
+++ b/src/main/java/io/pepperfield/node/ClusterState.java
@@ -23,7 +23,7 @@
         Loop loop,
         Settings settings,
         Aims aims,
-        Types types,
+        MachineTypes types,
         Fleet fleet,
         Ledger ledger,
         Map<String, Job> jobs,
--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -63,7 +63,7 @@
     private final PauseDetector pauseDetector;
     private final LeaseRenewal renewal;
     private final LivenessLog livenessLog;
-    private final Types types;
+    private final MachineTypes types;
     private final MachineTypesPoll typesPoll;
     private final Catalog catalog;
     private final Replica replica;
@@ -99,7 +99,7 @@
         this.peers = peers;
         this.relay = relay;
         this.partitionOrders = new PartitionOrders(workers, peers, settings);
-        this.types = new Types(settings);
+        this.types = new MachineTypes(settings);
         this.typesPoll =
                 new MachineTypesPoll(
                         cloud, types, settings.operators().chargeS(), this::typesReceived);
@@ -240,7 +240,7 @@
             return;
         }
         if (key.equals(Keys.TYPES) && data != null && !types.known()) {
-            types.heard(TypesRecord.read(data));
+            types.update(TypesRecord.read(data));
         }
         catalog.changed(key, data);
         lighten(key);
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -34,7 +34,7 @@
     private final Settings settings;
     private final Leadership leadership;
     private final DurableState durable;
-    private final Types types;
+    private final MachineTypes types;
     private final LeaseRenewal renewal;
     private final Fleet fleet;
     private final Renting renting;
@@ -60,7 +60,7 @@
             DurableState durable,
             PartitionOrders workers,
             Cloud cloud,
-            Types types,
+            MachineTypes types,
             LeaseRenewal renewal) {
         this.loop = loop;
         this.settings = settings;
--- a/src/main/java/io/pepperfield/node/Types.java
+++ b/src/main/java/io/pepperfield/node/MachineTypes.java
@@ -9,19 +9,19 @@
 import java.util.List;
 import java.util.Map;
 
-/** The machine types as last heard, and what can never run on them. */
-final class Types implements UserRequests.Feasibility {
+/** The machine types as the cloud last listed them, and what can never run on them. */
+final class MachineTypes implements UserRequests.Feasibility {
 
     private static final double SLACK = 1e-9;
 
     private final Settings settings;
     private Map<String, MachineType> types = Map.of();
 
-    Types(Settings settings) {
+    MachineTypes(Settings settings) {
         this.settings = settings;
     }
 
-    void heard(List<MachineType> all) {
+    void update(List<MachineType> all) {
         Map<String, MachineType> next = new LinkedHashMap<>();
         all.forEach(type -> next.put(type.name(), type));
         types = next;
--- a/src/main/java/io/pepperfield/node/MachineTypesPoll.java
+++ b/src/main/java/io/pepperfield/node/MachineTypesPoll.java
@@ -14,7 +14,7 @@
     private static final double RETRY_S = 2;
 
     private final Cloud cloud;
-    private final Types types;
+    private final MachineTypes types;
     private final double refreshS;
     private final Runnable received;
 
@@ -26,7 +26,7 @@
      * @param refreshS between two questions of a leader
      * @param received to be run after each answer
      */
-    MachineTypesPoll(Cloud cloud, Types types, double refreshS, Runnable received) {
+    MachineTypesPoll(Cloud cloud, MachineTypes types, double refreshS, Runnable received) {
         this.cloud = cloud;
         this.types = types;
         this.refreshS = refreshS;
@@ -47,7 +47,7 @@
     private void receive(List<MachineType> heard) {
         requested = false;
         if (heard != null) {
-            types.heard(heard);
+            types.update(heard);
             answered = true;
             received.run();
         }
--- a/src/test/java/io/pepperfield/node/DispatcherTest.java
+++ b/src/test/java/io/pepperfield/node/DispatcherTest.java
@@ -28,7 +28,7 @@
 class DispatcherTest implements Loop, Fleet.Listener, Dispatcher.Starter {
 
     private final Settings settings = settings();
-    private final Types types = new Types(settings);
+    private final MachineTypes types = new MachineTypes(settings);
     private final Fleet fleet = new Fleet(this, 10, 3);
     private final Ledger ledger = new Ledger();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
@@ -134,7 +134,7 @@
      */
     @Test
     void aStoppedTaskLeavesNoRoomUnderTheLimitUntilItIsGone() {
-        types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
+        types.update(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
         report("m1", 1);
         Job array = job("run-000001", "batch", "red", Rank.STANDARD, "img", 3);
         start(array, 0, fleet.get("m1"));
@@ -161,7 +161,7 @@
      */
     @Test
     void ofAClassThatHasWaitedTooLongOneJobComesFirst() {
-        types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
+        types.update(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
         report("m1", 1);
         for (int i = 1; i <= 5; i++) {
             job("run-00000" + i, "swarm", "red", Rank.BEST_EFFORT, "img", 1);
@@ -206,7 +206,7 @@
      */
     @Test
     void aJobThatCanBeginNowhereDoesNotHoldItsTeamBack() {
-        types.heard(
+        types.update(
                 List.of(
                         new MachineType(
                                 "box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east", "west"))));
@@ -254,7 +254,7 @@
      */
     @Test
     void aMachineOnWhichAJobFailedIsAvoidedForAUnitAndNotForEver() {
-        types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
+        types.update(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
         Job job = job("run-000001", "batch", "blue", Rank.STANDARD, "img", 1);
         job.failed("m1", now, 1, 60);
         now = 59;
@@ -274,7 +274,7 @@
      */
     @Test
     void replicasLostToTwoBadMachinesAreStartedAgainBesideThoseThatLast() {
-        types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
+        types.update(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
         JobSpec spec =
                 new JobSpec(
                         "run-000001",
--- a/src/test/java/io/pepperfield/node/FailureDetectorTest.java
+++ b/src/test/java/io/pepperfield/node/FailureDetectorTest.java
@@ -53,13 +53,13 @@
     private final Fleet fleet = new Fleet(this, 10, 3);
     private final Map<String, Integer> serials = new HashMap<>();
     private final List<Runnable> posted = new ArrayList<>();
-    private final Types types = new Types(settings);
+    private final MachineTypes types = new MachineTypes(settings);
     private final BootTracker boots = new BootTracker(types, 60);
     private final FailureDetector failureDetector;
     private double now;
 
     FailureDetectorTest() {
-        types.heard(
+        types.update(
                 List.of(
                         new MachineType(
                                 "box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east", "west"))));
--- a/src/test/java/io/pepperfield/node/SizerTest.java
+++ b/src/test/java/io/pepperfield/node/SizerTest.java
@@ -66,7 +66,7 @@
                     state, state, replica, new Sync(state, state, replica, 1, 1), this, 32, 1, 2);
     private final Fleet fleet = new Fleet(this, 10, 3);
     private final Renting renting = new Renting(this, this, writer, fleet, 10, 1, 60, () -> true);
-    private final Types types = new Types(settings);
+    private final MachineTypes types = new MachineTypes(settings);
     private final Ledger ledger = new Ledger();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Sizer sizer =
@@ -88,7 +88,7 @@
     private Consumer<Rented> answer;
 
     SizerTest() {
-        types.heard(
+        types.update(
                 List.of(
                         new MachineType(
                                 "box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east", "west"))));
