--- a/src/test/java/io/pepperfield/node/FailureDetectorTest.java
+++ b/src/test/java/io/pepperfield/node/FailureDetectorTest.java
@@ -211,11 +211,11 @@
         for (int i = 0; i < 3; i++) {
             fleet.expect("straggler" + i, "box", "east", false, 0, now);
         }
-        next.look(fleet, now);
+        next.update(fleet, now);
         // Nor are three that died as they booted, where nothing else was rented since.
         assertEquals(5, next.expected(types.get("box"), "east"));
         now += 20;
-        next.look(fleet, now);
+        next.update(fleet, now);
         assertEquals(5, next.expected(types.get("box"), "east"));
         assertTrue(next.late(types.get("box"), "west"));
         // When the trouble ends, what comes in time is believed again.
