--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -12,11 +12,11 @@
 import io.pepperfield.jobs.Status;
 import io.pepperfield.jobs.UserRequests;
 import io.pepperfield.leadership.Leadership;
+import io.pepperfield.peer.ForwardingMessages;
 import io.pepperfield.peer.Members;
 import io.pepperfield.peer.PartitionOrders;
 import io.pepperfield.peer.Peers;
-import io.pepperfield.peer.Relay;
-import io.pepperfield.peer.RelayMessages;
+import io.pepperfield.peer.ReportForwarder;
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.Replica;
 import io.pepperfield.store.StateService;
@@ -56,7 +56,7 @@
     private final Workers workers;
     private final RateSharing rates;
     private final Peers peers;
-    private final Relay relay;
+    private final ReportForwarder forwarder;
     private final PartitionOrders partitionOrders;
     private final Members members;
     private final ReportHandler reports;
@@ -89,7 +89,7 @@
             Cloud cloud,
             Workers workers,
             Peers peers,
-            Relay relay,
+            ReportForwarder forwarder,
             Rates rates) {
         this.loop = loop;
         this.settings = settings;
@@ -97,7 +97,7 @@
         this.workers = workers;
         this.rates = new RateSharing(rates, settings);
         this.peers = peers;
-        this.relay = relay;
+        this.forwarder = forwarder;
         this.partitionOrders = new PartitionOrders(workers, peers, settings);
         this.types = new MachineTypes(settings);
         this.typesPoll =
@@ -117,14 +117,15 @@
         this.tickS = grantS / 20;
         this.catalog = new Catalog(sync::contactAt);
         this.pauseDetector =
-                new PauseDetector(loop, grantS, () -> Math.max(sync.contactAt(), relay.linkedAt()));
+                new PauseDetector(
+                        loop, grantS, () -> Math.max(sync.contactAt(), forwarder.linkedAt()));
         this.renewal = new LeaseRenewal(times, catalog, sync::contactAt);
         this.reports =
                 new ReportHandler(
                         loop,
                         settings,
                         leadership,
-                        relay,
+                        forwarder,
                         peers,
                         sync,
                         members,
@@ -182,18 +183,18 @@
     private final class PeerMessages implements Peers.Handler {
 
         @Override
-        public void relayed(RelayMessages.Batch batch, Consumer<Reply> answer) {
-            reports.relayedTo(batch, answer);
+        public void forwarded(ForwardingMessages.Batch batch, Consumer<Reply> answer) {
+            reports.receiveForwarded(batch, answer);
         }
 
         @Override
-        public void direct(long token, RelayMessages.Direct message) {
+        public void direct(long token, ForwardingMessages.Direct message) {
             if (pauseDetector.stale()) {
                 // Meant for then; by now another may lead, and the machine be told otherwise.
                 return;
             }
             workers.forward(
-                    message.address(), token, message.tenure(), message.orders(), relay::heard);
+                    message.address(), token, message.tenure(), message.orders(), forwarder::heard);
         }
 
         @Override
@@ -235,7 +236,7 @@
         if (key.equals(Keys.LEADER)) {
             leadership.leaderKey(data, stamp);
             if (!leadership.leader().isEmpty()) {
-                relay.leader(leadership.leader());
+                forwarder.leader(leadership.leader());
             }
             return;
         }
@@ -293,7 +294,7 @@
             checkOthers(loop.now());
         }
         peers.tick(loop.now(), sync.contactAt(), leadership.token());
-        relay.flush();
+        forwarder.flush();
         double now = loop.now();
         typesPoll.tick(now, leadership.leading());
         if (now - summaryAt >= settings.operators().chargeS()) {
@@ -308,7 +309,7 @@
         if (leader != null) {
             return members.live(now).size();
         }
-        return relay.linked(now) ? relay.live().size() : settings.deployment().size();
+        return forwarder.linked(now) ? forwarder.live().size() : settings.deployment().size();
     }
 
     private void typesReceived() {
@@ -333,7 +334,7 @@
         if (leader != null) {
             leader.flush();
         }
-        relay.flush();
+        forwarder.flush();
         users.flush();
         if (!cancelledHere.isEmpty()) {
             peers.cancelled(cancelledHere);
@@ -385,7 +386,7 @@
                         renewal);
         reports.lead(leader);
         leader.takeOver();
-        relay.kept(loop.now()).forEach(leader::remembered);
+        forwarder.kept(loop.now()).forEach(leader::remembered);
     }
 
     @Override
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -11,8 +11,8 @@
 import io.pepperfield.fleet.Order;
 import io.pepperfield.fleet.Report;
 import io.pepperfield.leadership.Leadership;
+import io.pepperfield.peer.ForwardingMessages;
 import io.pepperfield.peer.PartitionOrders;
-import io.pepperfield.peer.RelayMessages;
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.Replica;
 import io.pepperfield.store.Writer;
@@ -216,30 +216,30 @@
     }
 
     /** The answer to what a partition owner has passed on. */
-    RelayMessages.Verdict relayed(RelayMessages.Beat beat, String through) {
+    ForwardingMessages.Verdict forwardedReport(ForwardingMessages.Beat beat, String through) {
         Report report = wholeReport(beat);
         if (report == null) {
-            return new RelayMessages.Verdict.WantsWhole();
+            return new ForwardingMessages.Verdict.WantsWhole();
         }
         if (report.token() > leadership.token()) {
             leadership.sawToken(report.token());
-            return new RelayMessages.Verdict.Refused();
+            return new ForwardingMessages.Verdict.Refused();
         }
         List<Order> orders = report(report, through);
         if (orders == null) {
-            return new RelayMessages.Verdict.Refused();
+            return new ForwardingMessages.Verdict.Refused();
         }
-        return new RelayMessages.Verdict.Orders(
+        return new ForwardingMessages.Verdict.Orders(
                 Order.reply(leadership.token(), orders).path("orders"));
     }
 
     /** The report itself, or null where it only names one before that is not known here. */
-    private Report wholeReport(RelayMessages.Beat beat) {
-        if (beat instanceof RelayMessages.Beat.Same same) {
+    private Report wholeReport(ForwardingMessages.Beat beat) {
+        if (beat instanceof ForwardingMessages.Beat.Same same) {
             return fleet.repeated(
                     same.machine(), same.tenure(), same.base(), same.serial(), same.token());
         }
-        return ((RelayMessages.Beat.Whole) beat).report();
+        return ((ForwardingMessages.Beat.Whole) beat).report();
     }
 
     /** A worker's answer to direct orders. */
@@ -248,7 +248,7 @@
     }
 
     /** What a partition owner remembers of a machine. */
-    void remembered(RelayMessages.Kept kept) {
+    void remembered(ForwardingMessages.Kept kept) {
         fleet.remembered(kept.report(), loop.now() - kept.ageS());
     }
 
--- a/src/main/java/io/pepperfield/node/ReportHandler.java
+++ b/src/main/java/io/pepperfield/node/ReportHandler.java
@@ -8,12 +8,12 @@
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Reply;
 import io.pepperfield.leadership.Leadership;
+import io.pepperfield.peer.ForwardingMessages;
 import io.pepperfield.peer.Members;
 import io.pepperfield.peer.Partitions;
 import io.pepperfield.peer.Peers;
 import io.pepperfield.peer.Reachability;
-import io.pepperfield.peer.Relay;
-import io.pepperfield.peer.RelayMessages;
+import io.pepperfield.peer.ReportForwarder;
 import io.pepperfield.store.Sync;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -31,7 +31,7 @@
     private final Loop loop;
     private final Settings settings;
     private final Leadership leadership;
-    private final Relay relay;
+    private final ReportForwarder forwarder;
     private final Peers peers;
     private final Sync sync;
     private final Members members;
@@ -53,7 +53,7 @@
             Loop loop,
             Settings settings,
             Leadership leadership,
-            Relay relay,
+            ReportForwarder forwarder,
             Peers peers,
             Sync sync,
             Members members,
@@ -62,7 +62,7 @@
         this.loop = loop;
         this.settings = settings;
         this.leadership = leadership;
-        this.relay = relay;
+        this.forwarder = forwarder;
         this.peers = peers;
         this.sync = sync;
         this.members = members;
@@ -102,12 +102,13 @@
             } else {
                 ownReport(report, call.body(), now, answer);
             }
-        } else if (relay.linked(now)) {
-            if (!sentHome(report, relay.live(), answer)) {
-                relay.submit(report, call.body(), verdict -> relayed(report, verdict, answer));
+        } else if (forwarder.linked(now)) {
+            if (!sentHome(report, forwarder.live(), answer)) {
+                forwarder.submit(
+                        report, call.body(), verdict -> forwarded(report, verdict, answer));
             }
         } else if (!lostAlone(now)
-                && (now - relay.linkedAt() < reportS
+                && (now - forwarder.linkedAt() < reportS
                         || leadership.leader().isEmpty()
                         || peers.contact(now) != Peers.Contact.FINE)) {
             keepAlive(report, answer);
@@ -134,10 +135,10 @@
         if (orders == null) {
             warnings.once(report.machine(), "sends a late copy of a report, or has been returned");
         } else {
-            relay.remember(
+            forwarder.remember(
                     report,
                     raw,
-                    Relay.settledUpTo(
+                    ReportForwarder.settledUpTo(
                             orders.stream().anyMatch(Order.Stop.class::isInstance),
                             sync.contactAt()));
         }
@@ -171,12 +172,13 @@
         strays.values().removeIf(since -> since < before);
     }
 
-    private void relayed(Report report, RelayMessages.Verdict verdict, Consumer<Reply> answer) {
+    private void forwarded(
+            Report report, ForwardingMessages.Verdict verdict, Consumer<Reply> answer) {
         if (pauseDetector.stale()) {
             answer.accept(Reply.error(503, "has stood still"));
-        } else if (verdict instanceof RelayMessages.Verdict.Orders orders
-                && relay.token() >= report.token()) {
-            ObjectNode body = Json.object().put("epoch", relay.token());
+        } else if (verdict instanceof ForwardingMessages.Verdict.Orders orders
+                && forwarder.token() >= report.token()) {
+            ObjectNode body = Json.object().put("epoch", forwarder.token());
             body.set("orders", orders.orders());
             answer.accept(Reply.json(200, body));
         } else if (verdict == null) {
@@ -192,10 +194,11 @@
      * this node's own knowledge allows.
      */
     private void keepAlive(Report report, Consumer<Reply> answer) {
-        long token = Math.max(leadership.leaderToken(), relay.token());
+        long token = Math.max(leadership.leaderToken(), forwarder.token());
         double settledUpTo =
                 Math.max(
-                        relay.settledUpTo(report.machine()), renewal.settledByOwnKnowledge(report));
+                        forwarder.settledUpTo(report.machine()),
+                        renewal.settledByOwnKnowledge(report));
         if (token == 0 || report.token() > token) {
             // A worker drops an answer with a lower token, and would stay here while its lease runs
             // out.
@@ -214,7 +217,7 @@
      */
     private boolean lostAlone(double now) {
         return !leadership.confirmed()
-                && !relay.linked(now)
+                && !forwarder.linked(now)
                 && peers.contact(now) == Peers.Contact.LOST_ALONE
                 && !zoneWatch.cutOff();
     }
@@ -248,7 +251,7 @@
     }
 
     /** What a partition owner passes on. */
-    void relayedTo(RelayMessages.Batch batch, Consumer<Reply> answer) {
+    void receiveForwarded(ForwardingMessages.Batch batch, Consumer<Reply> answer) {
         double now = loop.now();
         if (batch.token() > leadership.token() && leadership.leading()) {
             leadership.sawToken(batch.token());
@@ -267,7 +270,7 @@
         }
         batch.kept().forEach(leader::remembered);
         batch.heard().forEach(leader::heard);
-        List<RelayMessages.Verdict> verdicts = new ArrayList<>();
+        List<ForwardingMessages.Verdict> verdicts = new ArrayList<>();
         Set<String> owners = owners(now);
         batch.beats()
                 .forEach(
@@ -277,12 +280,12 @@
                                     Partitions.owner(beat.machine(), owners),
                                     batch.node(),
                                     now);
-                            verdicts.add(leader.relayed(beat, batch.node()));
+                            verdicts.add(leader.forwardedReport(beat, batch.node()));
                         });
         answer.accept(
                 new Reply(
                         200,
-                        RelayMessages.answer(
+                        ForwardingMessages.answer(
                                 leadership.token(), now - sync.contactAt(), owners, verdicts),
                         0));
     }
--- a/src/main/java/io/pepperfield/node/Service.java
+++ b/src/main/java/io/pepperfield/node/Service.java
@@ -13,7 +13,7 @@
 import io.pepperfield.http.HttpServer;
 import io.pepperfield.http.Reply;
 import io.pepperfield.peer.Peers;
-import io.pepperfield.peer.Relay;
+import io.pepperfield.peer.ReportForwarder;
 import io.pepperfield.store.HttpStateService;
 import java.util.List;
 import java.util.function.Consumer;
@@ -64,10 +64,10 @@
                                 settings.deployment().quota().sockets() * 15 / 100),
                         settings.deployment().workers().reportS());
         Peers peers = new Peers(eventLoop, settings, client);
-        Relay relay = new Relay(eventLoop, client, settings);
+        ReportForwarder forwarder = new ReportForwarder(eventLoop, client, settings);
         Controller controller =
                 new Controller(
-                        eventLoop, settings, state, cloud, workers, peers, relay, state::share);
+                        eventLoop, settings, state, cloud, workers, peers, forwarder, state::share);
         eventLoop.handlers(controller::flush, controller::failed);
         int sockets = settings.deployment().quota().sockets();
         users =
--- a/src/main/java/io/pepperfield/peer/ForwardedBatch.java
+++ b/src/main/java/io/pepperfield/peer/ForwardedBatch.java
@@ -57,13 +57,13 @@
     }
 
     void addReport(byte[] raw) {
-        beats.addRawValue(RelayMessages.raw(raw));
+        beats.addRawValue(ForwardingMessages.raw(raw));
         bytes += raw.length;
     }
 
     /** A worker's answer to direct orders. */
     void addAnswer(byte[] raw) {
-        answers.addRawValue(RelayMessages.raw(raw));
+        answers.addRawValue(ForwardingMessages.raw(raw));
         bytes += raw.length;
     }
 
@@ -71,7 +71,7 @@
     void addRemembered(byte[] raw, double ageS) {
         kept.addObject()
                 .put("ageMs", Math.round(ageS * 1000))
-                .putRawValue("report", RelayMessages.raw(raw));
+                .putRawValue("report", ForwardingMessages.raw(raw));
         bytes += raw.length;
     }
 
--- a/src/main/java/io/pepperfield/peer/RelayMessages.java
+++ b/src/main/java/io/pepperfield/peer/ForwardingMessages.java
@@ -16,7 +16,7 @@
 /**
  * What partition owners and the leader tell each other; the only place that knows its field names.
  */
-public final class RelayMessages {
+public final class ForwardingMessages {
 
     /** One report as a partition owner passes it on. */
     public sealed interface Beat {
@@ -64,7 +64,7 @@
     /** Orders that a partition owner is to hand to a worker at once. */
     public record Direct(String address, long tenure, JsonNode orders) {}
 
-    private RelayMessages() {}
+    private ForwardingMessages() {}
 
     /**
      * A worker's report as part of a message; one in another encoding than UTF-8 would spoil the
--- a/src/main/java/io/pepperfield/peer/LastReports.java
+++ b/src/main/java/io/pepperfield/peer/LastReports.java
@@ -1,7 +1,7 @@
 package io.pepperfield.peer;
 
 import io.pepperfield.fleet.Report;
-import io.pepperfield.peer.RelayMessages.Kept;
+import io.pepperfield.peer.ForwardingMessages.Kept;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -74,7 +74,7 @@
 
     /**
      * A time up to which all cancellations were settled on the machine by a leader's word; see
-     * {@link Relay#settledUpTo}.
+     * {@link ReportForwarder#settledUpTo}.
      */
     double settledUpTo(String machine) {
         Entry last = entries.get(machine);
--- a/src/main/java/io/pepperfield/peer/PartitionOrders.java
+++ b/src/main/java/io/pepperfield/peer/PartitionOrders.java
@@ -22,7 +22,8 @@
     private final Workers own;
     private final Peers peers;
     private final Map<String, Settings.Member> members = new HashMap<>();
-    private final Map<Settings.Member, List<RelayMessages.Direct>> waiting = new LinkedHashMap<>();
+    private final Map<Settings.Member, List<ForwardingMessages.Direct>> waiting =
+            new LinkedHashMap<>();
     private long token;
 
     public PartitionOrders(Workers own, Peers peers, Settings settings) {
@@ -71,7 +72,7 @@
         token = orderToken;
         waiting.computeIfAbsent(owner, o -> new ArrayList<>())
                 .add(
-                        new RelayMessages.Direct(
+                        new ForwardingMessages.Direct(
                                 address, tenure, Order.reply(orderToken, orders).path("orders")));
     }
 
--- a/src/main/java/io/pepperfield/peer/Peers.java
+++ b/src/main/java/io/pepperfield/peer/Peers.java
@@ -23,10 +23,10 @@
     /** What this node does with the others' messages. */
     public interface Handler {
         /** A partition owner's reports, for the leader. */
-        void relayed(RelayMessages.Batch batch, Consumer<Reply> answer);
+        void forwarded(ForwardingMessages.Batch batch, Consumer<Reply> answer);
 
         /** Orders for a worker of this node's partition. */
-        void direct(long token, RelayMessages.Direct message);
+        void direct(long token, ForwardingMessages.Direct message);
 
         /** Another node has told users that these jobs are cancelled. */
         void cancelled(List<String> ids);
@@ -115,14 +115,14 @@
     }
 
     /** Hands orders for workers to the owner of their partition. */
-    void direct(Settings.Member owner, long orderToken, List<RelayMessages.Direct> messages) {
+    void direct(Settings.Member owner, long orderToken, List<ForwardingMessages.Direct> messages) {
         client.send(
                 owner.address().host(),
                 owner.address().port(),
                 2,
                 "POST",
                 "/peer/orders",
-                RelayMessages.direct(orderToken, messages),
+                ForwardingMessages.direct(orderToken, messages),
                 Math.round(reportS * 500),
                 outcome -> {});
     }
@@ -132,7 +132,7 @@
      * alone can stop those tasks at once, instead of letting their machines go.
      */
     public void cancelled(List<String> ids) {
-        byte[] body = RelayMessages.cancelled(ids);
+        byte[] body = ForwardingMessages.cancelled(ids);
         for (Settings.Member member : settings.members()) {
             client.send(
                     member.address().host(),
@@ -159,22 +159,22 @@
                                         .put("epoch", token)));
             }
             case "POST /peer/relay" -> {
-                RelayMessages.Batch batch = RelayMessages.batch(Json.read(call.body()));
+                ForwardingMessages.Batch batch = ForwardingMessages.batch(Json.read(call.body()));
                 if (batch == null) {
                     answer.accept(Reply.error(400, "not a message of this version"));
                 } else {
-                    handler.relayed(batch, answer);
+                    handler.forwarded(batch, answer);
                 }
             }
             case "POST /peer/orders" -> {
                 JsonNode body = Json.read(call.body());
-                RelayMessages.readDirect(body)
+                ForwardingMessages.readDirect(body)
                         .forEach(
                                 message -> handler.direct(body.path("epoch").longValue(), message));
                 answer.accept(Reply.empty(200));
             }
             case "POST /peer/cancelled" -> {
-                handler.cancelled(RelayMessages.readCancelled(Json.read(call.body())));
+                handler.cancelled(ForwardingMessages.readCancelled(Json.read(call.body())));
                 answer.accept(Reply.empty(200));
             }
             default -> answer.accept(Reply.error(404, "no such path"));
--- a/src/main/java/io/pepperfield/peer/Relay.java
+++ b/src/main/java/io/pepperfield/peer/ReportForwarder.java
@@ -6,9 +6,9 @@
 import io.pepperfield.http.Outcome;
 import io.pepperfield.http.Sender;
 import io.pepperfield.node.Loop;
-import io.pepperfield.peer.RelayMessages.Answer;
-import io.pepperfield.peer.RelayMessages.Kept;
-import io.pepperfield.peer.RelayMessages.Verdict;
+import io.pepperfield.peer.ForwardingMessages.Answer;
+import io.pepperfield.peer.ForwardingMessages.Kept;
+import io.pepperfield.peer.ForwardingMessages.Verdict;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -21,7 +21,7 @@
  * and one message is under way; the leader's answer says what each worker is to be told. What a
  * report repeats of the one before is left out.
  */
-public final class Relay {
+public final class ReportForwarder {
 
     /** Workers wait so long for an answer. */
     private static final double PATIENCE_S = 4;
@@ -60,7 +60,7 @@
     private double linkedAt = Double.NEGATIVE_INFINITY;
     private boolean linked;
 
-    public Relay(Loop loop, Sender client, Settings settings) {
+    public ReportForwarder(Loop loop, Sender client, Settings settings) {
         this.loop = loop;
         this.client = client;
         this.settings = settings;
@@ -247,7 +247,7 @@
 
     private static Answer answer(Outcome outcome, int reports) {
         if (outcome instanceof Outcome.Answered answered && answered.status() == 200) {
-            return RelayMessages.readAnswer(answered.json(), reports);
+            return ForwardingMessages.readAnswer(answered.json(), reports);
         }
         return null;
     }
--- a/src/test/java/io/pepperfield/node/LeaseRenewalTest.java
+++ b/src/test/java/io/pepperfield/node/LeaseRenewalTest.java
@@ -14,7 +14,7 @@
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.RunRecord;
 import io.pepperfield.jobs.Status;
-import io.pepperfield.peer.Relay;
+import io.pepperfield.peer.ReportForwarder;
 import io.pepperfield.store.Keys;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -139,8 +139,8 @@
     @Test
     void aLeadersAnswerThatStopsSomethingSettlesNothing() {
         // Whether it arrives nobody knows; the next one without a stop says that it did.
-        assertTrue(Relay.settledUpTo(true, 70) < 0);
-        assertEquals(70, Relay.settledUpTo(false, 70));
+        assertTrue(ReportForwarder.settledUpTo(true, 70) < 0);
+        assertEquals(70, ReportForwarder.settledUpTo(false, 70));
         assertTrue(Order.anyStop(Json.read("[{\"verb\":\"run\"},{\"verb\":\"stop\"}]".getBytes())));
         assertFalse(
                 Order.anyStop(Json.read("[{\"verb\":\"run\"},{\"verb\":\"clear\"}]".getBytes())));
--- a/src/test/java/io/pepperfield/peer/PartitionsTest.java
+++ b/src/test/java/io/pepperfield/peer/PartitionsTest.java
@@ -48,7 +48,7 @@
                 "{\"node\":\"worker-1\",\"life\":\"a\",\"seq\":1,\"epoch\":7,\"beats\":[[\"host-1\",1,2,3,7]],\"more\":{}}";
         assertEquals(
                 1,
-                RelayMessages.batch(Json.read(good.getBytes(StandardCharsets.UTF_8)))
+                ForwardingMessages.batch(Json.read(good.getBytes(StandardCharsets.UTF_8)))
                         .beats()
                         .size());
         for (String bad :
@@ -60,15 +60,18 @@
                         good.replace("1,2,3,7", "1,2"),
                         good.replace("\"seq\":1", "\"seq\":\"1\""),
                         good.substring(0, 40))) {
-            assertNull(RelayMessages.batch(Json.read(bad.getBytes(StandardCharsets.UTF_8))), bad);
+            assertNull(
+                    ForwardingMessages.batch(Json.read(bad.getBytes(StandardCharsets.UTF_8))), bad);
         }
     }
 
     @Test
     void aReportInAnotherEncodingDoesNotSpoilTheOthers() {
         String text = "{\"host\":\"host-1\"}";
-        assertEquals(text, RelayMessages.raw(text.getBytes(StandardCharsets.UTF_16BE)).rawValue());
-        assertEquals(text, RelayMessages.raw(text.getBytes(StandardCharsets.UTF_8)).rawValue());
+        assertEquals(
+                text, ForwardingMessages.raw(text.getBytes(StandardCharsets.UTF_16BE)).rawValue());
+        assertEquals(
+                text, ForwardingMessages.raw(text.getBytes(StandardCharsets.UTF_8)).rawValue());
     }
 
     /**
--- a/src/test/java/io/pepperfield/peer/VersionsTest.java
+++ b/src/test/java/io/pepperfield/peer/VersionsTest.java
@@ -51,7 +51,7 @@
                             RunRecord.write(RunRecord.read(said)),
                             text);
             case "relay" -> {
-                RelayMessages.Batch batch = RelayMessages.batch(said);
+                ForwardingMessages.Batch batch = ForwardingMessages.batch(said);
                 yield List.of(
                         batch.node()
                                 + " "
@@ -61,7 +61,7 @@
                                 + " kept");
             }
             case "answer" -> {
-                RelayMessages.Answer answer = RelayMessages.readAnswer(said, 3);
+                ForwardingMessages.Answer answer = ForwardingMessages.readAnswer(said, 3);
                 yield told(
                         answer.token()
                                 + " "
@@ -70,7 +70,7 @@
                                 + answer.verdicts().size()
                                 + " verdicts",
                         Json.read(
-                                RelayMessages.answer(
+                                ForwardingMessages.answer(
                                         answer.token(),
                                         answer.contactAgoS(),
                                         answer.live(),
@@ -79,16 +79,18 @@
             }
             case "orders" ->
                     told(
-                            RelayMessages.readDirect(said).size() + " messages",
+                            ForwardingMessages.readDirect(said).size() + " messages",
                             Json.read(
-                                    RelayMessages.direct(
+                                    ForwardingMessages.direct(
                                             said.path("epoch").longValue(),
-                                            RelayMessages.readDirect(said))),
+                                            ForwardingMessages.readDirect(said))),
                             text);
             case "cancelled" ->
                     told(
-                            RelayMessages.readCancelled(said).toString(),
-                            Json.read(RelayMessages.cancelled(RelayMessages.readCancelled(said))),
+                            ForwardingMessages.readCancelled(said).toString(),
+                            Json.read(
+                                    ForwardingMessages.cancelled(
+                                            ForwardingMessages.readCancelled(said))),
                             text);
             default -> throw new IllegalArgumentException(words[0]);
         };
--- a/src/test/java/io/pepperfield/standin/SimNode.java
+++ b/src/test/java/io/pepperfield/standin/SimNode.java
@@ -10,7 +10,7 @@
 import io.pepperfield.node.Controller;
 import io.pepperfield.node.Loop;
 import io.pepperfield.peer.Peers;
-import io.pepperfield.peer.Relay;
+import io.pepperfield.peer.ReportForwarder;
 import io.pepperfield.store.HttpStateService;
 import java.util.List;
 import java.util.function.Consumer;
@@ -111,7 +111,7 @@
                         new HttpCloud(loop, sender, settings.cloud(), 20),
                         new HttpWorkers(loop, sender, Region.REPORT_S),
                         peers,
-                        new Relay(loop, sender, settings),
+                        new ReportForwarder(loop, sender, settings),
                         state::share);
         controller.start();
     }
