--- a/src/test/java/io/pepperfield/node/MeetingsTest.java
+++ b/src/test/java/io/pepperfield/node/ConcurrentFailuresTest.java
@@ -6,9 +6,9 @@
 import io.pepperfield.standin.Scenario;
 import io.pepperfield.standin.Trouble.CancelAtEnd;
 import io.pepperfield.standin.Trouble.CancelNow;
-import io.pepperfield.standin.Trouble.CloseLooks;
 import io.pepperfield.standin.Trouble.CommandsHeld;
 import io.pepperfield.standin.Trouble.Controllers;
+import io.pepperfield.standin.Trouble.InvalidRequests;
 import io.pepperfield.standin.Trouble.LateReports;
 import io.pepperfield.standin.Trouble.LateWrites;
 import io.pepperfield.standin.Trouble.LeaderChanges;
@@ -23,9 +23,9 @@
 import io.pepperfield.standin.Trouble.NodeCrash;
 import io.pepperfield.standin.Trouble.NodeCut;
 import io.pepperfield.standin.Trouble.NodeFreeze;
-import io.pepperfield.standin.Trouble.OddRequests;
 import io.pepperfield.standin.Trouble.Pipelines;
 import io.pepperfield.standin.Trouble.QuickBoots;
+import io.pepperfield.standin.Trouble.ReadAfterWriteChecks;
 import io.pepperfield.standin.Trouble.Side;
 import io.pepperfield.standin.Trouble.SlowLinks;
 import io.pepperfield.standin.Trouble.StateCut;
@@ -41,10 +41,10 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Days on which troubles meet, in the simulated region. Of more seeds each with {@code
+ * Days with concurrent failures, in the simulated region. Of more seeds each with {@code
  * -Dpepperfield.seeds=20}.
  */
-class MeetingsTest {
+class ConcurrentFailuresTest {
 
     private static void play(Scenario scenario, long seed) {
         for (int more = 0; more <= Integer.getInteger("pepperfield.seeds", 0); more++) {
@@ -99,7 +99,7 @@
     void answersToTransactionsAreLostWhileUsersLookClosely(long seed) {
         play(
                 Scenario.jobs(24, 2)
-                        .at(10, new CloseLooks(60))
+                        .at(10, new ReadAfterWriteChecks(60))
                         .at(15, new LateWrites(0.2, 40, true))
                         .at(35, new CancelNow(4, 0)),
                 seed);
@@ -262,10 +262,10 @@
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2})
-    void usersLookCloselyAtAllNodesAndSomeCancelAtOnce(long seed) {
+    void usersReadAfterWritesAtAllNodesAndSomeCancelAtOnce(long seed) {
         play(
                 Scenario.jobs(30, 2)
-                        .at(8, new CloseLooks(70))
+                        .at(8, new ReadAfterWriteChecks(70))
                         .at(35, new CancelNow(5, 0))
                         .at(40, new NodeCrash(Controllers.LEADER, 0.3)),
                 seed);
@@ -359,7 +359,10 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2})
     void cancellationsAndQuestionsMeetTheEndOfTheLastTask(long seed) {
-        play(Scenario.jobs(40, 1.5).at(10, new CancelAtEnd(0.5, 70), new CloseLooks(70)), seed);
+        play(
+                Scenario.jobs(40, 1.5)
+                        .at(10, new CancelAtEnd(0.5, 70), new ReadAfterWriteChecks(70)),
+                seed);
     }
 
     @ParameterizedTest
@@ -410,10 +413,10 @@
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2})
-    void oddRequestsChangeNothing(long seed) {
+    void invalidRequestsChangeNothing(long seed) {
         play(
                 Scenario.jobs(24, 2)
-                        .at(9, new OddRequests(60))
+                        .at(9, new InvalidRequests(60))
                         .at(30, new NodeCrash(Controllers.LEADER, 1))
                         .at(40, new StateOutage(5)),
                 seed);
@@ -442,7 +445,7 @@
     void pipelinesAreCancelledWhileUsersLookCloselyAndTheLeaderIsRefused(long seed) {
         play(
                 Scenario.jobs(12, 4)
-                        .at(10, new Pipelines(15, 50), new CloseLooks(60))
+                        .at(10, new Pipelines(15, 50), new ReadAfterWriteChecks(60))
                         .at(25, new CancelAtEnd(0.3, 40))
                         .at(35, new StateCut(Controllers.LEADER, Way.REFUSE, 2))
                         .at(35.1, new CancelNow(6, 0))
--- a/src/test/java/io/pepperfield/standin/SimUsers.java
+++ b/src/test/java/io/pepperfield/standin/SimUsers.java
@@ -316,7 +316,7 @@
         stormUntil = until;
     }
 
-    void lookClosely(double until) {
+    void checkReadsAfterWrites(double until) {
         looksUntil = Math.max(looksUntil, until);
     }
 
@@ -354,7 +354,7 @@
     }
 
     /** One request that a user has no good reason for. */
-    void oddRequest() {
+    void invalidRequest() {
         List<SimJob> known = jobs.values().stream().filter(job -> job.accepted).toList();
         SimJob job = known.isEmpty() ? null : known.get(world.random.nextInt(known.size()));
         ObjectNode good =
--- a/src/test/java/io/pepperfield/standin/Trouble.java
+++ b/src/test/java/io/pepperfield/standin/Trouble.java
@@ -212,13 +212,13 @@
      * Users ask at all nodes within milliseconds after a job was accepted, ended or cancelled, and
      * submit it again.
      */
-    record CloseLooks(double forS) implements Trouble {}
+    record ReadAfterWriteChecks(double forS) implements Trouble {}
 
     /**
      * Repeated submissions, also with another body, cancellations of what is over or unknown, and
      * jobs that can't be accepted.
      */
-    record OddRequests(double forS) implements Trouble {}
+    record InvalidRequests(double forS) implements Trouble {}
 
     /** Machines are up within two seconds. */
     record QuickBoots(double forS) implements Trouble {}
--- a/src/test/java/io/pepperfield/standin/TroublePlayer.java
+++ b/src/test/java/io/pepperfield/standin/TroublePlayer.java
@@ -73,11 +73,11 @@
                     .forEach(worker -> worker.hang(world.now() + cancel.hangS()));
         } else if (trouble instanceof Trouble.CancelAtEnd cancel) {
             users.cancelAtEnd(cancel.share(), until);
-        } else if (trouble instanceof Trouble.CloseLooks) {
-            users.lookClosely(until);
-        } else if (trouble instanceof Trouble.OddRequests odd) {
-            for (int i = 0; i < odd.forS() * 4; i++) {
-                world.after(i / 4.0, users::oddRequest);
+        } else if (trouble instanceof Trouble.ReadAfterWriteChecks) {
+            users.checkReadsAfterWrites(until);
+        } else if (trouble instanceof Trouble.InvalidRequests invalid) {
+            for (int i = 0; i < invalid.forS() * 4; i++) {
+                world.after(i / 4.0, users::invalidRequest);
             }
         } else if (trouble instanceof Trouble.QuickBoots) {
             machines.boots(0.3, 0, until);
