--- a/src/main/java/io/pepperfield/node/FailureDetector.java
+++ b/src/main/java/io/pepperfield/node/FailureDetector.java
@@ -2,6 +2,7 @@
 
 import io.pepperfield.fleet.Attempt;
 import io.pepperfield.fleet.Machine;
+import io.pepperfield.fleet.Report;
 import io.pepperfield.fleet.Workers;
 import io.pepperfield.jobs.Status;
 import java.util.ArrayList;
@@ -18,6 +19,9 @@
      */
     private static final double OVERDUE = 0.6;
 
+    /** Of a report period: a machine that has been silent for longer is probed. */
+    private static final double PROBE = 1.5;
+
     private final ClusterState cluster;
     private final Dispatcher dispatcher;
     private final Workers workers;
@@ -70,28 +74,7 @@
                 }
             }
             if (machine.up()) {
-                if (machine.lostFor(now) > 1.5 * cluster.reportS()
-                        && machine.dueForProbe(now, cluster.reportS() / 2)) {
-                    workers.probe(
-                            machine.address(),
-                            report -> {
-                                if (!stopped && report != null) {
-                                    cluster.fleet().heard(report, cluster.loop().now());
-                                }
-                            });
-                }
-                if (!Double.isNaN(machine.takenAt())) {
-                    drainTaken(machine);
-                }
-                if (machine.faulty()) {
-                    machine.drain();
-                }
-                if (machine.reborn()) {
-                    cluster.renting().release(machine, "its worker has begun anew");
-                } else if (machine.draining() && machine.idle()) {
-                    cluster.renting()
-                            .release(machine, machine.faulty() ? "faulty" : "about to be taken");
-                }
+                check(machine, now);
             } else if (!before
                     && cluster.boots().givenUp(machine, now)
                     && machine.lostFor(now) > silentS) {
@@ -99,24 +82,58 @@
             }
         }
         // Whoever is cut off, the cloud ends them: before the question whether it is this node.
-        lost.stream()
-                .filter(machine -> holdsOverdue(machine, now))
-                .forEach(
-                        machine ->
-                                cluster.renting().release(machine, "silent with a cancelled task"));
+        releaseOverdue(lost, now);
         if (up > 1 && lost.size() == up) {
             return false;
         }
         lost.removeIf(Machine::releasing);
         giveUp(lost, up, perZone, now);
+        releaseAwaited(awaited, now);
+        return true;
+    }
+
+    /** Probes a machine that is late, and empties and returns one that is faulty or taken. */
+    private void check(Machine machine, double now) {
+        if (machine.lostFor(now) > PROBE * cluster.reportS()
+                && machine.dueForProbe(now, cluster.reportS() / 2)) {
+            workers.probe(machine.address(), this::probed);
+        }
+        if (!Double.isNaN(machine.takenAt())) {
+            drainTaken(machine);
+        }
+        if (machine.faulty()) {
+            machine.drain();
+        }
+        if (machine.reborn()) {
+            cluster.renting().release(machine, "its worker has begun anew");
+        } else if (machine.draining() && machine.idle()) {
+            String why = machine.faulty() ? "faulty" : "about to be taken";
+            cluster.renting().release(machine, why);
+        }
+    }
+
+    private void probed(Report report) {
+        if (!stopped && report != null) {
+            cluster.fleet().heard(report, cluster.loop().now());
+        }
+    }
+
+    private void releaseOverdue(List<Machine> lost, double now) {
+        for (Machine machine : lost) {
+            if (holdsOverdue(machine, now)) {
+                cluster.renting().release(machine, "silent with a cancelled task");
+            }
+        }
+    }
+
+    private void releaseAwaited(List<Machine> awaited, double now) {
+        double cancelS = cluster.settings().deployment().workers().cancelS();
         for (Machine machine : awaited) {
             // Of a zone that is out of hearing nobody can tell what has come up there since.
-            if (!cut(machine.zone(), now)
-                    || machine.lostFor(now) > cluster.settings().deployment().workers().cancelS()) {
+            if (!cut(machine.zone(), now) || machine.lostFor(now) > cancelS) {
                 cluster.renting().release(machine, "never came up");
             }
         }
-        return true;
     }
 
     private boolean cut(String zone, double now) {
--- a/src/main/java/io/pepperfield/node/ReportHandler.java
+++ b/src/main/java/io/pepperfield/node/ReportHandler.java
@@ -80,6 +80,7 @@
         }
     }
 
+    /** A worker reports. */
     void beat(Call call, Consumer<Reply> answer) {
         Report report = Report.read(Json.read(call.body()));
         if (report == null) {
@@ -92,29 +93,34 @@
         if (pauseDetector.stale()) {
             answer.accept(Reply.error(503, "has stood still"));
         } else if (leadership.leading()) {
-            if (report.token() > leadership.token()) {
-                leadership.sawToken(report.token());
-                answer.accept(Reply.error(503, "a newer token is about"));
-            } else if (!mayLeadWorkers(now)) {
-                answer.accept(Reply.error(503, "not in touch with the state service"));
-            } else if (leader == null) {
-                keepAlive(report, answer);
-            } else {
-                ownReport(report, call.body(), now, answer);
-            }
+            beatAsLeader(report, call.body(), now, answer);
         } else if (forwarder.linked(now)) {
             if (!sentHome(report, forwarder.live(), answer)) {
                 forwarder.submit(
                         report, call.body(), verdict -> forwarded(report, verdict, answer));
             }
-        } else if (!lostAlone(now)
-                && (now - forwarder.linkedAt() < reportS
-                        || leadership.leader().isEmpty()
-                        || peers.contact(now) != Peers.Contact.FINE)) {
+        } else {
+            beatWithoutLeader(report, now, answer);
+        }
+    }
+
+    private void beatAsLeader(Report report, byte[] raw, double now, Consumer<Reply> answer) {
+        if (report.token() > leadership.token()) {
+            leadership.sawToken(report.token());
+            answer.accept(Reply.error(503, "a newer token is about"));
+        } else if (!mayLeadWorkers(now)) {
+            answer.accept(Reply.error(503, "not in touch with the state service"));
+        } else if (leader == null) {
             keepAlive(report, answer);
-        } else if (peers.contact(now) == Peers.Contact.FINE
-                && !leadership.leader().isEmpty()
-                && !leadership.leader().equals(settings.node())) {
+        } else {
+            ownReport(report, raw, now, answer);
+        }
+    }
+
+    private void beatWithoutLeader(Report report, double now, Consumer<Reply> answer) {
+        if (!lostAlone(now) && leaderMayBeAway(now)) {
+            keepAlive(report, answer);
+        } else if (othersReachLeader(now)) {
             answer.accept(Reply.json(421, Json.object().put("manager", leadership.leader())));
         } else {
             // Cut off from the leader and the state service: others take the worker within its
@@ -123,6 +129,20 @@
         }
     }
 
+    /** Whether nobody may lead just now, or nobody here can tell who does. */
+    private boolean leaderMayBeAway(double now) {
+        return now - forwarder.linkedAt() < reportS
+                || leadership.leader().isEmpty()
+                || peers.contact(now) != Peers.Contact.FINE;
+    }
+
+    /** Whether another node leads that this one cannot reach, while the state service answers. */
+    private boolean othersReachLeader(double now) {
+        return peers.contact(now) == Peers.Contact.FINE
+                && !leadership.leader().isEmpty()
+                && !leadership.leader().equals(settings.node());
+    }
+
     /** The leader takes a worker's report itself. */
     private void ownReport(Report report, byte[] raw, double now, Consumer<Reply> answer) {
         Set<String> owners = owners(now);
