--- a/src/main/java/io/pepperfield/cloud/Renting.java
+++ b/src/main/java/io/pepperfield/cloud/Renting.java
@@ -88,7 +88,7 @@
 
     private boolean releasing;
     private int sequence;
-    private boolean over;
+    private boolean stopped;
 
     /**
      * @param retryS after how long a request without an answer is repeated
@@ -117,7 +117,7 @@
 
     /** The leadership has ended: nothing is sent from here any more. */
     public void stop() {
-        over = true;
+        stopped = true;
     }
 
     /** Takes over an earlier leader's rental from its durable record. */
@@ -195,7 +195,7 @@
     }
 
     private void request(Hire hire) {
-        if (over) {
+        if (stopped) {
             return;
         }
         if (!confirmed.getAsBoolean()) {
@@ -209,7 +209,7 @@
                 hire.pool.spot(),
                 hire.count,
                 result -> {
-                    if (over) {
+                    if (stopped) {
                         return;
                     }
                     if (result instanceof Cloud.Rented.Failed failed) {
@@ -270,7 +270,7 @@
     }
 
     private void send() {
-        if (releasing || over || toRelease.isEmpty()) {
+        if (releasing || stopped || toRelease.isEmpty()) {
             return;
         }
         releasing = true;
@@ -295,7 +295,7 @@
                             names,
                             done -> {
                                 releasing = false;
-                                if (over) {
+                                if (stopped) {
                                     return;
                                 }
                                 if (!done) {
--- a/src/main/java/io/pepperfield/leadership/Leadership.java
+++ b/src/main/java/io/pepperfield/leadership/Leadership.java
@@ -24,7 +24,7 @@
     /** Part of the grant's time to live for which candidates that are no newcomers hold back. */
     private static final double NEWCOMERS_FIRST = 1.0 / 20;
 
-    /** The owner's reaction to changes of role; called on the owner. */
+    /** The owner's reaction to changes of role; called on the event loop. */
     public interface Listener {
         /** This node leads from now on, with that token. */
         void elected(long token);
--- a/src/main/java/io/pepperfield/node/ClusterState.java
+++ b/src/main/java/io/pepperfield/node/ClusterState.java
@@ -23,12 +23,12 @@
         Loop loop,
         Settings settings,
         Aims aims,
-        Types types,
+        MachineTypes types,
         Fleet fleet,
         Ledger ledger,
         Map<String, Job> jobs,
         Renting renting,
-        Boots boots,
+        BootTracker boots,
         Latencies passes) {
 
     double reportS() {
--- a/src/test/java/io/pepperfield/node/PipelineSimulationTest.java
+++ b/src/test/java/io/pepperfield/node/PipelineSimulationTest.java
@@ -8,13 +8,13 @@
 import io.pepperfield.standin.Region;
 import io.pepperfield.standin.Scenario;
 import io.pepperfield.standin.Trouble.CancelNow;
-import io.pepperfield.standin.Trouble.CloseLooks;
 import io.pepperfield.standin.Trouble.Controllers;
+import io.pepperfield.standin.Trouble.InvalidRequests;
 import io.pepperfield.standin.Trouble.LateReports;
 import io.pepperfield.standin.Trouble.LateWrites;
 import io.pepperfield.standin.Trouble.LeaderChanges;
 import io.pepperfield.standin.Trouble.NodeCrash;
-import io.pepperfield.standin.Trouble.OddRequests;
+import io.pepperfield.standin.Trouble.ReadAfterWriteChecks;
 import io.pepperfield.standin.Trouble.StateCut;
 import io.pepperfield.standin.Trouble.StateOutage;
 import io.pepperfield.standin.Trouble.StateSlow;
@@ -36,7 +36,7 @@
 
     /** A day that is not over before the last pipeline was submitted. */
     private static Scenario day(PipelineShape shape) {
-        return Scenario.jobs(0, 1).at(FIRST_S, new OddRequests(lastsS(shape)));
+        return Scenario.jobs(0, 1).at(FIRST_S, new InvalidRequests(lastsS(shape)));
     }
 
     private static double lastsS(PipelineShape shape) {
@@ -75,7 +75,7 @@
     @ParameterizedTest
     @EnumSource(PipelineShape.class)
     void jobsAreCancelledAtEveryStage(PipelineShape shape) {
-        play(day(shape).at(FIRST_S, new CloseLooks(lastsS(shape))), shape, 1);
+        play(day(shape).at(FIRST_S, new ReadAfterWriteChecks(lastsS(shape))), shape, 1);
     }
 
     @ParameterizedTest
@@ -94,7 +94,7 @@
     void answersToTransactionsAreLostAndAllControllersEnd(PipelineShape shape) {
         play(
                 day(shape)
-                        .at(10, new LateWrites(0.3, 50, true), new CloseLooks(40))
+                        .at(10, new LateWrites(0.3, 50, true), new ReadAfterWriteChecks(40))
                         .at(25, new NodeCrash(Controllers.ALL, 3))
                         .at(45, new NodeCrash(Controllers.LEADER, 0.2)),
                 shape,
--- a/src/test/java/io/pepperfield/peer/VersionsTest.java
+++ b/src/test/java/io/pepperfield/peer/VersionsTest.java
@@ -94,7 +94,7 @@
             }
             case "leader" -> leader(said);
             case "relay" -> {
-                RelayMessages.Batch batch = RelayMessages.batch(said);
+                ForwardingMessages.Batch batch = ForwardingMessages.batch(said);
                 yield List.of(
                         batch.node()
                                 + " "
@@ -104,7 +104,7 @@
                                 + " kept");
             }
             case "answer" -> {
-                RelayMessages.Answer answer = RelayMessages.readAnswer(said, 3);
+                ForwardingMessages.Answer answer = ForwardingMessages.readAnswer(said, 3);
                 yield told(
                         answer.token()
                                 + " "
@@ -113,7 +113,7 @@
                                 + answer.verdicts().size()
                                 + " verdicts",
                         Json.read(
-                                RelayMessages.answer(
+                                ForwardingMessages.answer(
                                         answer.token(),
                                         answer.contactAgoS(),
                                         answer.live(),
@@ -122,16 +122,18 @@
             }
             case "orders" ->
                     told(
-                            RelayMessages.readDirect(said).size() + " messages",
+                            ForwardingMessages.readDirect(said).size() + " messages",
                             Json.read(
-                                    RelayMessages.direct(
+                                    ForwardingMessages.direct(
                                             said.path("epoch").longValue(),
-                                            RelayMessages.readDirect(said))),
+                                            ForwardingMessages.readDirect(said))),
                             text);
             case "cancelled" ->
                     told(
-                            RelayMessages.readCancelled(said).toString(),
-                            Json.read(RelayMessages.cancelled(RelayMessages.readCancelled(said))),
+                            ForwardingMessages.readCancelled(said).toString(),
+                            Json.read(
+                                    ForwardingMessages.cancelled(
+                                            ForwardingMessages.readCancelled(said))),
                             text);
             default -> throw new IllegalArgumentException(words[0]);
         };
