--- a/src/test/java/io/pepperfield/node/PipelineQueueTest.java
+++ b/src/test/java/io/pepperfield/node/PipelineQueueTest.java
@@ -124,4 +124,29 @@
         run(30);
         assertEquals(List.of(), region.broken);
     }
+
+    /** Derived at every node: the state service takes one change, and nobody has to be asked. */
+    @Test
+    void aFanAndAChainOfHundredsAreCancelledWithOneChange() {
+        int each = 200;
+        run(8);
+        region.pipelines.submitArray(1, "production", 12, 2, 400);
+        run(20);
+        region.pipelines.submitArray(2, "best_effort", 1, 2, 5);
+        run(1);
+        for (int i = 0; i < each; i++) {
+            region.pipelines.submitArray(1000 + i, "standard", 1, 2, 5, 2);
+            region.pipelines.submitArray(3000 + i, "standard", 1, 2, 5, i == 0 ? 2 : 2999 + i);
+            run(0.2);
+        }
+        run(5);
+        assertEquals(2 * each + 2, region.accepted());
+        int changes = region.changes();
+        region.pipelines.cancel(2, 0);
+        // As long as users need to ask again.
+        run(5);
+        assertEquals(1, region.unfinished().size(), region.unfinished().toString());
+        assertTrue(region.changes() - changes < 10, "changes " + (region.changes() - changes));
+        assertEquals(List.of(), region.broken);
+    }
 }
--- a/src/test/java/io/pepperfield/node/PipelineSimulationTest.java
+++ b/src/test/java/io/pepperfield/node/PipelineSimulationTest.java
@@ -49,9 +49,8 @@
         }
     }
 
-    private static void playOnce(Scenario scenario, PipelineShape shape, long seed) {
-        Region region = new Region(seed);
-        region.play(scenario);
+    /** A pipeline of the shape for each of its jobs and each moment of a cancellation. */
+    private static void submitAll(Region region, PipelineShape shape) {
         int pipelines = 0;
         for (CancelMoment moment : CancelMoment.values()) {
             for (int cancelled = 0; cancelled < shape.jobs(); cancelled++) {
@@ -62,6 +61,12 @@
                         () -> region.pipelines.submit(number, shape, index, moment));
             }
         }
+    }
+
+    private static void playOnce(Scenario scenario, PipelineShape shape, long seed) {
+        Region region = new Region(seed);
+        region.play(scenario);
+        submitAll(region, shape);
         region.world.run(scenario.endsAt());
         String which = "seed " + seed + ", " + shape + " in " + scenario;
         assertEquals(List.of(), region.broken, which);
@@ -126,4 +131,25 @@
                 shape,
                 seed);
     }
+
+    @ParameterizedTest
+    @CsvSource({"CHAIN, 9", "DIAMOND, 10", "FAN, 11", "MIXED, 12"})
+    void noRuleBreaksWhateverFails(PipelineShape shape, long first) {
+        for (int more = 0; more <= Integer.getInteger("pepperfield.seeds", 0); more++) {
+            long seed = first + 1000L * more;
+            Region region = new Region(seed);
+            region.world.lost = 0.01;
+            region.world.late = 0.005;
+            region.world.copies = 0.01;
+            submitAll(region, shape);
+            for (int i = 0; i < 10; i++) {
+                region.world.at(15 + 9 * i, region::trouble);
+            }
+            region.world.run(330);
+            assertEquals(List.of(), region.broken, "seed " + seed);
+            assertEquals(List.of(), region.unfinished(), "seed " + seed);
+            assertEquals(List.of(), region.pipelines.wronglyEnded(), "seed " + seed);
+            assertEquals(List.of(), region.unanswered(), "seed " + seed);
+        }
+    }
 }
