--- a/src/main/java/io/pepperfield/jobs/Catalog.java
+++ b/src/main/java/io/pepperfield/jobs/Catalog.java
@@ -9,12 +9,13 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
@@ -29,6 +30,9 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Catalog.class);
 
+    /** So many of the jobs that one waits for are shown to its user. */
+    private static final int MOST_SHOWN = 16;
+
     /**
      * One durable run record, with how many of its tasks are done, may be alive, or failed where
      * they were last tried.
@@ -49,8 +53,16 @@
         }
     }
 
+    /** A durable final state. */
+    private record End(Status status, OptionalLong doneMs) {
+
+        static End of(JsonNode data) {
+            return new End(JobMessages.end(data), JobMessages.doneMs(data));
+        }
+    }
+
     /** One accepted job. */
-    public static final class Record {
+    public final class Record {
         private final JobSpec spec;
         private Status end;
         private double openAsOf;
@@ -62,21 +74,47 @@
         private int running;
         private int failed;
 
-        /** Jobs that it needs and that are not known to be done. */
-        private final Set<String> awaited = new LinkedHashSet<>();
+        /** How many of the jobs that it needs are not known to be done. */
+        private int unfinished;
+
+        /** When it was done itself. */
+        private OptionalLong doneMs = OptionalLong.empty();
+
+        /** When the last of the jobs was done that it needs and that are done. */
+        private OptionalLong readyMs;
 
         private Record(JobSpec spec) {
             this.spec = spec;
+            this.readyMs = OptionalLong.of(spec.acceptedMs());
+        }
+
+        /**
+         * Of a job that is ready: the time of day at which it was submitted or the last job that it
+         * needs was done, whichever is later; empty where a final state does not say.
+         */
+        public OptionalLong readyMs() {
+            return readyMs;
+        }
+
+        private void neededIsDone(Record needed) {
+            readyMs =
+                    readyMs.isPresent() && needed.doneMs.isPresent()
+                            ? OptionalLong.of(
+                                    Math.max(readyMs.getAsLong(), needed.doneMs.getAsLong()))
+                            : OptionalLong.empty();
         }
 
         /** Whether all jobs that it needs are durably done. */
         public boolean ready() {
-            return awaited.isEmpty();
+            return unfinished == 0;
         }
 
-        /** The jobs that it still waits for. */
-        public Set<String> awaited() {
-            return Collections.unmodifiableSet(awaited);
+        /**
+         * The jobs that it still waits for; found when asked for, as thousands of jobs may each
+         * need hundreds.
+         */
+        public List<String> awaited() {
+            return spec.awaits().stream().filter(id -> !isDone(id)).toList();
         }
 
         /** What its user asked for. */
@@ -94,9 +132,18 @@
             return openAsOf;
         }
 
-        /** Its durable run records, encoded, one for each chunk of tasks that has any. */
-        public List<byte[]> chunks() {
-            return chunks.values().stream().map(Chunk::json).toList();
+        /**
+         * The durable lines, one for each task. A divided record that a controller of an older
+         * version has written whole again leaves old lines in its parts: the newer line counts.
+         */
+        public Collection<RunRecord> lines() {
+            Map<Integer, RunRecord> newest = new LinkedHashMap<>();
+            for (Chunk chunk : chunks.values()) {
+                for (RunRecord line : RunRecord.read(Json.read(chunk.json))) {
+                    newest.merge(line.task(), line, RunRecord::newer);
+                }
+            }
+            return newest.values();
         }
 
         /**
@@ -122,8 +169,16 @@
                             running > 0 ? Status.RUNNING : Status.PENDING,
                             done,
                             running);
-            if (!awaited.isEmpty()) {
-                awaited.forEach(state.putArray("waitsFor")::add);
+            if (!ready()) {
+                // Users ask every few seconds: a list as long as a value allows would be most of
+                // what this node sends.
+                spec.awaits().stream()
+                        .filter(id -> !isDone(id))
+                        .limit(MOST_SHOWN)
+                        .forEach(state.withArray("waitsFor")::add);
+                if (unfinished > MOST_SHOWN) {
+                    state.put("waitsForMore", unfinished - MOST_SHOWN);
+                }
             }
             // Why a job that was submitted with a mistake does not get on.
             return failed > 0 ? state.put("failed", failed) : state;
@@ -131,9 +186,16 @@
     }
 
     private final Map<String, Record> records = new HashMap<>();
-    private final Map<String, Status> endsBeforeJobs = new HashMap<>();
+    private final Map<String, End> endsBeforeJobs = new HashMap<>();
+
+    /** Ids that some job needs and whose own job a reading has not brought yet. */
+    private final Map<String, String> namedBeforeJobs = new HashMap<>();
+
     private final Map<String, List<String>> inShared = new HashMap<>();
 
+    /** Of each job in a shared record, the record that named it last. */
+    private final Map<String, String> sharedBy = new HashMap<>();
+
     /** Of each job that is not over, those that need it. */
     private final Map<String, List<Record>> dependants = new HashMap<>();
 
@@ -175,17 +237,15 @@
     }
 
     private void byMachine(Record record) {
-        for (byte[] chunk : record.chunks()) {
-            for (RunRecord line : RunRecord.read(Json.read(chunk))) {
-                if (line.state() == RunRecord.State.LIVE) {
-                    cancelledOn
-                            .computeIfAbsent(line.machine(), m -> new ArrayList<>())
-                            .add(
-                                    new CancelledAttempt(
-                                            record.spec.id() + "/" + line.task(),
-                                            line.attempt(),
-                                            record.openAsOf));
-                }
+        for (RunRecord line : record.lines()) {
+            if (line.state() == RunRecord.State.LIVE) {
+                cancelledOn
+                        .computeIfAbsent(line.machine(), m -> new ArrayList<>())
+                        .add(
+                                new CancelledAttempt(
+                                        record.spec.id() + "/" + line.task(),
+                                        line.attempt(),
+                                        record.openAsOf));
             }
         }
     }
@@ -227,37 +287,35 @@
             return;
         }
         if (key.startsWith(Keys.JOB)) {
-            String id = key.substring(Keys.JOB.length());
-            Record record = new Record(JobMessages.fromDurable(id, data));
+            String named = key.substring(Keys.JOB.length());
+            String known = namedBeforeJobs.remove(named);
+            String id = known == null ? named : known;
+            Record record = new Record(JobMessages.fromDurable(id, data).needing(this::shared));
             if (records.putIfAbsent(id, record) == null) {
                 awaits(record);
-                Status end = endsBeforeJobs.remove(id);
+                End end = endsBeforeJobs.remove(id);
                 if (end != null && record.end == null) {
                     end(record, end);
                 }
             }
         } else if (key.startsWith(Keys.END)) {
             String id = key.substring(Keys.END.length());
-            Status end = JobMessages.end(data);
+            End end = End.of(data);
             Record record = records.get(id);
             if (record == null) {
                 // A reading in pages brings the keys in their order, ends before jobs.
                 endsBeforeJobs.put(id, end);
             } else if (record.end == null) {
                 end(record, end);
-            } else if (record.end != end) {
-                LOG.error("{} was {} and is called {} in the state service", id, record.end, end);
+            } else if (record.end != end.status) {
+                LOG.error(
+                        "{} was {} and is called {} in the state service",
+                        id,
+                        record.end,
+                        end.status);
             }
         } else if (key.startsWith(Keys.SHARED)) {
-            // What is left out now is over with nothing alive: its old lines must not come to life
-            // under the next leader.
-            inShared.getOrDefault(key, List.of()).stream()
-                    .filter(id -> !data.has(id))
-                    .forEach(id -> lines(id, 0, null));
-            List<String> ids = new ArrayList<>();
-            data.fieldNames().forEachRemaining(ids::add);
-            inShared.put(key, ids);
-            ids.forEach(id -> lines(id, 0, data.get(id)));
+            sharedRecord(key, data);
         } else if (key.startsWith(Keys.RUN)) {
             int slash = key.lastIndexOf('/');
             lines(
@@ -267,21 +325,58 @@
         }
     }
 
+    /**
+     * What is left out now is over with nothing alive, and its old lines must not come to life
+     * under the next leader; unless another record holds it now, whichever of the two is read
+     * first.
+     */
+    private void sharedRecord(String key, JsonNode data) {
+        inShared.getOrDefault(key, List.of()).stream()
+                .filter(id -> !data.has(id) && sharedBy.remove(id, key))
+                .forEach(id -> lines(id, 0, null));
+        List<String> ids = new ArrayList<>();
+        data.fieldNames().forEachRemaining(ids::add);
+        inShared.put(key, ids);
+        for (String id : ids) {
+            sharedBy.put(id, key);
+            lines(id, 0, data.get(id));
+        }
+    }
+
+    /**
+     * The id as the job itself has it: a copy for each job that needs it would fill the heap where
+     * thousands need hundreds, and descriptions stay for ever.
+     */
+    private String shared(String id) {
+        Record record = records.get(id);
+        if (record != null) {
+            return record.spec.id();
+        }
+        String known = namedBeforeJobs.putIfAbsent(id, id);
+        return known == null ? id : known;
+    }
+
+    private boolean isDone(String id) {
+        Record record = records.get(id);
+        return record != null && record.end == Status.DONE;
+    }
+
     /** Notes what the job needs; it is over at once if any of that is known to be cancelled. */
     private void awaits(Record record) {
         boolean lost = false;
         for (String needed : record.spec.awaits()) {
             Record other = records.get(needed);
             if (other != null && other.end == Status.DONE) {
+                record.neededIsDone(other);
                 continue;
             }
-            record.awaited.add(needed);
+            record.unfinished++;
             // Also where it is not known yet: a reading in pages may bring it later.
             dependants.computeIfAbsent(needed, n -> new ArrayList<>()).add(record);
             lost |= other != null && other.end == Status.CANCELLED;
         }
         if (lost) {
-            end(record, Status.CANCELLED);
+            end(record, new End(Status.CANCELLED, OptionalLong.empty()));
         }
     }
 
@@ -291,8 +386,9 @@
      * every node from the moment at which it knows the one final state, and nothing has to be
      * written for the jobs after it. Without recursion, since chains may be long.
      */
-    private void end(Record first, Status end) {
-        first.end = end;
+    private void end(Record first, End end) {
+        first.end = end.status;
+        first.doneMs = end.doneMs;
         ArrayDeque<Record> ended = new ArrayDeque<>(List.of(first));
         while (!ended.isEmpty()) {
             Record record = ended.poll();
@@ -304,7 +400,8 @@
             List<Record> waiting = dependants.remove(record.spec.id());
             for (Record after : waiting == null ? List.<Record>of() : waiting) {
                 if (record.end == Status.DONE) {
-                    after.awaited.remove(record.spec.id());
+                    after.unfinished--;
+                    after.neededIsDone(record);
                 } else if (after.end == null) {
                     after.end = Status.CANCELLED;
                     ended.add(after);
--- a/src/main/java/io/pepperfield/node/ReportHandler.java
+++ b/src/main/java/io/pepperfield/node/ReportHandler.java
@@ -8,12 +8,12 @@
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Reply;
 import io.pepperfield.leadership.Leadership;
+import io.pepperfield.peer.ForwardingMessages;
 import io.pepperfield.peer.Members;
 import io.pepperfield.peer.Partitions;
 import io.pepperfield.peer.Peers;
 import io.pepperfield.peer.Reachability;
-import io.pepperfield.peer.Relay;
-import io.pepperfield.peer.RelayMessages;
+import io.pepperfield.peer.ReportForwarder;
 import io.pepperfield.store.Sync;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -31,13 +31,13 @@
     private final Loop loop;
     private final Settings settings;
     private final Leadership leadership;
-    private final Relay relay;
+    private final ReportForwarder forwarder;
     private final Peers peers;
     private final Sync sync;
     private final Members members;
     private final LeaseRenewal renewal;
-    private final Standstill standstill;
-    private final Warnings warnings;
+    private final PauseDetector pauseDetector;
+    private final Warnings warnings = new Warnings();
     private final double reportS;
     private final ZoneWatch zoneWatch = new ZoneWatch();
 
@@ -53,23 +53,21 @@
             Loop loop,
             Settings settings,
             Leadership leadership,
-            Relay relay,
+            ReportForwarder forwarder,
             Peers peers,
             Sync sync,
             Members members,
             LeaseRenewal renewal,
-            Standstill standstill,
-            Warnings warnings) {
+            PauseDetector pauseDetector) {
         this.loop = loop;
         this.settings = settings;
         this.leadership = leadership;
-        this.relay = relay;
+        this.forwarder = forwarder;
         this.peers = peers;
         this.sync = sync;
         this.members = members;
         this.renewal = renewal;
-        this.standstill = standstill;
-        this.warnings = warnings;
+        this.pauseDetector = pauseDetector;
         this.reportS = settings.deployment().workers().reportS();
         this.reachability = new Reachability(reportS, settings.deployment().workers().leaseS());
     }
@@ -82,6 +80,7 @@
         }
     }
 
+    /** A worker reports. */
     void beat(Call call, Consumer<Reply> answer) {
         Report report = Report.read(Json.read(call.body()));
         if (report == null) {
@@ -91,31 +90,37 @@
         }
         double now = loop.now();
         zoneWatch.heard(report.zone().equals(settings.zone()));
-        if (standstill.stale()) {
+        if (pauseDetector.stale()) {
             answer.accept(Reply.error(503, "has stood still"));
         } else if (leadership.leading()) {
-            if (report.token() > leadership.token()) {
-                leadership.sawToken(report.token());
-                answer.accept(Reply.error(503, "a newer token is about"));
-            } else if (!mayLeadWorkers(now)) {
-                answer.accept(Reply.error(503, "not in touch with the state service"));
-            } else if (leader == null) {
-                keepAlive(report, answer);
-            } else {
-                ownReport(report, call.body(), now, answer);
+            beatAsLeader(report, call.body(), now, answer);
+        } else if (forwarder.linked(now)) {
+            if (!sentHome(report, forwarder.live(), answer)) {
+                forwarder.submit(
+                        report, call.body(), verdict -> forwarded(report, verdict, answer));
             }
-        } else if (relay.linked(now)) {
-            if (!sentHome(report, relay.live(), answer)) {
-                relay.submit(report, call.body(), verdict -> relayed(report, verdict, answer));
-            }
-        } else if (!lostAlone(now)
-                && (now - relay.linkedAt() < reportS
-                        || leadership.leader().isEmpty()
-                        || peers.contact(now) != Peers.Contact.FINE)) {
+        } else {
+            beatWithoutLeader(report, now, answer);
+        }
+    }
+
+    private void beatAsLeader(Report report, byte[] raw, double now, Consumer<Reply> answer) {
+        if (report.token() > leadership.token()) {
+            leadership.sawToken(report.token());
+            answer.accept(Reply.error(503, "a newer token is about"));
+        } else if (!mayLeadWorkers(now)) {
+            answer.accept(Reply.error(503, "not in touch with the state service"));
+        } else if (leader == null) {
             keepAlive(report, answer);
-        } else if (peers.contact(now) == Peers.Contact.FINE
-                && !leadership.leader().isEmpty()
-                && !leadership.leader().equals(settings.node())) {
+        } else {
+            ownReport(report, raw, now, answer);
+        }
+    }
+
+    private void beatWithoutLeader(Report report, double now, Consumer<Reply> answer) {
+        if (!lostAlone(now) && leaderMayBeAway(now)) {
+            keepAlive(report, answer);
+        } else if (othersReachLeader(now)) {
             answer.accept(Reply.json(421, Json.object().put("manager", leadership.leader())));
         } else {
             // Cut off from the leader and the state service: others take the worker within its
@@ -124,6 +129,20 @@
         }
     }
 
+    /** Whether nobody may lead just now, or nobody here can tell who does. */
+    private boolean leaderMayBeAway(double now) {
+        return now - forwarder.linkedAt() < reportS
+                || leadership.leader().isEmpty()
+                || peers.contact(now) != Peers.Contact.FINE;
+    }
+
+    /** Whether another node leads that this one cannot reach, while the state service answers. */
+    private boolean othersReachLeader(double now) {
+        return peers.contact(now) == Peers.Contact.FINE
+                && !leadership.leader().isEmpty()
+                && !leadership.leader().equals(settings.node());
+    }
+
     /** The leader takes a worker's report itself. */
     private void ownReport(Report report, byte[] raw, double now, Consumer<Reply> answer) {
         Set<String> owners = owners(now);
@@ -136,10 +155,10 @@
         if (orders == null) {
             warnings.once(report.machine(), "sends a late copy of a report, or has been returned");
         } else {
-            relay.remember(
+            forwarder.remember(
                     report,
                     raw,
-                    Relay.settledUpTo(
+                    ReportForwarder.settledUpTo(
                             orders.stream().anyMatch(Order.Stop.class::isInstance),
                             sync.contactAt()));
         }
@@ -173,12 +192,13 @@
         strays.values().removeIf(since -> since < before);
     }
 
-    private void relayed(Report report, RelayMessages.Verdict verdict, Consumer<Reply> answer) {
-        if (standstill.stale()) {
+    private void forwarded(
+            Report report, ForwardingMessages.Verdict verdict, Consumer<Reply> answer) {
+        if (pauseDetector.stale()) {
             answer.accept(Reply.error(503, "has stood still"));
-        } else if (verdict instanceof RelayMessages.Verdict.Orders orders
-                && relay.token() >= report.token()) {
-            ObjectNode body = Json.object().put("epoch", relay.token());
+        } else if (verdict instanceof ForwardingMessages.Verdict.Orders orders
+                && forwarder.token() >= report.token()) {
+            ObjectNode body = Json.object().put("epoch", forwarder.token());
             body.set("orders", orders.orders());
             answer.accept(Reply.json(200, body));
         } else if (verdict == null) {
@@ -194,10 +214,11 @@
      * this node's own knowledge allows.
      */
     private void keepAlive(Report report, Consumer<Reply> answer) {
-        long token = Math.max(leadership.leaderToken(), relay.token());
+        long token = Math.max(leadership.leaderToken(), forwarder.token());
         double settledUpTo =
                 Math.max(
-                        relay.settledUpTo(report.machine()), renewal.settledByOwnKnowledge(report));
+                        forwarder.settledUpTo(report.machine()),
+                        renewal.settledByOwnKnowledge(report));
         if (token == 0 || report.token() > token) {
             // A worker drops an answer with a lower token, and would stay here while its lease runs
             // out.
@@ -216,7 +237,7 @@
      */
     private boolean lostAlone(double now) {
         return !leadership.confirmed()
-                && !relay.linked(now)
+                && !forwarder.linked(now)
                 && peers.contact(now) == Peers.Contact.LOST_ALONE
                 && !zoneWatch.cutOff();
     }
@@ -250,12 +271,15 @@
     }
 
     /** What a partition owner passes on. */
-    void relayedTo(RelayMessages.Batch batch, Consumer<Reply> answer) {
+    void receiveForwarded(ForwardingMessages.Batch batch, Consumer<Reply> answer) {
         double now = loop.now();
         if (batch.token() > leadership.token() && leadership.leading()) {
             leadership.sawToken(batch.token());
         }
-        if (standstill.stale() || !leadership.leading() || leader == null || !mayLeadWorkers(now)) {
+        if (pauseDetector.stale()
+                || !leadership.leading()
+                || leader == null
+                || !mayLeadWorkers(now)) {
             answer.accept(Reply.error(503, "not leading"));
             return;
         }
@@ -266,7 +290,7 @@
         }
         batch.kept().forEach(leader::remembered);
         batch.heard().forEach(leader::heard);
-        List<RelayMessages.Verdict> verdicts = new ArrayList<>();
+        List<ForwardingMessages.Verdict> verdicts = new ArrayList<>();
         Set<String> owners = owners(now);
         batch.beats()
                 .forEach(
@@ -276,12 +300,12 @@
                                     Partitions.owner(beat.machine(), owners),
                                     batch.node(),
                                     now);
-                            verdicts.add(leader.relayed(beat, batch.node()));
+                            verdicts.add(leader.forwardedReport(beat, batch.node()));
                         });
         answer.accept(
                 new Reply(
                         200,
-                        RelayMessages.answer(
+                        ForwardingMessages.answer(
                                 leadership.token(), now - sync.contactAt(), owners, verdicts),
                         0));
     }
--- a/src/test/java/io/pepperfield/node/DispatcherTest.java
+++ b/src/test/java/io/pepperfield/node/DispatcherTest.java
@@ -30,7 +30,7 @@
 class DispatcherTest implements Loop, SilentFleetListener, Dispatcher.Starter {
 
     private final Settings settings = settings();
-    private final Types types = new Types(settings);
+    private final MachineTypes types = new MachineTypes(settings);
     private final Fleet fleet = new Fleet(this, 10, 3);
     private final Ledger ledger = new Ledger();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
@@ -45,7 +45,7 @@
                             ledger,
                             jobs,
                             null,
-                            new Boots(types, 60),
+                            new BootTracker(types, 60),
                             new Latencies()),
                     this);
     private final List<String> said = new ArrayList<>();
@@ -106,7 +106,7 @@
      */
     @Test
     void aStoppedTaskLeavesNoRoomUnderTheLimitUntilItIsGone() {
-        types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
+        types.update(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
         report("m1", 1);
         Job array = job("run-000001", "batch", "red", Rank.STANDARD, "img", 3);
         start(array, 0, fleet.get("m1"));
@@ -133,7 +133,7 @@
      */
     @Test
     void ofAClassThatHasWaitedTooLongOneJobComesFirst() {
-        types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
+        types.update(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
         report("m1", 1);
         for (int i = 1; i <= 5; i++) {
             job("run-00000" + i, "swarm", "red", Rank.BEST_EFFORT, "img", 1);
@@ -178,7 +178,7 @@
      */
     @Test
     void aJobThatCanBeginNowhereDoesNotHoldItsTeamBack() {
-        types.heard(
+        types.update(
                 List.of(
                         new MachineType(
                                 "box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east", "west"))));
@@ -212,7 +212,7 @@
      */
     @Test
     void aMachineOnWhichAJobFailedIsAvoidedForAUnitAndNotForEver() {
-        types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
+        types.update(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
         Job job = job("run-000001", "batch", "blue", Rank.STANDARD, "img", 1);
         job.failed("m1", now, 1, 60);
         now = 59;
@@ -232,7 +232,7 @@
      */
     @Test
     void replicasLostToTwoBadMachinesAreStartedAgainBesideThoseThatLast() {
-        types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
+        types.update(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
         JobSpec spec =
                 new JobSpecBuilder()
                         .workload("gate")
--- a/src/test/java/io/pepperfield/node/WatchTest.java
+++ b/src/test/java/io/pepperfield/node/FailureDetectorTest.java
@@ -27,7 +27,7 @@
  * Which silent machines are given up: twelve in the east and twelve in the west, reports every
  * second, leases of six.
  */
-class WatchTest implements Loop, SilentFleetListener {
+class FailureDetectorTest implements Loop, SilentFleetListener {
 
     private final Settings settings =
             SingleNodeSettings.of(List.of("east", "west"), Map.of(), List.of());
@@ -35,13 +35,13 @@
     private final Fleet fleet = new Fleet(this, 10, 3);
     private final Map<String, Integer> serials = new HashMap<>();
     private final List<Runnable> posted = new ArrayList<>();
-    private final Types types = new Types(settings);
-    private final Boots boots = new Boots(types, 60);
-    private final Watch watch;
+    private final MachineTypes types = new MachineTypes(settings);
+    private final BootTracker boots = new BootTracker(types, 60);
+    private final FailureDetector failureDetector;
     private double now;
 
-    WatchTest() {
-        types.heard(
+    FailureDetectorTest() {
+        types.update(
                 List.of(
                         new MachineType(
                                 "box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east", "west"))));
@@ -67,8 +67,8 @@
                         renting,
                         boots,
                         new Latencies());
-        watch =
-                new Watch(
+        failureDetector =
+                new FailureDetector(
                         cluster,
                         null,
                         new HttpWorkers(
@@ -86,7 +86,7 @@
     }
 
     private void tick() {
-        watch.tick(now);
+        failureDetector.tick(now);
         List.copyOf(posted).forEach(Runnable::run);
         posted.clear();
     }
@@ -156,10 +156,10 @@
         for (int i = 0; i < 4; i++) {
             report("east" + i, "east");
             now = 6;
-            boots.up(fleet.get("east" + i), now);
+            boots.reported(fleet.get("east" + i), now);
         }
         for (now = 6; now < 19; now += 0.5) {
-            boots.look(fleet, now);
+            boots.update(fleet, now);
             for (int i = 0; i < 4; i++) {
                 report("east" + i, "east");
             }
@@ -175,22 +175,22 @@
         assertTrue(boots.late(types.get("box"), "west"));
         // A leader that begins now has seen no boot at all: what is up speaks for the east, where a
         // few stragglers are no news.
-        Boots next = new Boots(types, 60);
+        BootTracker next = new BootTracker(types, 60);
         for (int i = 0; i < 3; i++) {
             fleet.expect("straggler" + i, "box", "east", false, 0, now);
         }
-        next.look(fleet, now);
+        next.update(fleet, now);
         // Nor are three that died as they booted, where nothing else was rented since.
         assertEquals(5, next.expected(types.get("box"), "east"));
         now += 20;
-        next.look(fleet, now);
+        next.update(fleet, now);
         assertEquals(5, next.expected(types.get("box"), "east"));
         assertTrue(next.late(types.get("box"), "west"));
         // When the trouble ends, what comes in time is believed again.
         for (int i = 0; i < 6; i++) {
             fleet.gone("west" + i);
         }
-        boots.look(fleet, now);
+        boots.update(fleet, now);
         assertEquals(5, boots.expected(types.get("box"), "west"));
     }
 
--- a/src/test/java/io/pepperfield/peer/VersionsTest.java
+++ b/src/test/java/io/pepperfield/peer/VersionsTest.java
@@ -1,15 +1,28 @@
 package io.pepperfield.peer;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pepperfield.cloud.Cloud;
+import io.pepperfield.cloud.MachineType;
+import io.pepperfield.cloud.Renting;
+import io.pepperfield.cloud.TypesRecord;
+import io.pepperfield.fleet.Fleet;
 import io.pepperfield.http.Json;
+import io.pepperfield.jobs.Catalog;
 import io.pepperfield.jobs.JobMessages;
 import io.pepperfield.jobs.RunRecord;
 import io.pepperfield.jobs.Status;
+import io.pepperfield.leadership.Leadership;
 import io.pepperfield.standin.Trace;
+import io.pepperfield.standin.Transactions;
+import io.pepperfield.store.Keys;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 
@@ -42,6 +55,23 @@
                             JobMessages.end(said).word(),
                             JobMessages.durableEnd(Status.valueOf(JobMessages.end(said).name())),
                             text);
+            case "end-now" -> {
+                OptionalLong doneMs = JobMessages.doneMs(said);
+                List<String> lines =
+                        new ArrayList<>(
+                                told(
+                                        JobMessages.end(said).word()
+                                                + " at "
+                                                + (doneMs.isPresent()
+                                                        ? doneMs.getAsLong()
+                                                        : "an unknown time"),
+                                        doneMs.isPresent()
+                                                ? JobMessages.durableDone(doneMs.getAsLong())
+                                                : JobMessages.durableEnd(Status.DONE),
+                                        text));
+                lines.add("the recorded version reads " + endAsRecorded(said).word());
+                yield lines;
+            }
             case "run" ->
                     told(
                             RunRecord.read(said).stream()
@@ -50,8 +80,21 @@
                                     .toString(),
                             RunRecord.write(RunRecord.read(said)),
                             text);
+            case "shared" -> shared(said, text);
+            case "hire" -> hire(said);
+            case "types" -> {
+                List<MachineType> types = TypesRecord.read(said);
+                yield told(
+                        types.stream()
+                                .map(type -> type.name() + " " + type.zones())
+                                .toList()
+                                .toString(),
+                        TypesRecord.write(types),
+                        text);
+            }
+            case "leader" -> leader(said);
             case "relay" -> {
-                RelayMessages.Batch batch = RelayMessages.batch(said);
+                ForwardingMessages.Batch batch = ForwardingMessages.batch(said);
                 yield List.of(
                         batch.node()
                                 + " "
@@ -61,7 +104,7 @@
                                 + " kept");
             }
             case "answer" -> {
-                RelayMessages.Answer answer = RelayMessages.readAnswer(said, 3);
+                ForwardingMessages.Answer answer = ForwardingMessages.readAnswer(said, 3);
                 yield told(
                         answer.token()
                                 + " "
@@ -70,7 +113,7 @@
                                 + answer.verdicts().size()
                                 + " verdicts",
                         Json.read(
-                                RelayMessages.answer(
+                                ForwardingMessages.answer(
                                         answer.token(),
                                         answer.contactAgoS(),
                                         answer.live(),
@@ -79,21 +122,103 @@
             }
             case "orders" ->
                     told(
-                            RelayMessages.readDirect(said).size() + " messages",
+                            ForwardingMessages.readDirect(said).size() + " messages",
                             Json.read(
-                                    RelayMessages.direct(
+                                    ForwardingMessages.direct(
                                             said.path("epoch").longValue(),
-                                            RelayMessages.readDirect(said))),
+                                            ForwardingMessages.readDirect(said))),
                             text);
             case "cancelled" ->
                     told(
-                            RelayMessages.readCancelled(said).toString(),
-                            Json.read(RelayMessages.cancelled(RelayMessages.readCancelled(said))),
+                            ForwardingMessages.readCancelled(said).toString(),
+                            Json.read(
+                                    ForwardingMessages.cancelled(
+                                            ForwardingMessages.readCancelled(said))),
                             text);
             default -> throw new IllegalArgumentException(words[0]);
         };
     }
 
+    /** As the catalog reads it, and as its jobs' lines are written again. */
+    private static List<String> shared(JsonNode said, String text) {
+        Catalog catalog = new Catalog(() -> 0);
+        ObjectNode again = Json.object();
+        List<String> read = new ArrayList<>();
+        said.fieldNames()
+                .forEachRemaining(
+                        id -> {
+                            catalog.changed(Keys.JOB + id, Json.object().put("n", 4));
+                            catalog.changed(Keys.SHARED + "41-1", said);
+                            List<RunRecord> lines = List.copyOf(catalog.get(id).lines());
+                            again.set(id, RunRecord.write(lines));
+                            lines.forEach(
+                                    line -> read.add(id + "/" + line.task() + " " + line.state()));
+                        });
+        return told(read.toString(), again, text);
+    }
+
+    /**
+     * An earlier leader's rental: asked for once more by its name, or its machines are expected.
+     */
+    private static List<String> hire(JsonNode said) {
+        List<String> read = new ArrayList<>();
+        Transactions state = new Transactions();
+        Fleet fleet = new Fleet(null, 42, 1);
+        Cloud cloud = new AskedCloud(read);
+        Renting renting = new Renting(state, cloud, null, fleet, 42, 1, 1, () -> true);
+        renting.restore("p41-1", said);
+        fleet.machines().forEach(m -> read.add("expects " + m.name + " " + m.type()));
+        return read;
+    }
+
+    /** Notes which rentals it is asked for, and answers nothing. */
+    private record AskedCloud(List<String> asked) implements Cloud {
+        @Override
+        public void types(Consumer<List<MachineType>> done) {}
+
+        @Override
+        public void rent(
+                String request,
+                String type,
+                String zone,
+                boolean spot,
+                int count,
+                Consumer<Rented> done) {
+            asked.add(
+                    "asks for "
+                            + request
+                            + ": "
+                            + count
+                            + " "
+                            + type
+                            + " in "
+                            + zone
+                            + ", "
+                            + spot);
+        }
+
+        @Override
+        public void release(List<String> names, Consumer<Boolean> done) {}
+
+        @Override
+        public void list(Consumer<List<Listed>> done) {}
+    }
+
+    /** Leads under the key that it wrote itself, and follows under another's. */
+    private static List<String> leader(JsonNode said) {
+        Transactions state = new Transactions();
+        Leadership leadership = new Leadership(state, state, "worker-9", 1, null);
+        leadership.leaderKey(said, 41);
+        return List.of("led by " + leadership.leader() + " with token " + leadership.leaderToken());
+    }
+
+    /** As {@code JobMessages.end} of the recorded version c7a624d; nothing else reads the value. */
+    private static Status endAsRecorded(JsonNode durable) {
+        return durable.path("s").asText().equals(Status.DONE.word())
+                ? Status.DONE
+                : Status.CANCELLED;
+    }
+
     private static List<String> told(String what, JsonNode now, String then) {
         return List.of(
                 what
--- a/src/test/java/io/pepperfield/standin/JobSpecBuilder.java
+++ b/src/test/java/io/pepperfield/standin/JobSpecBuilder.java
@@ -22,6 +22,7 @@
     private boolean oneZone;
     private boolean spread;
     private boolean spot;
+    private List<String> awaits = List.of();
     private double expectedS = 1;
     private int chunk = 10;
 
@@ -100,9 +101,14 @@
         return this;
     }
 
+    public JobSpecBuilder awaits(List<String> value) {
+        awaits = value;
+        return this;
+    }
+
     public JobSpec build() {
         return new JobSpec(
                 id, workload, team, shape, rank, tasks, cpus, 0, 1, image, imageGb, null, zone,
-                oneZone, spread, spot, expectedS, 0, 0, null, 0, chunk, List.of());
+                oneZone, spread, spot, expectedS, 0, 0, null, 0, chunk, awaits);
     }
 }
--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -1,14 +1,11 @@
 package io.pepperfield.standin;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.pepperfield.config.Operators;
 import io.pepperfield.config.Settings;
-import io.pepperfield.config.Settings.Address;
 import io.pepperfield.http.Call;
 import io.pepperfield.http.Reply;
 import io.pepperfield.peer.Partitions;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,8 +24,6 @@
     public static final double LEASE_S = 6;
     public static final double CANCEL_S = 20;
     static final int NODES = 3;
-    private static final Map<String, Double> LIMITS =
-            Map.of("red", 24.0, "blue", 24.0, "guests", Double.POSITIVE_INFINITY);
 
     /** Answers a simulated node's requests. */
     private interface Handler {
@@ -37,6 +32,7 @@
 
     public final SimWorld world;
     public final List<String> broken = new ArrayList<>();
+    public final Pipelines pipelines;
     final StateStandIn state;
     final StateLink stateLink;
     final ReportCopies copies;
@@ -50,14 +46,31 @@
     private long lastGrant;
     private int lastLeader;
     private int madeUp;
+    private int leaderChanges;
 
     public Region(long seed) {
+        this(seed, Version.CURRENT, RegionSettings.LIMITS_NOW);
+    }
+
+    /** A region before its upgrade: the recorded version runs, and the limits are going to fall. */
+    public static Region beforeUpgrade(long seed) {
+        return new Region(seed, Version.RECORDED, RegionSettings.LIMITS_NEXT);
+    }
+
+    /**
+     * @param next the limits that this version knows of
+     */
+    private Region(long seed, Version version, Settings.State next) {
         world = new SimWorld(seed);
         state = new StateStandIn(world::now, 10_000);
+        state.broken = broken;
+        state.limits = new StateLimits(RegionSettings.LIMITS_NOW, world.now());
         stateLink = new StateLink(world, state);
         Map<String, SimJob> jobs = new LinkedHashMap<>();
-        machines = new SimMachines(world, broken, jobs);
-        users = new SimUsers(world, broken, machines, jobs);
+        PipelineRules rules = new PipelineRules(world, broken, jobs, this::durablyDone);
+        machines = new SimMachines(world, broken, jobs, rules);
+        users = new SimUsers(world, broken, machines, jobs, rules);
+        pipelines = new Pipelines(world, users, this::team);
         troubles = new TroublePlayer(this, machines, users);
         copies = new ReportCopies(world, nodes);
         machines.reported = copies::reported;
@@ -66,7 +79,19 @@
         world.listen(
                 "10.2.0.2:8443", host((from, call, answer) -> answer.accept(cloud.handle(call))));
         for (int i = 0; i < NODES; i++) {
-            SimNode node = new SimNode(i, world, settings(i), broken);
+            int index = i;
+            SimNode node =
+                    new SimNode(
+                            i,
+                            world,
+                            version,
+                            of ->
+                                    RegionSettings.of(
+                                            index,
+                                            of == Version.RECORDED
+                                                    ? RegionSettings.LIMITS_NOW
+                                                    : next),
+                            broken);
             nodes.add(node);
             world.listen("10.0.0." + (i + 1) + ":8080", node);
             world.listen("10.0.0." + (i + 1) + ":8081", node.peerSide());
@@ -107,51 +132,6 @@
                 });
     }
 
-    /** What a team's tasks may use of CPUs together. */
-    static double limit(String team) {
-        return LIMITS.get(team);
-    }
-
-    private static Settings settings(int index) {
-        List<Settings.Member> members = new ArrayList<>();
-        for (int i = 0; i < NODES; i++) {
-            if (i != index) {
-                members.add(
-                        new Settings.Member(
-                                "node-" + i, "east", new Address("10.0.0." + (i + 1), 8081)));
-            }
-        }
-        Map<String, Settings.Team> teams = new LinkedHashMap<>();
-        for (String team : List.of("red", "blue")) {
-            teams.put(team, new Settings.Team(team, 12, limit(team), 0, 0));
-        }
-        teams.put("guests", new Settings.Team("guests", 0, limit("guests"), 0, 0));
-        Settings.Deployment deployment =
-                new Settings.Deployment(
-                        NODES,
-                        List.of("east", "west"),
-                        5,
-                        teams,
-                        // Services should find their image, so that placing and stopping have their
-                        // second way to go.
-                        List.of(new Settings.Objective("wait", "gate", 0.5, 0.9, 0)),
-                        new Settings.Workers(REPORT_S, LEASE_S, CANCEL_S),
-                        new Settings.State(150, 60, 8, 32),
-                        new Settings.Cloud(20, 2),
-                        new Settings.Quota(1, 256, 1000));
-        Operators operators = new Operators(10, 0.2, 0.2, 0.85, 0.85, 3);
-        return new Settings(
-                "node-" + index,
-                "east",
-                new Address("10.0.0." + (index + 1), 8080),
-                new Address("10.0.0." + (index + 1), 8081),
-                members,
-                new Address("10.2.0.2", 8443),
-                new Address("10.2.0.1", 2379),
-                deployment,
-                operators);
-    }
-
     // ---- scenarios
 
     /** Plans a scenario's jobs and troubles; to be run until {@link Scenario#endsAt}. */
@@ -257,39 +237,6 @@
                         .inOneZone());
     }
 
-    /**
-     * A pipeline of five jobs: two need the first, one needs both, and the last needs that and the
-     * first. Each is submitted as soon as those that it needs are accepted; of one pipeline in
-     * three the last only when the others are over, of one in three a job is cancelled.
-     */
-    public void submitPipeline(int number) {
-        List<JobPlan> jobs = new ArrayList<>();
-        int[][] needs = {{}, {0}, {0}, {1, 2}, {0, 3}};
-        int cancelled = world.random.nextInt(3 * needs.length);
-        String team = team();
-        for (int i = 0; i < needs.length; i++) {
-            JobPlan plan =
-                    JobPlan.array(
-                                    number + i,
-                                    "batch",
-                                    team,
-                                    i == 4 ? "urgent" : "best_effort",
-                                    1 + world.random.nextInt(4),
-                                    2,
-                                    List.of(2 + 4 * world.random.nextDouble()),
-                                    true)
-                            .after(
-                                    Arrays.stream(needs[i])
-                                            .mapToObj(n -> JobPlan.id(number + n))
-                                            .toList());
-            jobs.add(
-                    i == cancelled
-                            ? plan.cancelledAt(world.now() + 30 * world.random.nextDouble())
-                            : plan);
-        }
-        users.submitPipeline(jobs, world.random.nextInt(3) == 0);
-    }
-
     /** A single small task, of one in four its user calls off. */
     public void submitSingle(int number) {
         JobPlan plan =
@@ -489,6 +436,21 @@
                 });
     }
 
+    /** From now on the state service has its lower limits. */
+    public void limitsFall() {
+        state.limits = new StateLimits(RegionSettings.LIMITS_NEXT, world.now());
+    }
+
+    /** Until then every request about grants is refused as beyond the rate. */
+    public void refuseGrants(double until) {
+        state.grantsRefusedUntil = Math.max(state.grantsRefusedUntil, until);
+    }
+
+    /** Ends a controller's process, which comes back as that version. */
+    public void replace(int index, Version by, double downS) {
+        nodes.get(index).replace(by, downS);
+    }
+
     void cloudOutage(double until) {
         cloud.outage(true);
         cloudOutUntil = Math.max(cloudOutUntil, until);
@@ -523,6 +485,16 @@
         return Integer.parseInt(leader().substring(5));
     }
 
+    /** How often another leadership has begun. */
+    public int leaderChanges() {
+        return leaderChanges;
+    }
+
+    /** Whether every controller runs this version, or will once it is started. */
+    public boolean upgraded() {
+        return nodes.stream().allMatch(node -> node.version() == Version.CURRENT);
+    }
+
     /** Which of the nodes leads, or led last. */
     int lastLeader() {
         return lastLeader;
@@ -533,6 +505,7 @@
         if (key != null && key.path("grant").longValue() != lastGrant) {
             lastGrant = key.path("grant").longValue();
             lastLeader = leaderIndex();
+            leaderChanges++;
             copies.newLeader();
         }
     }
@@ -584,6 +557,11 @@
         return state.get(key);
     }
 
+    private boolean durablyDone(String id) {
+        JsonNode end = state.get("pepperfield/end/" + id);
+        return end != null && end.path("s").asText().equals("done");
+    }
+
     public List<String> reusedRentalNames() {
         return cloud.reused;
     }
@@ -629,6 +607,27 @@
         return got[0];
     }
 
+    /** Accepted jobs whose prerequisites are not durable. */
+    public List<String> alteredJobs() {
+        List<String> altered = new ArrayList<>();
+        users.jobs.values().stream()
+                .filter(job -> job.accepted)
+                .filter(job -> !job.plan.awaits().equals(awaits(job.plan.id())))
+                .forEach(job -> altered.add(job.plan.id()));
+        return altered;
+    }
+
+    private List<String> awaits(String job) {
+        List<String> ids = new ArrayList<>();
+        state.get("pepperfield/job/" + job).path("aw").forEach(id -> ids.add(id.asText()));
+        return ids;
+    }
+
+    /** How many transactions were refused for their size since the limits last changed. */
+    public int refusedForSize() {
+        return state.limits.malformed;
+    }
+
     // ---- what is left at the end
 
     /**
--- a/src/test/java/io/pepperfield/standin/SimNode.java
+++ b/src/test/java/io/pepperfield/standin/SimNode.java
@@ -4,16 +4,18 @@
 import io.pepperfield.config.Settings;
 import io.pepperfield.fleet.HttpWorkers;
 import io.pepperfield.http.Call;
+import io.pepperfield.http.Json;
 import io.pepperfield.http.Outcome;
 import io.pepperfield.http.Reply;
 import io.pepperfield.http.Sender;
 import io.pepperfield.node.Controller;
 import io.pepperfield.node.Loop;
 import io.pepperfield.peer.Peers;
-import io.pepperfield.peer.Relay;
+import io.pepperfield.peer.ReportForwarder;
 import io.pepperfield.store.HttpStateService;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /** A controller's process: it can end and begin anew, or stand still. */
 final class SimNode implements SimWorld.Host {
@@ -25,8 +27,9 @@
 
     final int index;
     private final SimWorld world;
-    private final Settings settings;
+    private final Function<Version, Settings> settingsOf;
     private final List<String> broken;
+    private Version version;
     private boolean alive;
     private Controller controller;
     private Peers peers;
@@ -36,10 +39,16 @@
     /** When it last sent something that the state service or another controller has answered. */
     private double heardOf;
 
-    SimNode(int index, SimWorld world, Settings settings, List<String> broken) {
+    SimNode(
+            int index,
+            SimWorld world,
+            Version version,
+            Function<Version, Settings> settingsOf,
+            List<String> broken) {
         this.index = index;
         this.world = world;
-        this.settings = settings;
+        this.version = version;
+        this.settingsOf = settingsOf;
         this.broken = broken;
     }
 
@@ -102,7 +111,9 @@
                                 done.accept(outcome);
                             });
                 };
-        HttpStateService state = new HttpStateService(loop, sender, settings.state());
+        Settings settings = settingsOf.apply(version);
+        Sender toState = version == Version.RECORDED ? RecordedVersion.around(sender) : sender;
+        HttpStateService state = new HttpStateService(loop, toState, settings.state());
         peers = new Peers(loop, settings, sender);
         controller =
                 new Controller(
@@ -112,7 +123,7 @@
                         new HttpCloud(loop, sender, settings.cloud(), 20),
                         new HttpWorkers(loop, sender, Region.REPORT_S),
                         peers,
-                        new Relay(loop, sender, settings),
+                        new ReportForwarder(loop, sender, settings),
                         state::share);
         controller.start();
     }
@@ -125,6 +136,16 @@
         }
     }
 
+    /** Ends the process, unless it has ended already; it comes back as the other version. */
+    void replace(Version by, double forS) {
+        version = by;
+        crash(forS);
+    }
+
+    Version version() {
+        return version;
+    }
+
     /** The process stands still while its clocks run on; what comes for it waits. */
     void freeze(double until) {
         frozenUntil = until;
@@ -133,7 +154,9 @@
     @Override
     public void request(
             String from, String method, String path, byte[] body, Consumer<Reply> answer) {
-        take(controller::handle, SimWorld.call(method, path, body), answer);
+        byte[] known =
+                version == Version.RECORDED ? RecordedVersion.withoutAwaits(path, body) : body;
+        take(controller::handle, SimWorld.call(method, path, known), answer);
     }
 
     /** After a pause longer than a grant nothing may rest on what it knew before. */
@@ -176,7 +199,18 @@
             @Override
             public void request(
                     String from, String method, String path, byte[] body, Consumer<Reply> answer) {
-                take(peers::handle, SimWorld.call(method, path, body), answer);
+                Call call = SimWorld.call(method, path, body);
+                checkForm(RecordedForms.request(method, path, Json.read(call.body())), call);
+                take(
+                        peers::handle,
+                        call,
+                        reply -> {
+                            checkForm(
+                                    reply.status() != 200
+                                            || RecordedForms.answer(path, Json.read(reply.body())),
+                                    call);
+                            answer.accept(reply);
+                        });
             }
 
             @Override
@@ -186,6 +220,12 @@
         };
     }
 
+    private void checkForm(boolean known, Call call) {
+        if (!known) {
+            broken.add(world.now() + " of another form: " + call.path() + " to node-" + index);
+        }
+    }
+
     /** An answer of a process that has ended meanwhile never leaves. */
     private void take(Handler by, Call call, Consumer<Reply> answer) {
         int mine = life;
--- a/src/test/java/io/pepperfield/standin/StateStandIn.java
+++ b/src/test/java/io/pepperfield/standin/StateStandIn.java
@@ -68,6 +68,18 @@
     /** While true nobody gets a new grant, so that nobody can be elected. */
     public boolean noGrants;
 
+    /** Until then every request about grants gets 429. */
+    double grantsRefusedUntil;
+
+    /** What it allows; null for everything. */
+    StateLimits limits;
+
+    /**
+     * What no controller may ever write: an accepted job a second time, and what the recorded
+     * version could not read.
+     */
+    List<String> broken = new ArrayList<>();
+
     /** Begins or ends an outage; at its end every grant has its full time again. */
     public void outage(boolean begins) {
         out = begins;
@@ -171,6 +183,11 @@
     public void handle(String from, Call call, Consumer<Reply> answer) {
         if (refused(from)) {
             answer.accept(Reply.empty(503));
+            return;
+        }
+        int refusal = out ? StateLimits.ALLOWED : refusal(call);
+        if (refusal != StateLimits.ALLOWED) {
+            answer.accept(Reply.empty(refusal));
         } else if (call.path().equals("/follow")) {
             String prefix = call.parameter("starts", "");
             long since = Long.parseLong(call.parameter("since", "0"));
@@ -188,6 +205,14 @@
         }
     }
 
+    private int refusal(Call call) {
+        double now = clock.getAsDouble();
+        if (call.path().startsWith("/grants") && now < grantsRefusedUntil) {
+            return StateLimits.TOO_MANY;
+        }
+        return limits == null ? StateLimits.ALLOWED : limits.refusal(call, now);
+    }
+
     private Reply now(Call call) {
         JsonNode body = Json.read(call.body());
         if (call.path().equals("/txn")) {
@@ -252,6 +277,7 @@
                 events.add(new Event(op.path("delete").asText(), null, generation));
             } else {
                 String key = op.path("set").asText();
+                check(key, op.get("data"));
                 entries.put(
                         key, new Entry(op.get("data"), generation, op.path("claim").longValue()));
                 events.add(new Event(key, op.get("data"), generation));
@@ -263,6 +289,15 @@
         return Reply.json(200, result.put("generation", generation));
     }
 
+    private void check(String key, JsonNode data) {
+        if (key.startsWith("pepperfield/job/") && entries.containsKey(key)) {
+            broken.add(clock.getAsDouble() + " accepted twice: " + key);
+        }
+        if (!RecordedForms.value(key, data)) {
+            broken.add(clock.getAsDouble() + " of another form: " + key + " " + data);
+        }
+    }
+
     private Reply range(String prefix, String after, int limit) {
         ObjectNode body = Json.object().put("generation", generation);
         ArrayNode pairs = body.putArray("pairs");
