--- a/src/test/java/io/pepperfield/node/DispatcherTest.java
+++ b/src/test/java/io/pepperfield/node/DispatcherTest.java
@@ -18,6 +18,7 @@
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.JobSpec.Rank;
 import io.pepperfield.jobs.JobSpec.Shape;
+import io.pepperfield.placement.PlacementRequest;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -350,4 +351,30 @@
 
     @Override
     public void appeared(Machine machine) {}
+
+    /**
+     * An older and higher job takes neither the guarantee nor the turn while it waits for others.
+     */
+    @Test
+    void aJobThatWaitsForOthersHoldsNothing() {
+        types.heard(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
+        report("m1", 1);
+        // As much as is guaranteed to the team, and as its limit leaves.
+        Job waits = job("run-000001", "batch", "blue", Rank.PRODUCTION, "img", 16);
+        waits.awaiting();
+        job("run-000002", "batch", "blue", Rank.STANDARD, "img", 2);
+        now = 100;
+        report("m1", 2);
+        List<PlacementRequest> requests = dispatcher.requests(now);
+        assertEquals(
+                List.of("run-000002"),
+                requests.stream().map(request -> request.job().id()).toList());
+        assertTrue(requests.get(0).guaranteed());
+        // Not before its time: the wait of its class begins when the last of them is done.
+        waits.ready(now);
+        assertEquals(2, dispatcher.requests(now).size());
+        assertEquals("run-000002", dispatcher.requests(now).get(0).job().id());
+        dispatcher.flush();
+        assertEquals(2, said.size());
+    }
 }
