Elections: a candidate that lost stands ever more rarely until it hears who leads

Cause: an election costs three requests (grant, transaction, end of the grant) that are charged to the rate and never wait for it. A candidate that lost stood again after a tenth of a grant.

Change: the pause doubles with each election lost since the last news of the leader key, up to a whole grant; any news ends it. The first retry comes as before.

--- /dev/null
+++ b/src/main/java/io/pepperfield/leadership/LeaderClaim.java
@@ -0,0 +1,22 @@
+package io.pepperfield.leadership;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** The lead of this node, as far as it has it. */
+public interface LeaderClaim {
+
+    /** Whether this node leads and its grant cannot have ended. */
+    boolean confirmed();
+
+    /** The stamp of the leader key. */
+    long token();
+
+    /** The grant that the leader key is tied to. */
+    long grant();
+
+    /** The value of the leader key. */
+    JsonNode value();
+
+    /** The leading node as far as known, or empty. */
+    String leader();
+}
--- a/src/main/java/io/pepperfield/leadership/Leadership.java
+++ b/src/main/java/io/pepperfield/leadership/Leadership.java
@@ -17,7 +17,7 @@
  * Who decides. The key {@code leader} is bound to a grant; the stamp that writing it returned is
  * the token. A write guarded by that stamp proves that its writer still led when it took effect.
  */
-public final class Leadership {
+public final class Leadership implements LeaderClaim {
 
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
 
@@ -55,6 +55,9 @@
     private double touchAt;
     private double abstainUntil;
 
+    /** Elections lost since the replica last brought news of the leader key. */
+    private int electionsLost;
+
     /** The leader's grant when this process began, or 0 where nobody led. */
     private long grantAtStart;
 
@@ -86,11 +89,13 @@
     }
 
     /** Leading, and the grant cannot have ended yet by this node's own reckoning. */
+    @Override
     public boolean confirmed() {
         return leading() && loop.now() < grantUntil;
     }
 
     /** The token of this node's term, 0 while it does not lead. */
+    @Override
     public long token() {
         return token;
     }
@@ -100,7 +105,20 @@
         return Math.max(token, leaderToken);
     }
 
+    /** The grant of this node's term. */
+    @Override
+    public long grant() {
+        return grant;
+    }
+
+    /** What this node writes under the leader key. */
+    @Override
+    public JsonNode value() {
+        return Json.object().put("node", node).put("grant", grant);
+    }
+
     /** The leading node as far as known, or empty. */
+    @Override
     public String leader() {
         return leader;
     }
@@ -113,6 +131,7 @@
     /** The replica's news of the leader key. */
     public void leaderKey(JsonNode data, long stamp) {
         known = true;
+        electionsLost = 0;
         long lostGrant = leaderGrant;
         leader = data == null ? "" : data.path("node").asText();
         leaderToken = Math.max(leaderToken, data == null ? 0 : stamp);
@@ -209,11 +228,7 @@
                     state.txn(
                             Urgency.GRANT,
                             List.of(new Guard(Keys.LEADER, 0)),
-                            List.of(
-                                    new Change(
-                                            Keys.LEADER,
-                                            Json.object().put("node", node).put("grant", grant),
-                                            grant)),
+                            List.of(new Change(Keys.LEADER, value(), grant)),
                             result -> {
                                 busy = false;
                                 if (result instanceof TxnResult.Committed done) {
@@ -222,6 +237,10 @@
                                     if (token == 0) {
                                         lead(done.revision());
                                     }
+                                } else if (result instanceof TxnResult.Conflict && token == 0) {
+                                    state.endGrant(grant);
+                                    grant = 0;
+                                    abstainUntil = loop.now() + afterLostElection();
                                 } else if (!(result instanceof TxnResult.Unknown) && token == 0) {
                                     state.endGrant(grant);
                                     grant = 0;
@@ -237,6 +256,16 @@
                 });
     }
 
+    /**
+     * Another has the key. To stand again and again before the replica says who would cost three
+     * requests each time, which never wait, and so leave none for the follow that brings the news.
+     */
+    private double afterLostElection() {
+        double pause = ttlS / 10 * Math.pow(2, electionsLost);
+        electionsLost++;
+        return Math.min(ttlS, pause);
+    }
+
     private void retry() {
         busy = false;
         abstainUntil = loop.now() + ttlS / 10;
@@ -294,11 +323,7 @@
         state.txn(
                 Urgency.GRANT,
                 List.of(guard()),
-                List.of(
-                        new Change(
-                                Keys.LEADER,
-                                Json.object().put("node", node).put("grant", grant),
-                                grant)),
+                List.of(new Change(Keys.LEADER, value(), grant)),
                 result -> {
                     minting = false;
                     if (result instanceof TxnResult.Committed done && token == before) {
--- /dev/null
+++ b/src/test/java/io/pepperfield/leadership/ElectionTest.java
@@ -0,0 +1,69 @@
+package io.pepperfield.leadership;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pepperfield.http.Json;
+import io.pepperfield.standin.SilentStateService;
+import io.pepperfield.standin.SimulatedLoop;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/** How often a candidate stands while another has the leader key. */
+class ElectionTest implements SilentStateService, Leadership.Listener {
+
+    private static final double TTL_S = 1;
+    private static final double TICK_S = 0.05;
+
+    private final SimulatedLoop loop = new SimulatedLoop();
+    private final Leadership leadership = new Leadership(loop, this, "node-1", TTL_S, this);
+    private int elections;
+
+    @Override
+    public void grant(double ttlS, Consumer<GrantResult> done) {
+        done.accept(new GrantResult(++elections, false));
+    }
+
+    @Override
+    public void txn(
+            Urgency urgency, List<Guard> guards, List<Change> changes, Consumer<TxnResult> done) {
+        done.accept(new TxnResult.Conflict(List.of("pepperfield/leader")));
+    }
+
+    private void tickUntil(double until) {
+        while (loop.now() < until) {
+            loop.run(loop.now() + TICK_S);
+            leadership.tick();
+        }
+    }
+
+    @Test
+    void aCandidateThatLosesStandsEverMoreRarelyUntilItHearsWhoLeads() {
+        leadership.replicaLoaded();
+        tickUntil(2 * TTL_S);
+        int before = elections;
+        tickUntil(12 * TTL_S);
+        assertTrue(elections - before <= 10, elections - before + " elections in ten grants");
+        assertTrue(elections > before, "gave up");
+    }
+
+    @Test
+    void itStandsAgainAsSoonAsThatLeaderIsGone() {
+        leadership.replicaLoaded();
+        tickUntil(2 * TICK_S);
+        int before = elections;
+        leadership.leaderKey(Json.object().put("node", "node-2").put("grant", 7), 40);
+        leadership.leaderKey(null, 41);
+        tickUntil(loop.now() + TTL_S / 5);
+        assertTrue(elections > before, "does not stand");
+    }
+
+    @Override
+    public void elected(long token) {}
+
+    @Override
+    public void renewedToken(long token) {}
+
+    @Override
+    public void deposed(String why) {}
+}
