--- a/src/main/java/io/pepperfield/cli/Main.java
+++ b/src/main/java/io/pepperfield/cli/Main.java
@@ -7,7 +7,7 @@
 @Command(
         name = "pepperfield",
         mixinStandardHelpOptions = true,
-        version = "pepperfield 0.1.0",
+        version = "pepperfield 0.2.0",
         description = "A cluster scheduler that rents machines by predicted load.",
         subcommands = {
             Serve.class,
@@ -16,6 +16,7 @@
             Show.class,
             Cancel.class,
             Nodes.class,
+            RolloutCommand.class,
             Rehearse.class
         })
 public final class Main implements Runnable {
--- a/src/main/java/io/pepperfield/cli/Remote.java
+++ b/src/main/java/io/pepperfield/cli/Remote.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
@@ -22,6 +23,7 @@
 final class Remote {
 
     private static final long DEADLINE_MS = 5000;
+    private static final int UNAVAILABLE = 503;
 
     @Option(
             names = "--server",
@@ -43,8 +45,17 @@
         return call(method, "/api/jobs/" + job + action, body);
     }
 
-    /** Prints the answer; 0 for a 2xx, 1 otherwise. */
+    /** Prints the first controller's answer; 0 for a 2xx, 1 otherwise. */
     int call(String method, String path, byte[] body) {
+        return call(method, path, body, answer -> true);
+    }
+
+    /** As {@link #call}, but asks on where a controller says that it cannot decide. */
+    int callLeader(String method, String path, byte[] body) {
+        return call(method, path, body, answer -> answer.status() != UNAVAILABLE);
+    }
+
+    private int call(String method, String path, byte[] body, Predicate<Outcome.Answered> decides) {
         for (String server : servers) {
             if (server.lastIndexOf(':') < 1 || port(server) < 0) {
                 throw new ParameterException(command.commandLine(), server + ": want HOST:PORT");
@@ -53,7 +64,7 @@
         EventLoopGroup network = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             HttpClient client = new HttpClient(network, 16 * 1024 * 1024);
-            String trouble = "";
+            Outcome.Answered undecided = null;
             for (String server : servers) {
                 CompletableFuture<Outcome> outcome = new CompletableFuture<>();
                 client.send(
@@ -66,11 +77,17 @@
                         DEADLINE_MS,
                         outcome::complete);
                 if (outcome.join() instanceof Outcome.Answered answer) {
-                    return print(answer);
+                    if (decides.test(answer)) {
+                        return print(answer);
+                    }
+                    undecided = answer;
                 }
-                trouble = server + " does not answer";
             }
-            System.err.println("pepperfield: " + trouble);
+            if (undecided != null) {
+                return print(undecided);
+            }
+            System.err.println(
+                    "pepperfield: " + servers.get(servers.size() - 1) + " does not answer");
             return 1;
         } finally {
             network.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/src/main/java/io/pepperfield/cli/RolloutCommand.java
@@ -0,0 +1,118 @@
+package io.pepperfield.cli;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pepperfield.http.Json;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/** The {@code rollout} commands: the stored-state version, and the way forward and back. */
+@Command(
+        name = "rollout",
+        mixinStandardHelpOptions = true,
+        description = "Shows and changes the stored-state version of the cluster.",
+        subcommands = {
+            RolloutCommand.StatusCommand.class,
+            RolloutCommand.ActivateCommand.class,
+            RolloutCommand.FinalizeCommand.class,
+            RolloutCommand.RollbackCommand.class
+        })
+final class RolloutCommand implements Runnable {
+
+    private static final String PATH = "/api/rollout";
+
+    @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "Want a command");
+    }
+
+    /** Prints the version, the controllers' releases and who holds up an activation. */
+    @Command(
+            name = "status",
+            mixinStandardHelpOptions = true,
+            description = "Shows the version, every controller's release and who is waited for.")
+    static final class StatusCommand implements Callable<Integer> {
+
+        @Mixin private Remote remote;
+
+        @Override
+        public Integer call() {
+            return remote.call("GET", PATH, null);
+        }
+    }
+
+    /** Activates the next version once every controller has declared that it knows it. */
+    @Command(
+            name = "activate",
+            mixinStandardHelpOptions = true,
+            description = "Writes the next version from now on; may be repeated.")
+    static final class ActivateCommand implements Callable<Integer> {
+
+        @Mixin private Remote remote;
+
+        @Option(
+                names = "--to",
+                paramLabel = "VERSION",
+                description = "The version (default: the newest that the leader writes).")
+        private Integer target;
+
+        @Option(
+                names = "--without",
+                split = ",",
+                paramLabel = "NODE",
+                description = "Controllers that never come back and are not waited for.")
+        private List<String> without = new ArrayList<>();
+
+        @Option(
+                names = "--older-releases-retired",
+                description =
+                        "Your word that no release without a version gate will be started again.")
+        private boolean olderRetired;
+
+        @Override
+        public Integer call() {
+            ObjectNode body = Json.object().put("olderReleasesRetired", olderRetired);
+            if (target != null) {
+                body.put("to", target);
+            }
+            without.forEach(body.putArray("without")::add);
+            return remote.callLeader("POST", PATH + "/activate", Json.write(body));
+        }
+    }
+
+    /** Closes the way back. */
+    @Command(
+            name = "finalize",
+            mixinStandardHelpOptions = true,
+            description = "Makes the active version final: there is no way back afterwards.")
+    static final class FinalizeCommand implements Callable<Integer> {
+
+        @Mixin private Remote remote;
+
+        @Override
+        public Integer call() {
+            return remote.callLeader("POST", PATH + "/finalize", Json.write(Json.object()));
+        }
+    }
+
+    /** Goes back to the version before. */
+    @Command(
+            name = "rollback",
+            mixinStandardHelpOptions = true,
+            description = "Goes back to the version before; may be repeated to see what is left.")
+    static final class RollbackCommand implements Callable<Integer> {
+
+        @Mixin private Remote remote;
+
+        @Override
+        public Integer call() {
+            return remote.callLeader("POST", PATH + "/rollback", Json.write(Json.object()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/config/Feature.java
@@ -0,0 +1,18 @@
+package io.pepperfield.config;
+
+/** What operators can switch on; off, it costs nothing. */
+public enum Feature {
+    /** The rollout of stored-state versions, see {@code docs/operations/rollout.md}. */
+    ROLLOUT("rollout");
+
+    private final String element;
+
+    Feature(String element) {
+        this.element = element;
+    }
+
+    /** The name of its element in the operators' file. */
+    String element() {
+        return element;
+    }
+}
--- a/src/main/java/io/pepperfield/config/Operators.java
+++ b/src/main/java/io/pepperfield/config/Operators.java
@@ -1,5 +1,7 @@
 package io.pepperfield.config;
 
+import java.util.Set;
+
 /**
  * Operators' own settings, read from XML. Each is a ratio or a count with a default that needs no
  * file.
@@ -12,6 +14,7 @@
  *     must not wait
  * @param steady the same quantile for work that has no aim on its wait
  * @param silentAtOnce how many silent machines may be under release at the same time
+ * @param features what is switched on
  */
 public record Operators(
         double chargeS,
@@ -19,7 +22,13 @@
         double partlyShare,
         double headroom,
         double steady,
-        int silentAtOnce) {
+        int silentAtOnce,
+        Set<Feature> features) {
+
+    public static final Operators DEFAULTS = new Operators(60, 0.2, 0.2, 0.8, 0.5, 3, Set.of());
 
-    public static final Operators DEFAULTS = new Operators(60, 0.2, 0.2, 0.8, 0.5, 3);
+    /** Whether operators have switched it on. */
+    public boolean enabled(Feature feature) {
+        return features.contains(feature);
+    }
 }
--- a/src/main/java/io/pepperfield/config/OperatorsReader.java
+++ b/src/main/java/io/pepperfield/config/OperatorsReader.java
@@ -5,9 +5,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import javax.xml.XMLConstants;
 import javax.xml.parsers.DocumentBuilder;
 import javax.xml.parsers.DocumentBuilderFactory;
@@ -32,7 +34,7 @@
         PARTLY_SHARE("partly-share", 0, 1),
         HEADROOM("headroom", 0, 1),
         STEADY("steady", 0, 1),
-        SILENT_AT_ONCE("silent-at-once", 1, 1000);
+        SILENT_AT_ONCE("silent-at-once", 1, 100_000);
 
         final String element;
         final double least;
@@ -45,6 +47,9 @@
         }
     }
 
+    private static final String ON = "on";
+    private static final String OFF = "off";
+
     private OperatorsReader() {}
 
     /** Reads and checks a file; the exception names all its faults. */
@@ -63,12 +68,15 @@
         Element root = document(name, xml);
         List<String> faults = new ArrayList<>();
         Map<Field, Double> values = new HashMap<>();
+        Map<Feature, Boolean> features = new EnumMap<>(Feature.class);
         if (!root.getTagName().equals("pepperfield")) {
             faults.add("root element <" + root.getTagName() + ">: want <pepperfield>");
         }
         for (Node child = root.getFirstChild(); child != null; child = child.getNextSibling()) {
             if (child instanceof Element element) {
-                take(element, values, faults);
+                if (!takeFeature(element, features, faults)) {
+                    take(element, values, faults);
+                }
             }
         }
         if (!faults.isEmpty()) {
@@ -82,7 +90,29 @@
                 values.getOrDefault(Field.HEADROOM, defaults.headroom()),
                 values.getOrDefault(Field.STEADY, defaults.steady()),
                 values.getOrDefault(Field.SILENT_AT_ONCE, (double) defaults.silentAtOnce())
-                        .intValue());
+                        .intValue(),
+                features.keySet().stream()
+                        .filter(features::get)
+                        .collect(Collectors.toUnmodifiableSet()));
+    }
+
+    /** Takes a feature's switch; false where the element is none. */
+    private static boolean takeFeature(
+            Element element, Map<Feature, Boolean> features, List<String> faults) {
+        String tag = element.getTagName();
+        String text = element.getTextContent().strip();
+        for (Feature feature : Feature.values()) {
+            if (!feature.element().equals(tag)) {
+                continue;
+            }
+            if (!text.equals(ON) && !text.equals(OFF)) {
+                faults.add("<" + tag + "> = \"" + text + "\": want " + ON + " or " + OFF);
+            } else if (features.put(feature, text.equals(ON)) != null) {
+                faults.add("<" + tag + "> is there twice");
+            }
+            return true;
+        }
+        return false;
     }
 
     private static void take(Element element, Map<Field, Double> values, List<String> faults) {
--- a/src/main/java/io/pepperfield/jobs/Catalog.java
+++ b/src/main/java/io/pepperfield/jobs/Catalog.java
@@ -66,6 +66,7 @@
         private final JobSpec spec;
         private Status end;
         private double openAsOf;
+        private boolean unreadable;
 
         /** As written: trees of an array of 100,000 tasks would take a third of the heap. */
         private final Int2ObjectMap<Chunk> chunks = new Int2ObjectOpenHashMap<>();
@@ -117,6 +118,11 @@
             return spec.awaits().stream().filter(id -> !isDone(id)).toList();
         }
 
+        /** Whether a run record of it is of a form not known here: nothing may be done about it. */
+        public boolean unreadable() {
+            return unreadable;
+        }
+
         /** What its user asked for. */
         public JobSpec spec() {
             return spec;
@@ -420,6 +426,10 @@
 
     private void lines(String id, int chunk, JsonNode data) {
         Record record = records.get(id);
+        if (record != null && data != null && !data.isArray()) {
+            record.unreadable = true;
+            return;
+        }
         if (record != null && record.end != Status.DONE) {
             record.put(chunk, data == null ? null : Chunk.of(data));
             trackCancelled(record);
--- a/src/main/java/io/pepperfield/jobs/RunRecord.java
+++ b/src/main/java/io/pepperfield/jobs/RunRecord.java
@@ -19,6 +19,9 @@
      */
     public static final int PARTS = 4;
 
+    /** Stands for a record of a form that is not known here; lines are an array. */
+    public static final JsonNode UNREADABLE = Json.object().put("unreadable", true);
+
     /** What is durable about a task's latest attempt; the order is part of the durable form. */
     public enum State {
         GONE,
--- a/src/main/java/io/pepperfield/jobs/UserRequests.java
+++ b/src/main/java/io/pepperfield/jobs/UserRequests.java
@@ -9,6 +9,8 @@
 import io.pepperfield.store.StateService;
 import io.pepperfield.store.Sync;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import java.util.function.IntUnaryOperator;
 
 /**
  * Submissions, queries and cancellations, on any node; what is told about a job is as {@link
@@ -33,7 +35,7 @@
     private final Feasibility feasibility;
     private final CreateIfAbsent submissions;
     private final CreateIfAbsent cancellations;
-    private final int chunk;
+    private final IntSupplier linesInRecord;
     private final int mostValueBytes;
     private final int mostStrangers;
     private final Consumer<String> cancelled;
@@ -42,6 +44,8 @@
     private int strangers;
 
     /**
+     * @param linesInRecord tasks in a run record of a new job, given how many the first stored form
+     *     takes
      * @param cancelled told of each job that has been cancelled through this node, when its user is
      */
     public UserRequests(
@@ -54,6 +58,7 @@
             double valueKb,
             double changesPerS,
             int mostStrangers,
+            IntUnaryOperator linesInRecord,
             Consumer<String> cancelled) {
         this.loop = loop;
         this.reads = new LinearizableReads(catalog, sync);
@@ -63,7 +68,8 @@
         this.mostValueBytes = (int) (valueKb * 1024 * 0.9);
         // A run record takes up to about 60 bytes a task; half of a value leaves room for long
         // machine names.
-        this.chunk = Math.max(1, (int) (valueKb * 1024 / 120));
+        int linesInFirstForm = Math.max(1, (int) (valueKb * 1024 / 120));
+        this.linesInRecord = () -> linesInRecord.applyAsInt(linesInFirstForm);
         this.submissions =
                 new CreateIfAbsent(
                         loop, state, StateService.Urgency.JOB, mostChanges, 40 * 1024, changesPerS);
@@ -97,7 +103,7 @@
         }
         JobSpec job;
         try {
-            job = JobMessages.submission(json, loop.wallMs(), chunk);
+            job = JobMessages.submission(json, loop.wallMs(), linesInRecord.getAsInt());
         } catch (JobMessages.Malformed e) {
             unlessKnown(id, Reply.error(400, e.getMessage()), answer);
             return;
@@ -198,10 +204,16 @@
                 reading ->
                         answer.accept(
                                 reading instanceof Reading.Accepted accepted
-                                        ? Reply.json(200, accepted.job().answer())
+                                        ? stateOf(accepted.job())
                                         : notKnown(reading, refusal)));
     }
 
+    private static Reply stateOf(Catalog.Record job) {
+        return job.unreadable() && job.end() == null
+                ? Reply.later("a record of the job is of a form that is not known here")
+                : Reply.json(200, job.answer());
+    }
+
     private static Reply notKnown(Reading reading, Reply refusal) {
         return reading instanceof Reading.NeverAccepted ? refusal : Reply.later(NO_STATE);
     }
--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -17,14 +17,17 @@
 import io.pepperfield.peer.PartitionOrders;
 import io.pepperfield.peer.Peers;
 import io.pepperfield.peer.ReportForwarder;
+import io.pepperfield.rollout.Rollout;
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.Replica;
 import io.pepperfield.store.StateService;
 import io.pepperfield.store.Sync;
+import io.pepperfield.store.TransactionLimits;
 import io.pepperfield.store.Writer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.IntUnaryOperator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -47,6 +50,11 @@
     /** Where users ask about jobs. */
     static final String JOBS = "/api/jobs/";
 
+    /** Where operators ask about the rollout and change it. */
+    private static final String ROLLOUT = "/api/rollout";
+
+    private static final String NOT_SERVING = "this controller cannot read all that is stored";
+
     /** Where workers report. */
     static final String BEAT = "/agent/beat";
 
@@ -76,6 +84,19 @@
     private final UserRequests users;
     private final RequestRouter router;
     private final NodeOverview overview;
+
+    /** The rollout of stored-state versions, or null where operators have not switched it on. */
+    private final Rollout rollout;
+
+    /** What one of the leader's transactions may hold. */
+    private final TransactionLimits limits;
+
+    /**
+     * Whether records of a newer form exist while this node knows nothing of them, since its
+     * rollout is switched off.
+     */
+    private boolean versionUnknown;
+
     private final double reportS;
     private final double tickS;
 
@@ -85,7 +106,12 @@
     private Leader leader;
     private double summaryAt;
 
-    /** Creates the controller of one node; {@link #start} begins its work. */
+    /**
+     * Creates the controller of one node; {@link #start} begins its work.
+     *
+     * @param state where all state is kept, as the rollout shows it if there is one
+     * @param rollout the rollout of stored-state versions, or null where it is switched off
+     */
     public Controller(
             Loop loop,
             Settings settings,
@@ -94,7 +120,13 @@
             Workers workers,
             Peers peers,
             ReportForwarder forwarder,
-            Rates rates) {
+            Rates rates,
+            Rollout rollout) {
+        this.rollout = rollout;
+        this.limits =
+                rollout == null
+                        ? TransactionLimits.all(settings.deployment().state().txnOps())
+                        : rollout.limits();
         this.loop = loop;
         this.settings = settings;
         this.cloud = cloud;
@@ -118,6 +150,9 @@
         // pause of this process.
         double grantS = Math.min(times.leaseS() / 8, reportS);
         this.leadership = new Leadership(loop, state, settings.node(), grantS, this);
+        if (rollout != null) {
+            rollout.attach(leadership);
+        }
         this.tickS = grantS / 20;
         this.catalog = new Catalog(sync::contactAt);
         this.pauseDetector =
@@ -158,28 +193,23 @@
 
     private Writer writer(StateService state) {
         return new Writer(
-                loop,
-                state,
-                replica,
-                sync,
-                new LeadersWrites(),
-                settings.deployment().state().txnOps(),
-                reportS / 10,
-                2 * reportS);
+                loop, state, replica, sync, new LeadersWrites(), limits, reportS / 10, 2 * reportS);
     }
 
     private UserRequests userRequests(StateService state) {
-        Settings.State limits = settings.deployment().state();
+        Settings.State service = settings.deployment().state();
         return new UserRequests(
                 loop,
                 catalog,
                 sync,
                 state,
                 types,
-                limits.txnOps(),
-                limits.valueKb(),
-                RateSharing.USERS_PART * limits.writeRps(),
+                // Its guards are as many as its changes, so that one for the version has room.
+                service.txnOps(),
+                service.valueKb(),
+                RateSharing.USERS_PART * service.writeRps(),
                 questionsAtOnce(settings) / 2,
+                rollout == null ? IntUnaryOperator.identity() : rollout::linesInRecord,
                 cancelledHere::add);
     }
 
@@ -188,12 +218,16 @@
 
         @Override
         public void forwarded(ForwardingMessages.Batch batch, Consumer<Reply> answer) {
-            reports.receiveForwarded(batch, answer);
+            if (serves()) {
+                reports.receiveForwarded(batch, answer);
+            } else {
+                answer.accept(Reply.error(503, NOT_SERVING));
+            }
         }
 
         @Override
         public void direct(long token, ForwardingMessages.Direct message) {
-            if (pauseDetector.stale()) {
+            if (pauseDetector.stale() || !serves()) {
                 // Meant for then; by now another may lead, and the machine be told otherwise.
                 return;
             }
@@ -207,6 +241,23 @@
         }
     }
 
+    /**
+     * Whether this node can read all that is stored. If not it does nothing but say so: what it
+     * knows of jobs and machines may lack what others have written.
+     */
+    private boolean serves() {
+        return rollout == null ? !versionUnknown : rollout.gate().serves();
+    }
+
+    /** The rollout is switched off here, and another controller's is not. */
+    private void versionWithoutRollout(JsonNode data) {
+        boolean unknown = data != null && data.path("highest").asInt(Integer.MAX_VALUE) > 1;
+        if (unknown && !versionUnknown) {
+            LOG.error("serving nobody: a newer stored-state version is in use, and rollout is off");
+        }
+        versionUnknown = unknown;
+    }
+
     /** The leadership that guards this node's durable writes. */
     private final class LeadersWrites implements Writer.Lead {
 
@@ -244,6 +295,14 @@
             }
             return;
         }
+        if (key.startsWith(Keys.ROLLOUT)) {
+            if (rollout != null) {
+                rollout.changed(key, data, stamp);
+            } else if (key.equals(Keys.ROLLOUT_VERSION)) {
+                versionWithoutRollout(data);
+            }
+            return;
+        }
         if (key.equals(Keys.TYPES) && data != null && !types.known()) {
             types.update(TypesRecord.read(data));
         }
@@ -285,6 +344,13 @@
     private void tick() {
         loop.after(tickS, this::tick);
         pauseDetector.stale();
+        if (rollout != null && sync.loaded()) {
+            rollout.tick();
+        }
+        if (!serves()) {
+            leadership.abdicate(NOT_SERVING, settings.deployment().workers().leaseS());
+            return;
+        }
         rates.live(liveControllers(), leadership.leading());
         if (sync.loaded()) {
             leadership.replicaLoaded();
@@ -335,6 +401,9 @@
     /** At the end of each batch of commands. */
     public void flush() {
         pauseDetector.stale();
+        if (!serves()) {
+            return;
+        }
         if (leader != null) {
             leader.flush();
         }
@@ -383,7 +452,7 @@
                         loop,
                         settings,
                         leadership,
-                        new DurableState(replica, catalog, writer, sync::contactAt),
+                        new DurableState(replica, catalog, writer, limits, sync::contactAt),
                         partitionOrders,
                         cloud,
                         types,
@@ -416,7 +485,13 @@
 
     /** Takes a request of a user, a worker or the load balancer. */
     public void handle(Call call, Consumer<Reply> answer) {
-        router.handle(call, answer);
+        if (rollout != null && call.path().startsWith(ROLLOUT)) {
+            rollout.handle(call, answer);
+        } else if (serves()) {
+            router.handle(call, answer);
+        } else {
+            answer.accept(Reply.later(NOT_SERVING));
+        }
     }
 
     /**
--- a/src/main/java/io/pepperfield/node/JobTracker.java
+++ b/src/main/java/io/pepperfield/node/JobTracker.java
@@ -71,9 +71,7 @@
         this.chargeS = settings.operators().chargeS();
         int linesInRecord = 2 * settings.deployment().state().txnOps();
         SharedRecords shared = new SharedRecords(token, linesInRecord);
-        this.records =
-                new RunRecords(
-                        writer, replica, ledger, shared, settings.deployment().state().txnOps());
+        this.records = new RunRecords(writer, replica, ledger, shared, durable.limits());
     }
 
     /** The jobs that have not ended or may still have something alive, by id. */
@@ -97,7 +95,8 @@
     void restoreAll() {
         JobRecovery recovery = new JobRecovery(fleet, ledger, loop);
         for (Catalog.Record record : catalog.all()) {
-            Job job = record.end() == Status.DONE ? null : recovery.restore(record);
+            boolean skipped = record.end() == Status.DONE || record.unreadable();
+            Job job = skipped ? null : recovery.restore(record);
             if (job != null) {
                 jobs.put(job.spec.id(), job);
                 endIfDone(job, NO_EFFECT);
@@ -114,7 +113,7 @@
     /** The replica brought a new job or a final state. */
     void catalogChanged(String id) {
         Catalog.Record record = catalog.get(id);
-        if (record == null) {
+        if (record == null || record.unreadable()) {
             return;
         }
         Job job = jobs.get(id);
--- a/src/main/java/io/pepperfield/node/RunRecords.java
+++ b/src/main/java/io/pepperfield/node/RunRecords.java
@@ -8,6 +8,7 @@
 import io.pepperfield.jobs.SharedRecords;
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.Replica;
+import io.pepperfield.store.TransactionLimits;
 import io.pepperfield.store.Writer;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -30,7 +31,7 @@
     private final Ledger ledger;
     private final SharedRecords shared;
 
-    private final int mostChanges;
+    private final TransactionLimits limits;
 
     /** First keys of the records that this leader has divided. */
     private final Set<String> divided = new HashSet<>();
@@ -42,15 +43,19 @@
     private final Set<String> heldBack = new HashSet<>();
 
     /**
-     * @param mostChanges in a transaction: a record is only divided if it fits into one
+     * @param limits of a transaction: a record is only divided if it fits into one
      */
     RunRecords(
-            Writer writer, Replica replica, Ledger ledger, SharedRecords shared, int mostChanges) {
+            Writer writer,
+            Replica replica,
+            Ledger ledger,
+            SharedRecords shared,
+            TransactionLimits limits) {
         this.writer = writer;
         this.replica = replica;
         this.ledger = ledger;
         this.shared = shared;
-        this.mostChanges = mostChanges;
+        this.limits = limits;
     }
 
     /** Takes over an earlier leader's shared records. */
@@ -91,8 +96,7 @@
     }
 
     private void holdBack(Collection<Job> jobs) {
-        int left =
-                Math.max(1, Writer.GUARDS_PER_CHANGE * mostChanges - RunRecord.PARTS - LEADER_KEY);
+        int left = Math.max(1, limits.guards() - RunRecord.PARTS - LEADER_KEY);
         for (Job job : jobs) {
             heldBack.remove(job.spec.id());
             if (intends(job) && left-- <= 0) {
@@ -142,7 +146,7 @@
     }
 
     private boolean mayDivide() {
-        return RunRecord.PARTS <= mostChanges;
+        return RunRecord.PARTS <= limits.changes();
     }
 
     /** Whether this leader or an earlier one has divided the record. */
--- a/src/main/java/io/pepperfield/node/Service.java
+++ b/src/main/java/io/pepperfield/node/Service.java
@@ -4,6 +4,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.pepperfield.cloud.HttpCloud;
+import io.pepperfield.config.Feature;
 import io.pepperfield.config.Settings;
 import io.pepperfield.config.Shortage;
 import io.pepperfield.fleet.HttpWorkers;
@@ -14,6 +15,8 @@
 import io.pepperfield.http.Reply;
 import io.pepperfield.peer.Peers;
 import io.pepperfield.peer.ReportForwarder;
+import io.pepperfield.rollout.Release;
+import io.pepperfield.rollout.Rollout;
 import io.pepperfield.store.HttpStateService;
 import java.util.List;
 import java.util.function.Consumer;
@@ -53,6 +56,10 @@
         }
         HttpClient client = new HttpClient(network, MOST_ANSWER_BYTES);
         HttpStateService state = new HttpStateService(eventLoop, client, settings.state());
+        Rollout rollout =
+                settings.operators().enabled(Feature.ROLLOUT)
+                        ? new Rollout(eventLoop, settings, state, Release.CURRENT)
+                        : null;
         HttpCloud cloud =
                 new HttpCloud(
                         eventLoop, client, settings.cloud(), settings.deployment().cloud().rps());
@@ -68,7 +75,15 @@
         ReportForwarder forwarder = new ReportForwarder(eventLoop, client, settings);
         Controller controller =
                 new Controller(
-                        eventLoop, settings, state, cloud, workers, peers, forwarder, state::share);
+                        eventLoop,
+                        settings,
+                        rollout == null ? state : rollout.state(),
+                        cloud,
+                        workers,
+                        peers,
+                        forwarder,
+                        state::share,
+                        rollout);
         eventLoop.handlers(controller::flush, controller::failed);
         int sockets = settings.deployment().quota().sockets();
         users =
--- /dev/null
+++ b/src/main/java/io/pepperfield/rollout/ClusterVersion.java
@@ -0,0 +1,89 @@
+package io.pepperfield.rollout;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pepperfield.http.Json;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The cluster's stored-state version: the one durable record that all writes are guarded by.
+ *
+ * @param writes version that records are written in
+ * @param highest newest version in which a record may exist
+ * @param finalized version below which there is no way back
+ * @param removed controllers that the activation did not wait for, by an operator's decision
+ */
+public record ClusterVersion(int writes, int highest, int finalized, List<String> removed) {
+
+    /** Where a cluster stands between two versions. */
+    public enum Phase {
+        /** One version only, with nothing to go back to. */
+        FINALIZED,
+        /** A newer version is written, and the way back is open. */
+        ACTIVE,
+        /** The earlier version is written again while records of the newer one are rewritten. */
+        ROLLING_BACK
+    }
+
+    /** The version of a cluster that has never activated another. */
+    public static final ClusterVersion INITIAL =
+            new ClusterVersion(
+                    StoredVersions.FIRST, StoredVersions.FIRST, StoredVersions.FIRST, List.of());
+
+    /** Keeps the names of its own. */
+    public ClusterVersion {
+        removed = List.copyOf(removed);
+    }
+
+    /** Where the cluster stands. */
+    public Phase phase() {
+        if (writes < highest) {
+            return Phase.ROLLING_BACK;
+        }
+        return writes > finalized ? Phase.ACTIVE : Phase.FINALIZED;
+    }
+
+    /** The next version is written from now on. */
+    ClusterVersion activated(int target, List<String> without) {
+        return new ClusterVersion(target, target, finalized, without);
+    }
+
+    /** The active version becomes the only one. */
+    ClusterVersion asFinal() {
+        return new ClusterVersion(writes, highest, writes, removed);
+    }
+
+    /** The final version is written again, and what is newer is to be rewritten. */
+    ClusterVersion rollingBack() {
+        return new ClusterVersion(finalized, highest, finalized, removed);
+    }
+
+    /** Nothing is left of the newer version. */
+    ClusterVersion rolledBack() {
+        return new ClusterVersion(finalized, finalized, finalized, List.of());
+    }
+
+    JsonNode write() {
+        ObjectNode data =
+                Json.object()
+                        .put("writes", writes)
+                        .put("highest", highest)
+                        .put("finalized", finalized);
+        removed.forEach(data.putArray("removed")::add);
+        return data;
+    }
+
+    /** The record, or null where it is none that this release understands. */
+    static ClusterVersion read(JsonNode data) {
+        int writes = data.path("writes").asInt(0);
+        int highest = data.path("highest").asInt(0);
+        int finalized = data.path("finalized").asInt(0);
+        if (finalized < StoredVersions.FIRST || writes < finalized || highest < writes) {
+            return null;
+        }
+        List<String> removed = new ArrayList<>();
+        data.path("removed").forEach(node -> removed.add(node.asText()));
+        return new ClusterVersion(writes, highest, finalized, removed);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/rollout/Release.java
@@ -0,0 +1,42 @@
+package io.pepperfield.rollout;
+
+/**
+ * What a release can do with stored state.
+ *
+ * @param name for operators to read
+ * @param oldestRead oldest stored-state version that it reads
+ * @param newestRead newest stored-state version that it reads
+ * @param writes newest stored-state version that it writes
+ */
+public record Release(String name, int oldestRead, int newestRead, int writes) {
+
+    /** The release of this program. */
+    public static final Release CURRENT =
+            new Release(
+                    "0.2.0",
+                    StoredVersions.FIRST,
+                    StoredVersions.COMPACT_RUN_RECORDS,
+                    StoredVersions.COMPACT_RUN_RECORDS);
+
+    /** Checks that the release reads what it writes. */
+    public Release {
+        if (oldestRead < StoredVersions.FIRST || writes < oldestRead || writes > newestRead) {
+            throw new IllegalArgumentException(
+                    "release "
+                            + name
+                            + " reads "
+                            + oldestRead
+                            + " to "
+                            + newestRead
+                            + " and writes "
+                            + writes);
+        }
+    }
+
+    /** Whether the release may take part in a cluster of that version. */
+    boolean serves(ClusterVersion version) {
+        return oldestRead <= StoredVersions.FIRST
+                && version.highest() <= newestRead
+                && version.writes() <= writes;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/rollout/VersionGate.java
@@ -0,0 +1,109 @@
+package io.pepperfield.rollout;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.store.Keys;
+import io.pepperfield.store.StateService.Guard;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The one place where stored-state versions are compared. New behaviour asks here; whatever is
+ * written carries {@link #guard}, so that a controller with stale knowledge writes nothing.
+ */
+public final class VersionGate {
+
+    private static final Logger LOG = LoggerFactory.getLogger(VersionGate.class);
+
+    private final Release release;
+    private ClusterVersion version = ClusterVersion.INITIAL;
+    private long stamp;
+    private boolean loaded;
+    private String refusal = "";
+
+    /** Creates a gate that is closed until the replica is {@link #loaded}. */
+    public VersionGate(Release release) {
+        this.release = release;
+    }
+
+    /** The release that asks. */
+    public Release release() {
+        return release;
+    }
+
+    /** The replica holds all keys: a version record that is not there does not exist. */
+    void loaded() {
+        loaded = true;
+    }
+
+    /** The replica's news of the version record. */
+    void changed(JsonNode data, long newStamp) {
+        ClusterVersion now = data == null ? null : ClusterVersion.read(data);
+        if (now == null) {
+            // Never deleted by anybody: without it records of a newer form could be taken for none.
+            refuse("the stored-state version record is gone or cannot be read");
+            return;
+        }
+        version = now;
+        stamp = newStamp;
+        if (release.serves(now)) {
+            refusal = "";
+            LOG.info("stored-state version {} ({})", now.writes(), now.phase());
+        } else {
+            refuse(
+                    "stored-state version "
+                            + now.highest()
+                            + " is in use, and release "
+                            + release.name()
+                            + " reads "
+                            + release.oldestRead()
+                            + " to "
+                            + release.newestRead());
+        }
+    }
+
+    /** What cannot be known keeps this controller from serving; said once. */
+    void refuse(String why) {
+        if (!why.equals(refusal)) {
+            refusal = why;
+            LOG.error("serving nobody: {}", why);
+        }
+    }
+
+    /** Whether this controller may take part in the cluster. */
+    public boolean serves() {
+        return refusal.isEmpty();
+    }
+
+    /** Why it may not, or empty. */
+    String refusal() {
+        return refusal;
+    }
+
+    /** Whether the version is known and this controller may write. */
+    boolean mayWrite() {
+        return loaded && serves();
+    }
+
+    /** The version record as known here. */
+    ClusterVersion version() {
+        return version;
+    }
+
+    /** The condition that every write carries: the version is still the one known here. */
+    Guard guard() {
+        return new Guard(Keys.ROLLOUT_VERSION, stamp);
+    }
+
+    /** Whether run records are to be written in the compact form. */
+    public boolean writesCompactRunRecords() {
+        return version.writes() >= StoredVersions.COMPACT_RUN_RECORDS;
+    }
+
+    /**
+     * Whether records may exist that a release without a gate cannot read. The leader key is then
+     * kept where such a release does not look, and never leads.
+     */
+    boolean fenced() {
+        return version.highest() >= StoredVersions.COMPACT_RUN_RECORDS;
+    }
+}
--- a/src/main/java/io/pepperfield/store/HttpStateService.java
+++ b/src/main/java/io/pepperfield/store/HttpStateService.java
@@ -58,6 +58,10 @@
         ArrayNode apply = body.putArray("apply");
         for (Change change : changes) {
             ObjectNode op = apply.addObject();
+            if (change.data() == null) {
+                op.put("delete", change.key());
+                continue;
+            }
             op.put("set", change.key()).set("data", change.data());
             if (change.grant() != 0) {
                 op.put("claim", change.grant());
--- a/src/main/java/io/pepperfield/store/StateService.java
+++ b/src/main/java/io/pepperfield/store/StateService.java
@@ -19,8 +19,13 @@
     /** The key must have that stamp; 0 says that it must not exist. */
     record Guard(String key, long stamp) {}
 
-    /** {@code grant} 0 ties the key to none. */
+    /** {@code grant} 0 ties the key to none; {@code data} null deletes the key. */
     record Change(String key, JsonNode data, long grant) {
+        /** A change that deletes the key. */
+        public static Change delete(String key) {
+            return new Change(key, null, 0);
+        }
+
         /** A change that ties the key to no grant. */
         public static Change set(String key, JsonNode data) {
             return new Change(key, data, 0);
--- a/src/main/java/io/pepperfield/store/Writer.java
+++ b/src/main/java/io/pepperfield/store/Writer.java
@@ -96,9 +96,6 @@
     /** 64 KiB are allowed in all; guards and names need their partition. */
     private static final int MOST_BYTES = 40 * 1024;
 
-    /** The state service takes so many times as many guards as changes. */
-    public static final int GUARDS_PER_CHANGE = 4;
-
     /** HTTP's word for a request that will never be carried out as it is. */
     private static final int MALFORMED = 400;
 
@@ -110,7 +107,7 @@
     private final Replica replica;
     private final Sync sync;
     private final Lead lead;
-    private final int mostChanges;
+    private final TransactionLimits limits;
     private final double retryS;
     private final double patienceS;
     private final double gatherS;
@@ -134,7 +131,7 @@
             Replica replica,
             Sync sync,
             Lead lead,
-            int mostChanges,
+            TransactionLimits limits,
             double retryS,
             double patienceS) {
         this.loop = loop;
@@ -142,7 +139,7 @@
         this.replica = replica;
         this.sync = sync;
         this.lead = lead;
-        this.mostChanges = mostChanges;
+        this.limits = limits;
         this.retryS = retryS;
         this.patienceS = patienceS;
         this.gatherS = retryS;
@@ -233,10 +230,9 @@
             int size = size(values, absent);
             if (!batch.isEmpty()
                     && (alone > 0
-                            || changes.size() + values.size() > mostChanges
+                            || changes.size() + values.size() > limits.changes()
                             || bytes + size > MOST_BYTES
-                            || guards.size() + values.size() + absent.size()
-                                    > GUARDS_PER_CHANGE * mostChanges)) {
+                            || guards.size() + values.size() + absent.size() > limits.guards())) {
                 break;
             }
             bytes += size;
@@ -288,7 +284,7 @@
         List<Map.Entry<String, Pending>> chosen = new ArrayList<>();
         for (int rank = 0; rank < Priority.values().length; rank++) {
             for (Map.Entry<String, Pending> entry : pending.entrySet()) {
-                if (chosen.size() == mostChanges) {
+                if (chosen.size() == limits.changes()) {
                     return chosen;
                 }
                 Pending change = entry.getValue();
--- a/src/test/java/io/pepperfield/jobs/UserAnswersTraceTest.java
+++ b/src/test/java/io/pepperfield/jobs/UserAnswersTraceTest.java
@@ -84,6 +84,7 @@
                         8,
                         10,
                         2,
+                        lines -> lines,
                         id -> {});
         sync.start();
     }
--- a/src/test/java/io/pepperfield/node/SizerTest.java
+++ b/src/test/java/io/pepperfield/node/SizerTest.java
@@ -23,6 +23,7 @@
 import io.pepperfield.store.Replica;
 import io.pepperfield.store.StateService;
 import io.pepperfield.store.Sync;
+import io.pepperfield.store.TransactionLimits;
 import io.pepperfield.store.Writer;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -48,7 +49,14 @@
     private final Replica replica = new Replica((key, data, stamp) -> {});
     private final Writer writer =
             new Writer(
-                    state, state, replica, new Sync(state, state, replica, 1, 1), this, 32, 1, 2);
+                    state,
+                    state,
+                    replica,
+                    new Sync(state, state, replica, 1, 1),
+                    this,
+                    TransactionLimits.all(32),
+                    1,
+                    2);
     private final Fleet fleet = new Fleet(this, 10, 3);
     private final Renting renting = new Renting(this, this, writer, fleet, 10, 1, 60, () -> true);
     private final MachineTypes types = new MachineTypes(settings);
--- /dev/null
+++ b/src/test/java/io/pepperfield/rollout/CompactRunRecordsTest.java
@@ -0,0 +1,97 @@
+package io.pepperfield.rollout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.http.Json;
+import io.pepperfield.jobs.RunRecord;
+import io.pepperfield.jobs.RunRecord.State;
+import io.pepperfield.rollout.CompactRunRecords.UnreadableRecord;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The compact form says the same as the first, and nothing else is taken for it. */
+class CompactRunRecordsTest {
+
+    private static JsonNode json(String text) {
+        return Json.read(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void groupsByStateAndMachine() {
+        JsonNode first =
+                json(
+                        "[[0,1,2],[1,1,2],[2,2,2],[3,1,1,\"m-1\",4],[4,1,1,\"m-1\",4],"
+                                + "[5,1,1,\"m-2\",1],[6,1,0],[8,3,3]]");
+        assertEquals(
+                String.valueOf(
+                        json(
+                                "{\"v\":2,\"done\":[0,2,1,2,1,2],\"gone\":[6,1,1],\"failed\":[8,1,3],"
+                                        + "\"live\":[[\"m-1\",4,3,2,1],[\"m-2\",1,5,1,1]]}")),
+                String.valueOf(CompactRunRecords.encode(first)));
+    }
+
+    @Test
+    void anyRecordComesBackAsItWas() throws UnreadableRecord {
+        Random random = new Random(1);
+        for (int round = 0; round < 500; round++) {
+            JsonNode first = RunRecord.write(lines(random));
+            JsonNode second = Json.read(Json.write(CompactRunRecords.encode(first)));
+            assertEquals(first, CompactRunRecords.decode(second));
+        }
+    }
+
+    private static List<RunRecord> lines(Random random) {
+        List<RunRecord> lines = new ArrayList<>();
+        for (int task = random.nextInt(200); lines.size() < 136; task += 1 + random.nextInt(2)) {
+            State state = State.values()[random.nextInt(State.values().length)];
+            boolean live = state == State.LIVE;
+            lines.add(
+                    new RunRecord(
+                            task,
+                            1 + random.nextInt(3),
+                            state,
+                            live ? "host-" + random.nextInt(9) : "",
+                            live ? 1 + random.nextInt(2) : 0));
+        }
+        return lines;
+    }
+
+    @Test
+    void aFullRecordOfManyMachinesIsSmallerThanTheFirstFormOfHalfAsManyTasks() {
+        List<RunRecord> lines = new ArrayList<>();
+        for (int task = 0; task < 136; task++) {
+            lines.add(new RunRecord(task, 1, State.LIVE, "host-" + (100_000 + task / 4), 1));
+        }
+        int second = Json.write(CompactRunRecords.encode(RunRecord.write(lines))).length;
+        int first = Json.write(RunRecord.write(lines.subList(0, 68))).length;
+        assertTrue(second < first, second + " bytes, and " + first);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "[]",
+                "[[0,1,2]]",
+                "{}",
+                "{\"v\":3,\"done\":[0,1,1]}",
+                "{\"v\":2,\"done\":[0,1]}",
+                "{\"v\":2,\"done\":[0,-1,1]}",
+                "{\"v\":2,\"done\":[0,2000000,1]}",
+                "{\"v\":2,\"done\":[\"0\",1,1]}",
+                "{\"v\":2,\"done\":{}}",
+                "{\"v\":2,\"live\":[[\"m-1\",0,1,1]]}",
+                "{\"v\":2,\"live\":[[7,1,0,1,1]]}",
+                "{\"v\":2,\"live\":[\"m-1\"]}"
+            })
+    void whatHasAnotherFormIsRefused(String text) {
+        assertThrows(UnreadableRecord.class, () -> CompactRunRecords.decode(json(text)));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/pepperfield/rollout/RolloutSimulationTest.java
@@ -0,0 +1,224 @@
+package io.pepperfield.rollout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.rollout.ClusterVersion.Phase;
+import io.pepperfield.standin.Region;
+import io.pepperfield.standin.Scenario;
+import io.pepperfield.standin.SimOperator.Command;
+import io.pepperfield.standin.Trouble.CancelNow;
+import io.pepperfield.standin.Trouble.Controllers;
+import io.pepperfield.standin.Trouble.LargeArrays;
+import io.pepperfield.standin.Trouble.LateWrites;
+import io.pepperfield.standin.Trouble.LeaderChanges;
+import io.pepperfield.standin.Trouble.LimitsFall;
+import io.pepperfield.standin.Trouble.NodeCrash;
+import io.pepperfield.standin.Trouble.NodeFreeze;
+import io.pepperfield.standin.Trouble.OperatorAsks;
+import io.pepperfield.standin.Trouble.Pipelines;
+import io.pepperfield.standin.Trouble.Replace;
+import io.pepperfield.standin.Trouble.StateOutage;
+import io.pepperfield.standin.Trouble.Upgrade;
+import io.pepperfield.standin.Version;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Five controllers upgraded, rolled back and upgraded again under load while processes end, some
+ * back on old code. The region checks every rule, and that each record is in one form and written
+ * under the version in force. More seeds with {@code -Dpepperfield.seeds=100}.
+ */
+class RolloutSimulationTest {
+
+    private static Region play(Scenario scenario, long seed) {
+        Region region = Region.beforeRollout(seed, Version.GATED);
+        region.play(scenario);
+        region.world.run(scenario.endsAt());
+        return region;
+    }
+
+    private static void checkEnd(Region region, Phase phase, String day) {
+        assertEquals(List.of(), region.broken, day);
+        assertEquals(phase, version(region).phase(), day);
+        assertEquals(List.of(), region.unfinished(), day);
+        assertEquals(List.of(), region.unanswered(), day);
+        assertEquals(List.of(), region.leftOver(), day);
+        assertEquals(List.of(), region.reusedRentalNames(), day);
+        assertEquals(List.of(), region.alteredJobs(), day);
+    }
+
+    private static ClusterVersion version(Region region) {
+        JsonNode record = region.durable("pepperfield/rollout/version");
+        return record == null ? ClusterVersion.INITIAL : ClusterVersion.read(record);
+    }
+
+    private static void playEach(Scenario scenario, long seed, Phase phase) {
+        for (int more = 0; more <= Integer.getInteger("pepperfield.seeds", 0); more++) {
+            long drawn = seed + 1000L * more;
+            Region region = play(scenario, drawn);
+            checkEnd(region, phase, "seed " + drawn + " of " + scenario);
+        }
+    }
+
+    private static Scenario upgraded(int jobs) {
+        return Scenario.jobs(jobs, 2)
+                .at(20, new Upgrade(20, Version.ROLLOUT))
+                .at(24, new LargeArrays(3, 150, 6))
+                .at(26, new OperatorAsks(Command.ACTIVATE, 60));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void activationWaitsForTheLastControllerAndTheWayBackLeavesNothing(long seed) {
+        playEach(
+                upgraded(40)
+                        .at(60, new LargeArrays(3, 150, 6))
+                        .at(75, new OperatorAsks(Command.ROLLBACK, 30))
+                        .at(85, new Pipelines(4, 10)),
+                seed,
+                Phase.FINALIZED);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void processesEndAndComeBackOldWhileVersionsChange(long seed) {
+        Scenario day =
+                upgraded(50)
+                        .at(25, new NodeCrash(Controllers.LEADER, 0.2))
+                        .at(32, new Replace(Controllers.node(1), Version.GATED, 0.2))
+                        .at(36, new LeaderChanges(6, 24))
+                        .at(38, new LateWrites(0.2, 30, false))
+                        .at(44, new Replace(Controllers.node(1), Version.ROLLOUT, 0.3))
+                        .at(58, new Replace(Controllers.node(2), Version.GATED, 0.2))
+                        .at(60, new LargeArrays(2, 150, 8), new CancelNow(4, 0))
+                        .at(64, new OperatorAsks(Command.ROLLBACK, 30))
+                        .at(65, new NodeCrash(Controllers.LEADER, 1))
+                        .at(66, new Replace(Controllers.node(2), Version.ROLLOUT, 1))
+                        .at(67, new OperatorAsks(Command.ACTIVATE, 40))
+                        .at(70, new LateWrites(0.2, 20, true))
+                        .at(90, new Pipelines(4, 10));
+        playEach(day, seed, Phase.ACTIVE);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void theLimitsFallAndTheStateServiceIsAwayMidway(long seed) {
+        playEach(
+                upgraded(40)
+                        .at(45, new LimitsFall())
+                        .at(50, new LargeArrays(2, 136, 10))
+                        .at(56, new OperatorAsks(Command.ROLLBACK, 60))
+                        .at(56.5, new StateOutage(5))
+                        .at(63, new NodeFreeze(Controllers.LEADER, 8)),
+                seed,
+                Phase.FINALIZED);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13, 14, 15, 16})
+    void noRuleBreaksWhateverFailsDuringARollout(long seed) {
+        for (int more = 0; more <= Integer.getInteger("pepperfield.seeds", 0); more++) {
+            troubledRollout(seed + 1000L * more);
+        }
+    }
+
+    private static void troubledRollout(long seed) {
+        Region region = Region.beforeRollout(seed, Version.GATED);
+        region.world.lost = 0.01;
+        region.world.late = 0.005;
+        region.world.copies = 0.01;
+        Scenario day =
+                Scenario.jobs(45, 4)
+                        .at(30, new Upgrade(40, Version.ROLLOUT))
+                        .at(40, new OperatorAsks(Command.ACTIVATE, 90))
+                        .at(60, new LargeArrays(2, 150, 5))
+                        .at(120, new OperatorAsks(Command.ROLLBACK, 60))
+                        .at(125, new LargeArrays(2, 150, 5))
+                        .at(135, new OperatorAsks(Command.ACTIVATE, 60))
+                        .at(150, new Pipelines(4, 20));
+        region.play(day);
+        for (int i = 0; i < 14; i++) {
+            region.world.at(20 + 11 * i, region::trouble);
+        }
+        for (int i = 0; i < 4; i++) {
+            int node = region.world.random.nextInt(5);
+            double at = 90 + 10 * region.world.random.nextDouble() * (i + 1);
+            region.world.at(at, () -> region.replace(node, Version.GATED, 0.2));
+            region.world.at(at + 8, () -> region.replace(node, Version.ROLLOUT, 0.2));
+        }
+        region.world.run(440);
+        String what = "seed " + seed;
+        assertEquals(List.of(), region.broken, what);
+        assertEquals(List.of(), region.unfinished(), what);
+        assertTrue(region.allRun(Version.ROLLOUT), what);
+        assertEquals(List.of(), region.unanswered(), what);
+        assertEquals(List.of(), region.alteredJobs(), what);
+        assertTrue(region.accepted() >= 45, what + " accepted " + region.accepted());
+        assertTrue(region.operator.confirmed.contains(Command.ACTIVATE), what);
+    }
+
+    @Test
+    void aControllerOnOldCodeHoldsUpTheActivationUntilItIsNamed() {
+        Region region = Region.beforeRollout(7, Version.ROLLOUT);
+        Scenario day = Scenario.jobs(10, 2).at(20, new OperatorAsks(Command.ACTIVATE, 5));
+        region.play(day);
+        region.world.run(12);
+        region.replace(3, Version.GATED, 0.2);
+        region.world.run(40);
+        assertEquals(Phase.FINALIZED, version(region).phase());
+        assertTrue(
+                region.operator.refusals.contains("waits for: node-3 runs gated, which writes 1"),
+                region.operator.refusals.toString());
+        region.world.run(day.endsAt());
+        checkEnd(region, Phase.FINALIZED, day.toString());
+    }
+
+    @Test
+    void finalLeavesNoWayBack() {
+        Region region =
+                play(
+                        Scenario.jobs(10, 2)
+                                .at(10, new Upgrade(5, Version.ROLLOUT))
+                                .at(20, new OperatorAsks(Command.ACTIVATE, 20))
+                                .at(45, new OperatorAsks(Command.FINALIZE, 5))
+                                .at(55, new OperatorAsks(Command.ROLLBACK, 2)),
+                        8);
+        checkEnd(region, Phase.FINALIZED, "final");
+        assertEquals(2, version(region).writes());
+        assertTrue(
+                region.operator.refusals.contains("version 2 is final: there is no way back"),
+                region.operator.refusals.toString());
+    }
+
+    /**
+     * It knows no gate: once the leader key has moved, it never leads, and what it writes is valid.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void theRecordedVersionIsKeptFromLeadingOnceAnotherIsActive(long seed) {
+        Region region = Region.beforeRollout(seed, Version.ROLLOUT);
+        Scenario day =
+                Scenario.jobs(30, 2)
+                        .at(15, new OperatorAsks(Command.ACTIVATE, 10))
+                        .at(24, new LargeArrays(2, 150, 6))
+                        .at(30, new Replace(Controllers.node(0), Version.RECORDED, 0.2))
+                        .at(32, new Replace(Controllers.node(1), Version.RECORDED, 0.2))
+                        .at(34, new LeaderChanges(4, 12))
+                        .at(50, new Replace(Controllers.node(0), Version.ROLLOUT, 0.2))
+                        .at(51, new Replace(Controllers.node(1), Version.ROLLOUT, 0.2))
+                        .at(60, new OperatorAsks(Command.ROLLBACK, 10));
+        region.play(day);
+        for (double at = 35; at < 50; at += 0.5) {
+            region.world.run(at);
+            assertTrue(
+                    region.leader().isEmpty() || region.leaderIndex() > 1,
+                    region.leader() + " leads at " + at);
+        }
+        region.world.run(day.endsAt());
+        checkEnd(region, Phase.FINALIZED, "seed " + seed);
+    }
+}
--- /dev/null
+++ b/src/test/java/io/pepperfield/standin/DrawnTrouble.java
@@ -0,0 +1,89 @@
+package io.pepperfield.standin;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+/** A trouble of any kind, drawn from a region's seed. */
+final class DrawnTrouble {
+
+    private final Region region;
+    private final SimWorld world;
+    private final SimMachines machines;
+
+    DrawnTrouble(Region region, SimMachines machines) {
+        this.region = region;
+        this.world = region.world;
+        this.machines = machines;
+    }
+
+    void begin() {
+        double now = world.now();
+        double until = now + 1 + 14 * world.random.nextDouble();
+        int node = world.random.nextInt(region.nodeCount());
+        List<WorkerStandIn> up = machines.all();
+        WorkerStandIn worker = up.isEmpty() ? null : up.get(world.random.nextInt(up.size()));
+        switch (world.random.nextInt(21)) {
+            case 0 -> region.crash(node, world.random.nextBoolean() ? 0.2 : 3);
+            case 1 ->
+                    everyNode().forEach(i -> region.crash(i, 0.5 + 2 * world.random.nextDouble()));
+            case 2 -> region.stateOutage(until);
+            case 3 -> region.cloudOutage(until);
+            case 4 -> world.cut("node-" + node, "10.2.0.1", until);
+            case 5 -> cutFromWorkers(node, until);
+            case 6 -> world.cut("node-" + node, "10.", until);
+            case 7 -> {
+                if (worker != null) {
+                    worker.hang(until);
+                }
+            }
+            case 8 -> {
+                if (worker != null) {
+                    worker.deafen(until + Region.LEASE_S);
+                }
+            }
+            case 9 -> region.isolate(node, until);
+            case 10 -> world.cut("node-", "10.0.", until);
+            case 11 -> {
+                if (worker != null) {
+                    machines.reboot(worker);
+                }
+            }
+            case 12 -> region.freeze(node, until);
+            case 13 -> region.cutZone("east", node, until);
+            case 14 -> region.hangSome(until);
+            case 16 -> region.boots(0.05, 0, until);
+            case 17 -> region.boots(4, 0.3, until);
+            case 18 -> region.askMore(until);
+            case 19 -> region.freeze(node, until + 2 * Region.LEASE_S);
+            case 15 -> {
+                region.stateOutage(until);
+                world.after(
+                        1,
+                        () ->
+                                everyNode()
+                                        .forEach(
+                                                i ->
+                                                        region.crash(
+                                                                i,
+                                                                0.2
+                                                                        + 3
+                                                                                * world.random
+                                                                                        .nextDouble())));
+            }
+            default -> {
+                if (worker != null) {
+                    worker.die();
+                }
+            }
+        }
+    }
+
+    private void cutFromWorkers(int index, double until) {
+        world.cut("node-" + index, "10.1.", until);
+        world.cut("host-", "10.0.0." + (index + 1) + ":", until);
+    }
+
+    private IntStream everyNode() {
+        return IntStream.range(0, region.nodeCount());
+    }
+}
--- a/src/test/java/io/pepperfield/standin/RecordedVersion.java
+++ b/src/test/java/io/pepperfield/standin/RecordedVersion.java
@@ -5,6 +5,7 @@
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Outcome;
 import io.pepperfield.http.Sender;
+import java.util.Iterator;
 
 /**
  * The habits of the recorded version (c7a624d) as filters around a controller of today: what that
@@ -16,6 +17,7 @@
 
     private static final int MALFORMED = 400;
     private static final int UNAVAILABLE = 503;
+    private static final String ROLLOUT_PREFIX = "pepperfield/rollout/";
     private static final String JOB_PREFIX = "pepperfield/job/";
 
     private RecordedVersion() {}
@@ -61,9 +63,20 @@
         JsonNode body = answer.json();
         body.path("pairs").forEach(pair -> forgetAwaits(pair, "k"));
         body.path("events").forEach(event -> forgetAwaits(event, "set"));
+        // It reads them, and no part of it asks for them.
+        forgetRollout(body.path("pairs"), "k");
+        forgetRollout(body.path("events"), "set");
         return new Outcome.Answered(answer.status(), Json.write(body));
     }
 
+    private static void forgetRollout(JsonNode items, String keyField) {
+        for (Iterator<JsonNode> all = items.iterator(); all.hasNext(); ) {
+            if (all.next().path(keyField).asText().startsWith(ROLLOUT_PREFIX)) {
+                all.remove();
+            }
+        }
+    }
+
     private static void forgetAwaits(JsonNode item, String keyField) {
         if (item.path(keyField).asText().startsWith(JOB_PREFIX)
                 && item.path("data") instanceof ObjectNode job) {
--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -23,7 +23,10 @@
     public static final double REPORT_S = 1;
     public static final double LEASE_S = 6;
     public static final double CANCEL_S = 20;
-    static final int NODES = 3;
+    private static final int FEW_NODES = 3;
+
+    /** As many as a rollout is tried with. */
+    private static final int MANY_NODES = 5;
 
     /** Answers a simulated node's requests. */
     private interface Handler {
@@ -36,6 +39,7 @@
     final StateStandIn state;
     final StateLink stateLink;
     final ReportCopies copies;
+    public final SimOperator operator;
     private final CloudStandIn cloud;
     private final List<SimNode> nodes = new ArrayList<>();
     private final SimMachines machines;
@@ -49,18 +53,25 @@
     private int leaderChanges;
 
     public Region(long seed) {
-        this(seed, Version.CURRENT, RegionSettings.LIMITS_NOW);
+        this(seed, Version.CURRENT, RegionSettings.LIMITS_NOW, FEW_NODES);
+    }
+
+    /** A region of five controllers that know stored-state versions, or are going to. */
+    public static Region beforeRollout(long seed, Version version) {
+        Region region = new Region(seed, version, RegionSettings.LIMITS_NEXT, MANY_NODES);
+        region.state.rolloutRules = new RolloutRules(region.world::now, region.broken);
+        return region;
     }
 
     /** A region before its upgrade: the recorded version runs, and the limits are going to fall. */
     public static Region beforeUpgrade(long seed) {
-        return new Region(seed, Version.RECORDED, RegionSettings.LIMITS_NEXT);
+        return new Region(seed, Version.RECORDED, RegionSettings.LIMITS_NEXT, FEW_NODES);
     }
 
     /**
      * @param next the limits that this version knows of
      */
-    private Region(long seed, Version version, Settings.State next) {
+    private Region(long seed, Version version, Settings.State next, int nodeCount) {
         world = new SimWorld(seed);
         state = new StateStandIn(world::now, 10_000);
         state.broken = broken;
@@ -69,7 +80,7 @@
         Map<String, SimJob> jobs = new LinkedHashMap<>();
         PipelineRules rules = new PipelineRules(world, broken, jobs, this::durablyDone);
         machines = new SimMachines(world, broken, jobs, rules);
-        users = new SimUsers(world, broken, machines, jobs, rules);
+        users = new SimUsers(world, broken, machines, jobs, rules, nodeCount);
         pipelines = new Pipelines(world, users, this::team);
         troubles = new TroublePlayer(this, machines, users);
         copies = new ReportCopies(world, nodes);
@@ -78,7 +89,8 @@
         world.listen("10.2.0.1:2379", host(stateLink::handle));
         world.listen(
                 "10.2.0.2:8443", host((from, call, answer) -> answer.accept(cloud.handle(call))));
-        for (int i = 0; i < NODES; i++) {
+        operator = new SimOperator(world, nodes);
+        for (int i = 0; i < nodeCount; i++) {
             int index = i;
             SimNode node =
                     new SimNode(
@@ -88,6 +100,7 @@
                             of ->
                                     RegionSettings.of(
                                             index,
+                                            nodeCount,
                                             of == Version.RECORDED
                                                     ? RegionSettings.LIMITS_NOW
                                                     : next),
@@ -291,64 +304,7 @@
 
     /** One trouble drawn from the seed. */
     public void trouble() {
-        double now = world.now();
-        double until = now + 1 + 14 * world.random.nextDouble();
-        int node = world.random.nextInt(NODES);
-        List<WorkerStandIn> up = machines.all();
-        WorkerStandIn worker = up.isEmpty() ? null : up.get(world.random.nextInt(up.size()));
-        switch (world.random.nextInt(21)) {
-            case 0 -> crash(node, world.random.nextBoolean() ? 0.2 : 3);
-            case 1 -> List.of(0, 1, 2).forEach(i -> crash(i, 0.5 + 2 * world.random.nextDouble()));
-            case 2 -> stateOutage(until);
-            case 3 -> cloudOutage(until);
-            case 4 -> world.cut("node-" + node, "10.2.0.1", until);
-            case 5 -> cutFromWorkers(node, until);
-            case 6 -> world.cut("node-" + node, "10.", until);
-            case 7 -> {
-                if (worker != null) {
-                    worker.hang(until);
-                }
-            }
-            case 8 -> {
-                if (worker != null) {
-                    worker.deafen(until + LEASE_S);
-                }
-            }
-            case 9 -> isolate(node, until);
-            case 10 -> world.cut("node-", "10.0.", until);
-            case 11 -> {
-                if (worker != null) {
-                    machines.reboot(worker);
-                }
-            }
-            case 12 -> freeze(node, until);
-            case 13 -> cutZone("east", node, until);
-            case 14 -> hangSome(until);
-            case 16 -> boots(0.05, 0, until);
-            case 17 -> boots(4, 0.3, until);
-            case 18 -> askMore(until);
-            case 19 -> freeze(node, until + 2 * LEASE_S);
-            case 15 -> {
-                stateOutage(until);
-                world.after(
-                        1,
-                        () ->
-                                List.of(0, 1, 2)
-                                        .forEach(
-                                                i ->
-                                                        crash(
-                                                                i,
-                                                                0.2
-                                                                        + 3
-                                                                                * world.random
-                                                                                        .nextDouble())));
-            }
-            default -> {
-                if (worker != null) {
-                    worker.die();
-                }
-            }
-        }
+        new DrawnTrouble(this, machines).begin();
     }
 
     /**
@@ -382,7 +338,7 @@
         machines.all().stream()
                 .filter(w -> !w.zone.equals(zone))
                 .forEach(w -> without.addAll(List.of(w.name, w.address)));
-        for (int other = 0; other < NODES; other++) {
+        for (int other = 0; other < nodeCount(); other++) {
             if (other != inside) {
                 without.addAll(List.of("node-" + other, "10.0.0." + (other + 1) + ":"));
             }
@@ -400,7 +356,7 @@
     /** Cut from the state service and the other controllers, but not from the workers. */
     public void isolate(int index, double until) {
         world.cut("node-" + index, "10.2.0.1", until);
-        for (int other = 0; other < NODES; other++) {
+        for (int other = 0; other < nodeCount(); other++) {
             if (other != index) {
                 world.cut("node-" + index, "10.0.0." + (other + 1), until);
                 world.cut("node-" + other, "10.0.0." + (index + 1), until);
@@ -408,11 +364,6 @@
         }
     }
 
-    private void cutFromWorkers(int index, double until) {
-        world.cut("node-" + index, "10.1.", until);
-        world.cut("host-", "10.0.0." + (index + 1) + ":", until);
-    }
-
     /**
      * The leader ends for good, and until then nobody else can be elected, although the state
      * service answers.
@@ -467,10 +418,16 @@
 
     /** The name of the node that leads, as the durable key has it, or empty. */
     public String leader() {
-        JsonNode key = state.get("pepperfield/leader");
+        JsonNode key = leaderKey();
         return key == null ? "" : key.path("node").asText();
     }
 
+    /** The leader key that is in use, or null where nobody leads. */
+    private JsonNode leaderKey() {
+        JsonNode first = state.get("pepperfield/leader");
+        return RolloutRules.isFence(first) ? state.get("pepperfield/v2/leader") : first;
+    }
+
     /** How many machines are in that node's partition while all take part. */
     public long partition(int index) {
         Set<String> all =
@@ -480,6 +437,11 @@
                 .count();
     }
 
+    /** How many controllers there are. */
+    int nodeCount() {
+        return nodes.size();
+    }
+
     /** Which of the nodes leads. */
     public int leaderIndex() {
         return Integer.parseInt(leader().substring(5));
@@ -492,7 +454,12 @@
 
     /** Whether every controller runs this version, or will once it is started. */
     public boolean upgraded() {
-        return nodes.stream().allMatch(node -> node.version() == Version.CURRENT);
+        return allRun(Version.CURRENT);
+    }
+
+    /** Whether every controller runs that version, or will once it is started. */
+    public boolean allRun(Version version) {
+        return nodes.stream().allMatch(node -> node.version() == version);
     }
 
     /** Which of the nodes leads, or led last. */
@@ -501,7 +468,7 @@
     }
 
     private void watchLeader() {
-        JsonNode key = state.get("pepperfield/leader");
+        JsonNode key = leaderKey();
         if (key != null && key.path("grant").longValue() != lastGrant) {
             lastGrant = key.path("grant").longValue();
             lastLeader = leaderIndex();
--- a/src/test/java/io/pepperfield/standin/RegionSettings.java
+++ b/src/test/java/io/pepperfield/standin/RegionSettings.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** The settings of a simulated region's controllers. */
 final class RegionSettings {
@@ -27,10 +28,13 @@
         return TEAM_LIMITS.get(team);
     }
 
-    /** Of the controller with that index, which keeps these limits of the state service. */
-    static Settings of(int index, Settings.State limits) {
+    /**
+     * Of the controller with that index among so many, which keeps these limits of the state
+     * service.
+     */
+    static Settings of(int index, int nodes, Settings.State limits) {
         List<Settings.Member> members = new ArrayList<>();
-        for (int i = 0; i < Region.NODES; i++) {
+        for (int i = 0; i < nodes; i++) {
             if (i != index) {
                 members.add(
                         new Settings.Member(
@@ -44,7 +48,7 @@
         teams.put("guests", new Settings.Team("guests", 0, limit("guests"), 0, 0));
         Settings.Deployment deployment =
                 new Settings.Deployment(
-                        Region.NODES,
+                        nodes,
                         List.of("east", "west"),
                         5,
                         teams,
@@ -55,7 +59,7 @@
                         limits,
                         new Settings.Cloud(20, 2),
                         new Settings.Quota(1, 256, 1000));
-        Operators operators = new Operators(10, 0.2, 0.2, 0.85, 0.85, 3);
+        Operators operators = new Operators(10, 0.2, 0.2, 0.85, 0.85, 3, Set.of());
         return new Settings(
                 "node-" + index,
                 "east",
--- a/src/test/java/io/pepperfield/standin/RollingUpgrade.java
+++ b/src/test/java/io/pepperfield/standin/RollingUpgrade.java
@@ -4,15 +4,19 @@
 import java.util.Collections;
 import java.util.List;
 
-/** Replaces all controllers by this version, a few at a time, in an order drawn from the seed. */
+/**
+ * Replaces all controllers by another version, a few at a time, in an order drawn from the seed.
+ */
 final class RollingUpgrade {
 
     private final Region region;
     private final SimWorld world;
+    private final Version by;
     private final List<Integer> left = new ArrayList<>();
 
-    RollingUpgrade(Region region, int nodes) {
+    RollingUpgrade(Region region, int nodes, Version by) {
         this.region = region;
+        this.by = by;
         this.world = region.world;
         for (int node = 0; node < nodes; node++) {
             left.add(node);
@@ -28,7 +32,7 @@
     private void replaceNext(double everyS) {
         int count = Math.min(left.size(), 1 + world.random.nextInt(Trouble.Upgrade.MOST_AT_ONCE));
         for (int i = 0; i < count; i++) {
-            region.replace(left.remove(0), Version.CURRENT, Trouble.Upgrade.DOWN_S);
+            region.replace(left.remove(0), by, Trouble.Upgrade.DOWN_S);
         }
         if (!left.isEmpty()) {
             world.after(everyS * count, () -> replaceNext(everyS));
--- a/src/test/java/io/pepperfield/standin/SimNode.java
+++ b/src/test/java/io/pepperfield/standin/SimNode.java
@@ -12,6 +12,7 @@
 import io.pepperfield.node.Loop;
 import io.pepperfield.peer.Peers;
 import io.pepperfield.peer.ReportForwarder;
+import io.pepperfield.rollout.Rollout;
 import io.pepperfield.store.HttpStateService;
 import java.util.List;
 import java.util.function.Consumer;
@@ -115,16 +116,21 @@
         Sender toState = version == Version.RECORDED ? RecordedVersion.around(sender) : sender;
         HttpStateService state = new HttpStateService(loop, toState, settings.state());
         peers = new Peers(loop, settings, sender);
+        Rollout rollout =
+                version.release() == null
+                        ? null
+                        : new Rollout(loop, settings, state, version.release());
         controller =
                 new Controller(
                         loop,
                         settings,
-                        state,
+                        rollout == null ? state : rollout.state(),
                         new HttpCloud(loop, sender, settings.cloud(), 20),
                         new HttpWorkers(loop, sender, Region.REPORT_S),
                         peers,
                         new ReportForwarder(loop, sender, settings),
-                        state::share);
+                        state::share,
+                        rollout);
         controller.start();
     }
 
--- a/src/test/java/io/pepperfield/standin/SimUsers.java
+++ b/src/test/java/io/pepperfield/standin/SimUsers.java
@@ -39,12 +39,16 @@
     /** When all troubles are over; only then users expect to be served. */
     double calmAt = Double.POSITIVE_INFINITY;
 
+    private final int nodeCount;
+
     SimUsers(
             SimWorld world,
             List<String> broken,
             SimMachines machines,
             Map<String, SimJob> jobs,
-            PipelineRules rules) {
+            PipelineRules rules,
+            int nodeCount) {
+        this.nodeCount = nodeCount;
         this.world = world;
         this.broken = broken;
         this.machines = machines;
@@ -175,7 +179,7 @@
             world.after(
                     after,
                     () -> {
-                        for (int node = 0; node < Region.NODES; node++) {
+                        for (int node = 0; node < nodeCount; node++) {
                             ask(
                                     job,
                                     node,
@@ -198,7 +202,7 @@
     }
 
     private int any() {
-        return world.random.nextInt(Region.NODES);
+        return world.random.nextInt(nodeCount);
     }
 
     /**
@@ -506,7 +510,7 @@
     List<String> unanswered() {
         Map<String, SimJob> open = new LinkedHashMap<>();
         for (SimJob job : jobs.values()) {
-            for (int node = 0; node < Region.NODES && job.accepted; node++) {
+            for (int node = 0; node < nodeCount && job.accepted; node++) {
                 String question = job.plan.id() + " at node " + (node + 1);
                 open.put(question, job);
                 ask(
--- a/src/test/java/io/pepperfield/standin/StateStandIn.java
+++ b/src/test/java/io/pepperfield/standin/StateStandIn.java
@@ -80,6 +80,9 @@
      */
     List<String> broken = new ArrayList<>();
 
+    /** What must hold of every transaction while stored-state versions change; null: nothing. */
+    RolloutRules rolloutRules;
+
     /** Begins or ends an outage; at its end every grant has its full time again. */
     public void outage(boolean begins) {
         out = begins;
@@ -286,6 +289,9 @@
         while (events.size() > kept) {
             forgottenUpTo = events.remove(0).stamp;
         }
+        if (rolloutRules != null) {
+            rolloutRules.committed(body, entries.navigableKeySet(), this::get);
+        }
         return Reply.json(200, result.put("generation", generation));
     }
 
@@ -293,7 +299,8 @@
         if (key.startsWith("pepperfield/job/") && entries.containsKey(key)) {
             broken.add(clock.getAsDouble() + " accepted twice: " + key);
         }
-        if (!RecordedForms.value(key, data)) {
+        boolean newForm = rolloutRules != null && RolloutRules.isNewKey(key);
+        if (!newForm && !RecordedForms.value(key, data)) {
             broken.add(clock.getAsDouble() + " of another form: " + key + " " + data);
         }
     }
--- a/src/test/java/io/pepperfield/standin/Trouble.java
+++ b/src/test/java/io/pepperfield/standin/Trouble.java
@@ -240,19 +240,26 @@
     record CloudOutage(double forS) implements Trouble {}
 
     /**
-     * Controllers are replaced by this version in random order, one or two at a time, within that
+     * Controllers are replaced by that version in random order, one or two at a time, within that
      * time.
      */
-    record Upgrade(double forS) implements Trouble {
+    record Upgrade(double forS, Version by) implements Trouble {
         static final int MOST_AT_ONCE = 2;
         static final double DOWN_S = 5;
 
+        public Upgrade(double forS) {
+            this(forS, Version.CURRENT);
+        }
+
         @Override
         public double aftermathS() {
             return DOWN_S;
         }
     }
 
+    /** An operator repeats a rollout command until it is confirmed, for at most that time. */
+    record OperatorAsks(SimOperator.Command command, double forS) implements Trouble {}
+
     /** Controllers end and come back as that version. */
     record Replace(Controllers who, Version by, double forS) implements Trouble {}
 
--- a/src/test/java/io/pepperfield/standin/TroublePlayer.java
+++ b/src/test/java/io/pepperfield/standin/TroublePlayer.java
@@ -12,6 +12,7 @@
     private final SimMachines machines;
     private final SimUsers users;
     private int swarms;
+    private int largeArrays;
 
     TroublePlayer(Region region, SimMachines machines, SimUsers users) {
         this.region = region;
@@ -107,7 +108,9 @@
         } else if (trouble instanceof Trouble.NodeFreeze freeze) {
             each(freeze.who(), node -> region.freeze(node, until));
         } else if (trouble instanceof Trouble.Upgrade upgrade) {
-            new RollingUpgrade(region, Region.NODES).begin(upgrade);
+            new RollingUpgrade(region, region.nodeCount(), upgrade.by()).begin(upgrade);
+        } else if (trouble instanceof Trouble.OperatorAsks asks) {
+            region.operator.repeat(asks.command(), until);
         } else if (trouble instanceof Trouble.Replace replace) {
             each(replace.who(), node -> region.replace(node, replace.by(), replace.forS()));
         } else {
@@ -147,7 +150,7 @@
             users.askMore(until);
         } else if (trouble instanceof Trouble.LargeArrays arrays) {
             for (int i = 0; i < arrays.count(); i++) {
-                int number = 800_000 + i;
+                int number = 800_000 + largeArrays++;
                 world.after(i, () -> region.submitGuests(number, arrays.tasks(), arrays.runS()));
             }
         } else {
@@ -163,7 +166,7 @@
     }
 
     private void each(Trouble.Controllers who, Consumer<Integer> then) {
-        for (int node : who.of(region.lastLeader(), Region.NODES)) {
+        for (int node : who.of(region.lastLeader(), region.nodeCount())) {
             then.accept(node);
         }
     }
--- a/src/test/java/io/pepperfield/store/WriterTest.java
+++ b/src/test/java/io/pepperfield/store/WriterTest.java
@@ -35,7 +35,7 @@
                             return new StateService.Guard("leader", 1);
                         }
                     },
-                    2,
+                    TransactionLimits.all(2),
                     1,
                     2);
 
