State archives: export all keys as of one revision, inspect one

Need: before a version is activated operators want a copy to go back to, and later a recovery one to start from. A stopped console must not leave half a file, and the keys do not fit into memory.

Change: `pepperfield state export FILE` writes a tar archive (Commons Compress) a page at a time, then the changes since the first page, then a manifest with checksums; the file is moved into place once it is on the disk. `state inspect FILE` checks it and counts keys, or names the first fault and exits 1.

Excluded: pages of one revision only (the service has no such reading); all keys in memory.

--- a/src/main/java/io/pepperfield/cli/Main.java
+++ b/src/main/java/io/pepperfield/cli/Main.java
@@ -17,6 +17,7 @@
             Cancel.class,
             Nodes.class,
             RolloutCommand.class,
+            StateCommand.class,
             Rehearse.class
         })
 public final class Main implements Runnable {
--- /dev/null
+++ b/src/main/java/io/pepperfield/recovery/ArchiveManifest.java
@@ -0,0 +1,66 @@
+package io.pepperfield.recovery;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pepperfield.http.Json;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The last entry of an archive: what the others must be.
+ *
+ * @param revision of the state service that the pages with the changes amount to
+ * @param controllers of the cluster, by name
+ * @param entries in their order
+ */
+record ArchiveManifest(long revision, List<String> controllers, List<Entry> entries) {
+
+    /** Name of the manifest's own entry. */
+    static final String NAME = "manifest.json";
+
+    private static final String KIND = "pepperfield-state";
+    private static final int FORMAT = 1;
+
+    /** An entry before the manifest, with its length and checksum. */
+    record Entry(String name, long bytes, String sha256) {}
+
+    byte[] write() {
+        ObjectNode root =
+                Json.object().put("kind", KIND).put("format", FORMAT).put("revision", revision);
+        controllers.forEach(root.putArray("controllers")::add);
+        ArrayNode all = root.putArray("entries");
+        entries.forEach(
+                entry ->
+                        all.addObject()
+                                .put("name", entry.name)
+                                .put("bytes", entry.bytes)
+                                .put("sha256", entry.sha256));
+        return Json.write(root);
+    }
+
+    static ArchiveManifest read(byte[] bytes) throws ArchiveFault {
+        JsonNode root = Json.read(bytes);
+        if (root == null || !root.path("kind").asText().equals(KIND)) {
+            throw new ArchiveFault(NAME + ": not of a pepperfield archive");
+        }
+        if (root.path("format").asInt() != FORMAT) {
+            throw new ArchiveFault(NAME + ": format " + root.path("format") + " is not known");
+        }
+        if (!root.path("revision").isIntegralNumber()) {
+            throw new ArchiveFault(NAME + ": no revision");
+        }
+        List<String> controllers = new ArrayList<>();
+        root.path("controllers").forEach(name -> controllers.add(name.asText()));
+        List<Entry> entries = new ArrayList<>();
+        root.path("entries")
+                .forEach(
+                        entry ->
+                                entries.add(
+                                        new Entry(
+                                                entry.path("name").asText(),
+                                                entry.path("bytes").asLong(-1),
+                                                entry.path("sha256").asText())));
+        return new ArchiveManifest(root.path("revision").longValue(), controllers, entries);
+    }
+}
