Rollout: five controllers as processes over loopback; losing an election backs off in all cases

Need: the proof with real processes: upgraded in random order under load, killed, some back on old code, activated, half rolled back by a killed leader, activated again.

Refusals back off as lost elections do.

--- a/src/main/java/io/pepperfield/leadership/Leadership.java
+++ b/src/main/java/io/pepperfield/leadership/Leadership.java
@@ -237,14 +237,10 @@
                                     if (token == 0) {
                                         lead(done.revision());
                                     }
-                                } else if (result instanceof TxnResult.Conflict && token == 0) {
-                                    state.endGrant(grant);
-                                    grant = 0;
-                                    abstainUntil = loop.now() + afterLostElection();
                                 } else if (!(result instanceof TxnResult.Unknown) && token == 0) {
                                     state.endGrant(grant);
                                     grant = 0;
-                                    abstainUntil = loop.now() + ttlS / 10;
+                                    abstainUntil = loop.now() + afterLostElection();
                                 } else if (token == 0) {
                                     // Perhaps elected without knowing it: ending the grant undoes
                                     // it whenever it takes effect.
@@ -257,8 +253,9 @@
     }
 
     /**
-     * Another has the key. To stand again and again before the replica says who would cost three
-     * requests each time, which never wait, and so leave none for the follow that brings the news.
+     * Another has the key, or something else has changed that this node has not heard of. To stand
+     * again and again before the replica brings it would cost three requests each time, which never
+     * wait, and so leave none for the follow that brings the news.
      */
     private double afterLostElection() {
         double pause = ttlS / 10 * Math.pow(2, electionsLost);
--- a/src/main/java/io/pepperfield/node/Service.java
+++ b/src/main/java/io/pepperfield/node/Service.java
@@ -32,6 +32,7 @@
     private static final int MOST_ANSWER_BYTES = 4 * 1024 * 1024;
 
     private final Settings settings;
+    private final Release release;
     private final EventLoop eventLoop = new EventLoop();
     private final EventLoopGroup network =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -40,7 +41,24 @@
 
     /** Creates a controller's process; it listens from {@link #start} on. */
     public Service(Settings settings) {
+        this(settings, null);
+    }
+
+    /**
+     * Creates a controller's process of another release than this one.
+     *
+     * @param release what it reads and writes if the rollout is switched on; null for this release
+     */
+    public Service(Settings settings, Release release) {
         this.settings = settings;
+        this.release = release;
+    }
+
+    private Rollout rollout(HttpStateService state) {
+        if (!settings.operators().enabled(Feature.ROLLOUT)) {
+            return null;
+        }
+        return new Rollout(eventLoop, settings, state, release == null ? Release.CURRENT : release);
     }
 
     /** Listens; gives the port for users and workers. */
@@ -56,10 +74,7 @@
         }
         HttpClient client = new HttpClient(network, MOST_ANSWER_BYTES);
         HttpStateService state = new HttpStateService(eventLoop, client, settings.state());
-        Rollout rollout =
-                settings.operators().enabled(Feature.ROLLOUT)
-                        ? new Rollout(eventLoop, settings, state, Release.CURRENT)
-                        : null;
+        Rollout rollout = rollout(state);
         HttpCloud cloud =
                 new HttpCloud(
                         eventLoop, client, settings.cloud(), settings.deployment().cloud().rps());
--- /dev/null
+++ b/src/test/java/io/pepperfield/standin/ControllerProcess.java
@@ -0,0 +1,72 @@
+package io.pepperfield.standin;
+
+import io.pepperfield.config.Feature;
+import io.pepperfield.config.Operators;
+import io.pepperfield.config.Settings;
+import io.pepperfield.config.SettingsReader;
+import io.pepperfield.node.Service;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** A controller in a process of its own, which can be killed and come back as another version. */
+public final class ControllerProcess {
+
+    private final Path settings;
+    private Process process;
+
+    /** Keeps the controller's settings in that directory. */
+    public ControllerProcess(LoopbackRegion region, int node, Path directory) throws IOException {
+        settings =
+                Files.writeString(
+                        directory.resolve("node-" + node + ".toml"), region.settings(node));
+    }
+
+    /** Starts it as that version. */
+    public void start(Version version) throws IOException {
+        Path log = settings.resolveSibling(settings.getFileName() + ".log");
+        process =
+                new ProcessBuilder(
+                                List.of(
+                                        Path.of(System.getProperty("java.home"), "bin", "java")
+                                                .toString(),
+                                        "-Xmx128m",
+                                        "-XX:+UseSerialGC",
+                                        "-XX:TieredStopAtLevel=1",
+                                        "-cp",
+                                        System.getProperty("java.class.path"),
+                                        ControllerProcess.class.getName(),
+                                        settings.toString(),
+                                        version.name()))
+                        .redirectErrorStream(true)
+                        .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                        .start();
+    }
+
+    /** Ends it without a signal that it could handle. */
+    public void kill() throws InterruptedException {
+        process.destroyForcibly();
+        process.waitFor(10, TimeUnit.SECONDS);
+    }
+
+    /** The process: a settings file and the name of a version. */
+    public static void main(String[] arguments) throws Exception {
+        Operators defaults = Operators.DEFAULTS;
+        Operators operators =
+                new Operators(
+                        defaults.chargeS(),
+                        defaults.restartShare(),
+                        defaults.partlyShare(),
+                        defaults.headroom(),
+                        defaults.steady(),
+                        defaults.silentAtOnce(),
+                        Set.of(Feature.ROLLOUT));
+        Settings settings = SettingsReader.read(Path.of(arguments[0]), operators);
+        Service service = new Service(settings, Version.valueOf(arguments[1]).release());
+        service.start();
+        service.run();
+    }
+}
--- /dev/null
+++ b/src/test/java/io/pepperfield/standin/LoopbackRegion.java
@@ -0,0 +1,351 @@
+package io.pepperfield.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.pepperfield.http.Call;
+import io.pepperfield.http.HttpClient;
+import io.pepperfield.http.HttpServer;
+import io.pepperfield.http.Json;
+import io.pepperfield.http.Outcome;
+import io.pepperfield.http.Reply;
+import io.pepperfield.http.Sender;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
+
+/**
+ * Stand-ins of everything that controllers talk to, behind real sockets on this machine. What
+ * breaks a rule is kept in {@link #broken}.
+ */
+public final class LoopbackRegion implements WorkerStandIn.Truth, AutoCloseable {
+
+    private static final double REPORT_S = 0.5;
+    private static final double LEASE_S = 4;
+    private static final double TASK_S = 0.5;
+    private static final long TICK_MS = 20;
+    private static final long AGAIN_MS = 100;
+
+    /** Longer than anything takes on a busy machine. */
+    private static final long PATIENCE_S = 60;
+
+    /** Answers a request that arrived over a socket. */
+    private interface Handler {
+        void handle(Call call, Consumer<Reply> answer);
+    }
+
+    public final List<String> broken = new CopyOnWriteArrayList<>();
+
+    private final EventLoopGroup network =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final HttpClient client = new HttpClient(network, 1 << 20);
+    private final ScheduledExecutorService region = Executors.newSingleThreadScheduledExecutor();
+    private final long zero = System.nanoTime();
+    private final Map<String, WorkerStandIn> workers = new LinkedHashMap<>();
+    private final Map<String, WorkerStandIn> running = new HashMap<>();
+    private final Set<String> done = new HashSet<>();
+    private final StateStandIn state = new StateStandIn(this::now, 10_000);
+    private final List<Integer> ports = new ArrayList<>();
+    private final List<Integer> peerPorts = new ArrayList<>();
+    private final int statePort;
+    private final int cloudPort;
+
+    public LoopbackRegion(int controllers) throws Exception {
+        CloudStandIn cloud = new CloudStandIn(this::now, 2 * controllers, new Machines());
+        statePort = listen(state::handle);
+        cloudPort = listen((call, answer) -> answer.accept(cloud.handle(call)));
+        region.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        List<Integer> free = freePorts(2 * controllers);
+        ports.addAll(free.subList(0, controllers));
+        peerPorts.addAll(free.subList(controllers, 2 * controllers));
+    }
+
+    /** Checks that stored-state versions change as they must. */
+    public void checkRollout() {
+        region.execute(() -> state.rolloutRules = new RolloutRules(this::now, broken));
+    }
+
+    private double now() {
+        return (System.nanoTime() - zero) / 1e9;
+    }
+
+    private void tick() {
+        state.tick();
+        List.copyOf(workers.values()).forEach(WorkerStandIn::tick);
+    }
+
+    private int listen(Handler handler) throws InterruptedException {
+        return new HttpServer(
+                        network,
+                        200,
+                        (call, answer) -> region.execute(() -> handler.handle(call, answer)))
+                .start("127.0.0.1", 0);
+    }
+
+    private static List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> held = new ArrayList<>();
+        List<Integer> free = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            held.add(new ServerSocket(0));
+            free.add(held.get(i).getLocalPort());
+        }
+        for (ServerSocket socket : held) {
+            socket.close();
+        }
+        return free;
+    }
+
+    // ---- controllers
+
+    /** Where users and workers reach a controller. */
+    public int port(int node) {
+        return ports.get(node);
+    }
+
+    /** The platform's settings of a controller. */
+    public String settings(int node) {
+        StringBuilder toml =
+                new StringBuilder(
+                        "node = \"node-%d\"\nzone = \"east\"\nbind = \"127.0.0.1:%d\"\n"
+                                .formatted(node, ports.get(node)));
+        toml.append("peer_listen = \"127.0.0.1:%d\"\n".formatted(peerPorts.get(node)));
+        for (int other = 0; other < ports.size(); other++) {
+            if (other != node) {
+                toml.append(
+                        "[[members]]\nnode = \"node-%d\"\nzone = \"east\"\naddr = \"127.0.0.1:%d\"\n"
+                                .formatted(other, peerPorts.get(other)));
+            }
+        }
+        toml.append(
+                "[endpoints]\ncloud = \"127.0.0.1:%d\"\nstate = \"127.0.0.1:%d\"\n"
+                        .formatted(cloudPort, statePort));
+        return toml.append("[deployment]\nsize = %d\n".formatted(ports.size()))
+                .append(
+                        """
+                        [[deployment.teams]]
+                        name = "red"
+                        cpus = 16
+                        cpus_max = 32
+                        [deployment.workers]
+                        report_s = 0.5
+                        lease_s = 4
+                        cancel_s = 12
+                        [deployment.state]
+                        rps = 400
+                        write_rps = 200
+                        value_kb = 8
+                        txn_ops = 32
+                        [deployment.cloud]
+                        rps = 20
+                        list_lag_s = 1
+                        [deployment.quota]
+                        core_share = 1
+                        mem_mb = 256
+                        sockets = 400
+                        """)
+                .toString();
+    }
+
+    // ---- machines
+
+    /** Machines whose workers listen on a socket of their own. */
+    private final class Machines implements CloudStandIn.Machines {
+
+        @Override
+        public void boot(String name, String type, String zone, boolean spot) {
+            WorkerStandIn[] made = new WorkerStandIn[1];
+            Handler handler = (call, answer) -> made[0].handle(call.path(), call.body(), answer);
+            // Bound off the region's own thread, which must not wait for the network's.
+            CompletableFuture.supplyAsync(() -> bind(handler))
+                    .thenAccept(
+                            port ->
+                                    region.execute(
+                                            () -> {
+                                                made[0] = worker(name, type, zone, spot, port);
+                                                workers.put(name, made[0]);
+                                            }));
+        }
+
+        @Override
+        public void delete(String name) {
+            WorkerStandIn gone = workers.remove(name);
+            if (gone != null) {
+                gone.die();
+                running.values().removeIf(worker -> worker == gone);
+            }
+        }
+    }
+
+    private int bind(Handler handler) {
+        try {
+            return listen(handler);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private WorkerStandIn worker(String name, String type, String zone, boolean spot, int port) {
+        List<String> names =
+                IntStream.range(0, ports.size()).mapToObj(node -> "node-" + node).toList();
+        List<String> addresses = ports.stream().map(p -> "127.0.0.1:" + p).toList();
+        Sender sender =
+                (host, to, connections, method, path, body, deadlineMs, finish) ->
+                        client.send(
+                                host,
+                                to,
+                                connections,
+                                method,
+                                path,
+                                body,
+                                deadlineMs,
+                                outcome -> region.execute(() -> finish.accept(outcome)));
+        return new WorkerStandIn(
+                name,
+                type,
+                zone,
+                spot,
+                "127.0.0.1:" + port,
+                this::now,
+                sender,
+                names,
+                addresses,
+                REPORT_S,
+                LEASE_S,
+                this);
+    }
+
+    @Override
+    public double runS(String task) {
+        return TASK_S;
+    }
+
+    @Override
+    public void begins(WorkerStandIn worker, String task) {
+        WorkerStandIn other = running.put(task, worker);
+        if (other != null && other != worker) {
+            broken.add(now() + " ran_twice: " + task);
+        }
+    }
+
+    @Override
+    public void ends(WorkerStandIn worker, String task, boolean completed) {
+        running.remove(task, worker);
+        if (completed) {
+            done.add(task);
+        }
+    }
+
+    @Override
+    public boolean fails(String task) {
+        return false;
+    }
+
+    @Override
+    public boolean isDone(String task) {
+        return done.contains(task);
+    }
+
+    /** The value under a key, or null. */
+    public JsonNode durable(String key) throws Exception {
+        return region.submit(() -> state.get(key)).get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    // ---- users
+
+    /** A small array. */
+    public static ObjectNode job(int number) {
+        return Json.object()
+                .put("nameId", String.format("run-%06d", number))
+                .put("workload", "batch")
+                .put("owner", "red")
+                .put("shape", "sweep")
+                .put("rank", "standard")
+                .put("shards", 3)
+                .put("vcpus", 2.0)
+                .put("accelerators", 0.0)
+                .put("memGb", 2.0)
+                .put("bundle", "img")
+                .put("pullGb", 0.1)
+                .put("together", false)
+                .put("spread", false)
+                .put("reclaimable", true)
+                .put("expectedS", 1.0)
+                .put("snapshotEveryS", 0.0)
+                .put("snapshotS", 0.0);
+    }
+
+    public Outcome.Answered ask(int node, String method, String path, byte[] body) {
+        CompletableFuture<Outcome> future = new CompletableFuture<>();
+        client.send("127.0.0.1", ports.get(node), 4, method, path, body, 5000, future::complete);
+        return (Outcome.Answered) future.join();
+    }
+
+    /** Asks again and again, as users do, until the answer is as wanted. */
+    public JsonNode until(
+            int node, String method, String path, byte[] body, Predicate<Outcome.Answered> wanted)
+            throws Exception {
+        CompletableFuture<JsonNode> found = new CompletableFuture<>();
+        again(List.of(node), 0, method, path, body, wanted, found);
+        return found.get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    /** The same of all controllers in turn. */
+    public JsonNode untilAny(
+            String method, String path, byte[] body, Predicate<Outcome.Answered> wanted)
+            throws Exception {
+        CompletableFuture<JsonNode> found = new CompletableFuture<>();
+        List<Integer> all = IntStream.range(0, ports.size()).boxed().toList();
+        again(all, 0, method, path, body, wanted, found);
+        return found.get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    private void again(
+            List<Integer> nodes,
+            int turn,
+            String method,
+            String path,
+            byte[] body,
+            Predicate<Outcome.Answered> wanted,
+            CompletableFuture<JsonNode> found) {
+        client.send(
+                "127.0.0.1",
+                ports.get(nodes.get(turn % nodes.size())),
+                4,
+                method,
+                path,
+                body,
+                5000,
+                outcome -> {
+                    if (outcome instanceof Outcome.Answered answer && wanted.test(answer)) {
+                        found.complete(answer.json());
+                    } else if (!found.isDone()) {
+                        region.schedule(
+                                () -> again(nodes, turn + 1, method, path, body, wanted, found),
+                                AGAIN_MS,
+                                TimeUnit.MILLISECONDS);
+                    }
+                });
+    }
+
+    @Override
+    public void close() {
+        region.shutdownNow();
+        network.shutdownGracefully();
+    }
+}
