--- a/src/main/java/io/pepperfield/rollout/RolloutRequests.java
+++ b/src/main/java/io/pepperfield/rollout/RolloutRequests.java
@@ -86,7 +86,8 @@
 
     private void activate(byte[] raw, Consumer<RolloutAnswer> done, Consumer<Reply> answer) {
         JsonNode body = Json.read(raw);
-        JsonNode target = body == null ? null : body.path("to");
+        boolean readable = body != null && body.isObject();
+        JsonNode target = readable ? body.path("to") : null;
         if (target == null || !target.isMissingNode() && !target.isInt()) {
             busy = false;
             answer.accept(Reply.error(400, "to: want the number of a version"));
--- /dev/null
+++ b/src/test/java/io/pepperfield/rollout/RolloutCommandsTest.java
@@ -0,0 +1,418 @@
+package io.pepperfield.rollout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.config.Operators;
+import io.pepperfield.config.Settings;
+import io.pepperfield.config.SettingsException;
+import io.pepperfield.config.SettingsReader;
+import io.pepperfield.http.Json;
+import io.pepperfield.http.Reply;
+import io.pepperfield.jobs.RunRecord;
+import io.pepperfield.leadership.LeaderClaim;
+import io.pepperfield.standin.DirectState;
+import io.pepperfield.standin.SimWorld;
+import io.pepperfield.standin.SimulatedLoop;
+import io.pepperfield.store.Keys;
+import io.pepperfield.store.Replica;
+import io.pepperfield.store.StateService.Change;
+import io.pepperfield.store.StateService.Guard;
+import io.pepperfield.store.StateService.Item;
+import io.pepperfield.store.StateService.ReadResult;
+import io.pepperfield.store.StateService.TxnResult;
+import io.pepperfield.store.StateService.Urgency;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Operators' commands and late, repeated and contradictory writes around them, one at a time. */
+class RolloutCommandsTest {
+
+    private static final String RECORD = Keys.run("run-000001", 0);
+    private static final String ACTIVATE = "{\"olderReleasesRetired\":true}";
+    private static final JsonNode LINES = Json.read(bytes("[[0,1,1,\"host-1\",1],[1,1,2]]"));
+    private static final JsonNode LATER = Json.read(bytes("[[0,1,2],[1,1,2]]"));
+    private static final Release GATED = new Release("gated", 1, 1, 1);
+    private static final double SECONDS = 20;
+
+    private final SimulatedLoop loop = new SimulatedLoop();
+    private final DirectState state = new DirectState();
+
+    /** A controller as far as the rollout is concerned; it leads if it is told that it does. */
+    private final class Node implements LeaderClaim {
+        final Rollout rollout;
+        final Map<String, Long> stamps = new HashMap<>();
+        final Map<String, JsonNode> seen = new HashMap<>();
+        final Replica replica = new Replica(this::changed);
+        boolean leads;
+
+        Node(int index, Release release) throws SettingsException {
+            rollout = new Rollout(loop, settings(index), state, release);
+            rollout.attach(this);
+        }
+
+        private void changed(String key, JsonNode data, long stamp) {
+            stamps.put(key, stamp);
+            seen.put(key, data);
+            if (key.startsWith(Keys.ROLLOUT)) {
+                rollout.changed(key, data, stamp);
+            }
+        }
+
+        /** Hears all that has been written, and does what is due. */
+        void hear() {
+            rollout.state()
+                    .follow(
+                            replica.revision(),
+                            0,
+                            result -> {
+                                ReadResult.Read read = (ReadResult.Read) result;
+                                replica.advance(read.items(), read.revision());
+                            });
+            rollout.tick();
+        }
+
+        TxnResult write(JsonNode lines) {
+            TxnResult[] got = new TxnResult[1];
+            rollout.state()
+                    .txn(
+                            Urgency.RUN,
+                            List.of(
+                                    new Guard(Keys.LEADER, token()),
+                                    new Guard(RECORD, stamps.getOrDefault(RECORD, 0L))),
+                            List.of(Change.set(RECORD, lines)),
+                            result -> got[0] = result);
+            return got[0];
+        }
+
+        Reply command(String name, String body) {
+            Reply[] got = new Reply[1];
+            rollout.handle(
+                    SimWorld.call("POST", "/api/rollout/" + name, bytes(body)),
+                    reply -> got[0] = reply);
+            return got[0];
+        }
+
+        @Override
+        public boolean confirmed() {
+            return leads;
+        }
+
+        @Override
+        public long token() {
+            return stamps.getOrDefault(Keys.LEADER, 0L);
+        }
+
+        @Override
+        public long grant() {
+            return 1;
+        }
+
+        @Override
+        public JsonNode value() {
+            return Json.object().put("node", "node-0").put("grant", 1);
+        }
+
+        @Override
+        public String leader() {
+            return "node-0";
+        }
+    }
+
+    private Node leader;
+    private Node other;
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static Settings settings(int index) throws SettingsException {
+        int peer = 1 - index;
+        String toml =
+                """
+                node = "node-%d"
+                zone = "east"
+                bind = "127.0.0.1:1"
+                peer_listen = "127.0.0.1:1"
+                [[members]]
+                node = "node-%d"
+                zone = "east"
+                addr = "127.0.0.1:1"
+                [endpoints]
+                cloud = "127.0.0.1:1"
+                state = "127.0.0.1:1"
+                [deployment]
+                size = 2
+                [deployment.workers]
+                report_s = 1
+                lease_s = 4
+                cancel_s = 12
+                [deployment.state]
+                rps = 100
+                write_rps = 50
+                value_kb = 8
+                txn_ops = 8
+                [deployment.cloud]
+                rps = 1
+                list_lag_s = 1
+                [deployment.quota]
+                core_share = 1
+                mem_mb = 256
+                sockets = 256
+                """;
+        return SettingsReader.parse("test", toml.formatted(index, peer), Operators.DEFAULTS);
+    }
+
+    @BeforeEach
+    void start() throws SettingsException {
+        state.put(Keys.LEADER, Json.object().put("node", "node-0").put("grant", 1));
+        leader = new Node(0, Release.CURRENT);
+        leader.leads = true;
+        other = new Node(1, Release.CURRENT);
+        hearAll();
+        hearAll();
+    }
+
+    private void hearAll() {
+        leader.hear();
+        other.hear();
+    }
+
+    private void passTime() {
+        double until = loop.now() + SECONDS;
+        while (loop.now() < until) {
+            loop.run(loop.now() + 0.5);
+            hearAll();
+        }
+    }
+
+    private void activate() {
+        assertEquals(200, leader.command("activate", ACTIVATE).status());
+        hearAll();
+    }
+
+    private static String why(Reply reply) {
+        return Json.read(reply.body()).path("error").asText();
+    }
+
+    private ClusterVersion version() {
+        return ClusterVersion.read(state.get(Keys.ROLLOUT_VERSION));
+    }
+
+    // ---- late and stale writers
+
+    @Test
+    void aWriteOfBeforeTheActivationIsRefusedWheneverItArrives() {
+        state.holds = true;
+        leader.write(LINES);
+        state.holds = false;
+        activate();
+        assertInstanceOf(TxnResult.Conflict.class, state.deliver().get(0));
+        assertNull(state.get(RECORD));
+    }
+
+    @Test
+    void aWriterThatHasNotHeardOfTheActivationIsToldToTryAgain() {
+        assertEquals(200, leader.command("activate", ACTIVATE).status());
+        assertEquals(new TxnResult.Refused(409), other.write(LINES));
+        hearAll();
+        assertInstanceOf(TxnResult.Committed.class, leader.write(LINES));
+    }
+
+    @Test
+    void anOldProcessThatDeclaresItselfInTheLastMomentHoldsUpTheActivation() {
+        // The leader has not heard of it yet.
+        state.put(Keys.ROLLOUT_MEMBER + "node-1", new MemberRelease(GATED, "another", 0).write());
+        assertEquals(503, leader.command("activate", ACTIVATE).status());
+        assertNull(state.get(Keys.ROLLOUT_VERSION));
+        leader.hear();
+        assertEquals(
+                "waits for: node-1 runs gated, which writes 1",
+                why(leader.command("activate", ACTIVATE)));
+    }
+
+    @Test
+    void aReplacedLeaderChangesNothing() {
+        state.put(Keys.LEADER, Json.object().put("node", "node-1").put("grant", 2));
+        assertEquals(503, leader.command("activate", ACTIVATE).status());
+        assertNull(state.get(Keys.ROLLOUT_VERSION));
+    }
+
+    @Test
+    void aReleaseThatLacksTheVersionWritesNothingAndSaysWhy() throws SettingsException {
+        activate();
+        Node old = new Node(1, GATED);
+        old.hear();
+        assertFalse(old.rollout.gate().serves());
+        assertEquals(new TxnResult.Refused(503), old.write(LINES));
+        old.leads = true;
+        assertEquals(
+                "serving nobody: stored-state version 2 is in use, and release gated reads 1 to 1",
+                why(old.command("rollback", "{}")));
+    }
+
+    @Test
+    void aRecordThatWasRewrittenMeanwhileKeepsTheNewerLines() {
+        activate();
+        leader.write(LINES);
+        leader.hear();
+        leader.command("rollback", "{}");
+        // The rewriting reads the record, and its transaction is carried out late.
+        state.holds = true;
+        leader.hear();
+        state.holds = false;
+        assertInstanceOf(TxnResult.Committed.class, leader.write(LATER));
+        assertInstanceOf(TxnResult.Conflict.class, state.deliver().get(0));
+        passTime();
+        assertEquals(LATER, state.get(RECORD));
+    }
+
+    // ---- records
+
+    @Test
+    void aRecordIsInOneFormAndComesBackAsItWas() {
+        leader.write(LINES);
+        leader.hear();
+        activate();
+        leader.hear();
+        leader.write(LATER);
+        assertNull(state.get(RECORD));
+        assertEquals(2, state.get(VersionedStateService.compactKey(RECORD)).path("v").asInt());
+        hearAll();
+        assertEquals(LATER, other.seen.get(RECORD));
+        leader.command("rollback", "{}");
+        passTime();
+        assertEquals(LATER, state.get(RECORD));
+        assertEquals(0, state.count(Keys.SECOND_RUN));
+        assertEquals(ClusterVersion.INITIAL, version());
+        assertEquals(LATER, other.seen.get(RECORD));
+    }
+
+    @Test
+    void aRecordOfAnotherVersionIsPassedOnAsSuchAndNeverRewritten() {
+        activate();
+        JsonNode unknown = Json.object().put("v", 3);
+        state.put(VersionedStateService.compactKey(RECORD), unknown);
+        hearAll();
+        assertEquals(RunRecord.UNREADABLE, leader.seen.get(RECORD));
+        leader.command("rollback", "{}");
+        passTime();
+        assertEquals(unknown, state.get(VersionedStateService.compactKey(RECORD)));
+        assertEquals(ClusterVersion.Phase.ROLLING_BACK, version().phase());
+    }
+
+    @Test
+    void recordsWrittenSinceAnEarlierRollbackAreFoundByTheNext() {
+        activate();
+        for (int round = 0; round < 2; round++) {
+            leader.write(round == 0 ? LINES : LATER);
+            hearAll();
+            leader.command("rollback", "{}");
+            leader.hear();
+            // It has read past the record when the version is activated once more.
+            loop.run(loop.now() + 1);
+            leader.hear();
+            if (round == 0) {
+                leader.command("activate", ACTIVATE);
+                hearAll();
+            }
+        }
+        passTime();
+        assertEquals(LATER, state.get(RECORD));
+        assertEquals(0, state.count(Keys.SECOND_RUN));
+    }
+
+    // ---- commands
+
+    @Test
+    void commandsMayBeRepeatedAfterALostAnswer() {
+        state.losesAnswers = true;
+        assertEquals(503, leader.command("activate", ACTIVATE).status());
+        state.losesAnswers = false;
+        // Not heard of yet: neither done nor refused for good.
+        assertEquals(503, leader.command("activate", ACTIVATE).status());
+        hearAll();
+        assertEquals(200, leader.command("activate", ACTIVATE).status());
+        assertEquals(200, leader.command("rollback", "{}").status());
+        hearAll();
+        hearAll();
+        assertEquals(200, leader.command("rollback", "{}").status());
+        passTime();
+        assertEquals(200, leader.command("rollback", "{}").status());
+        assertEquals(ClusterVersion.INITIAL, version());
+    }
+
+    @Test
+    void isNotCalledActiveByWhoHasNotHeardOfARollback() {
+        activate();
+        state.put(Keys.ROLLOUT_VERSION, version().rollingBack().write());
+        assertEquals(503, leader.command("activate", ACTIVATE).status());
+    }
+
+    @Test
+    void refusesWhatCannotBeAndWritesNothing() {
+        int before = state.changes;
+        assertEquals(
+                "version 3 is not known to this release, which writes 2",
+                why(leader.command("activate", "{\"to\":3,\"olderReleasesRetired\":true}")));
+        assertEquals(
+                "version 0 cannot follow version 1",
+                why(leader.command("activate", "{\"to\":0,\"olderReleasesRetired\":true}")));
+        assertEquals(400, leader.command("activate", "{\"to\":\"two\"}").status());
+        assertEquals(400, leader.command("activate", "{").status());
+        assertEquals(
+                "node-7 is no configured controller",
+                why(
+                        leader.command(
+                                "activate",
+                                "{\"without\":[\"node-7\"],\"olderReleasesRetired\":true}")));
+        assertTrue(
+                why(leader.command("activate", "{}")).contains("--older-releases-retired"),
+                "an operator's word");
+        assertEquals(404, leader.command("frob", "{}").status());
+        assertEquals("not the leader, which is node-0", why(other.command("activate", ACTIVATE)));
+        assertEquals(before, state.changes);
+    }
+
+    @Test
+    void aControllerThatNeverComesBackIsLeftOutByName() throws SettingsException {
+        Node alone = new Node(0, Release.CURRENT);
+        alone.leads = true;
+        alone.hear();
+        state.put(Keys.ROLLOUT_MEMBER + "node-1", Json.object());
+        alone.hear();
+        assertEquals(
+                "waits for: node-1 has declared no release",
+                why(alone.command("activate", ACTIVATE)));
+        String without = "{\"without\":[\"node-1\"],\"olderReleasesRetired\":true}";
+        assertEquals(200, alone.command("activate", without).status());
+        assertEquals(List.of("node-1"), version().removed());
+    }
+
+    @Test
+    void aVersionRecordThatIsGoneOrUnreadableLetsNobodyServe() {
+        activate();
+        leader.rollout.changed(Keys.ROLLOUT_VERSION, null, 90);
+        assertFalse(leader.rollout.gate().serves());
+        other.rollout.changed(Keys.ROLLOUT_VERSION, Json.object().put("writes", 1), 90);
+        assertFalse(other.rollout.gate().serves());
+    }
+
+    @Test
+    void whoLooksAtTheKeysWithoutAGateFindsAnotherLeader() {
+        activate();
+        Item fence = new Item(Keys.LEADER, state.get(Keys.LEADER), state.stamp(Keys.LEADER));
+        assertEquals("stored-version-fence", fence.data().path("node").asText());
+        leader.command("rollback", "{}");
+        passTime();
+        assertEquals("node-0", state.get(Keys.LEADER).path("node").asText());
+    }
+}
