--- a/src/test/java/io/pepperfield/rollout/RolloutCommandsTest.java
+++ b/src/test/java/io/pepperfield/rollout/RolloutCommandsTest.java
@@ -81,14 +81,18 @@
         }
 
         TxnResult write(JsonNode lines) {
+            return write(RECORD, lines);
+        }
+
+        TxnResult write(String record, JsonNode lines) {
             TxnResult[] got = new TxnResult[1];
             rollout.state()
                     .txn(
                             Urgency.RUN,
                             List.of(
                                     new Guard(Keys.LEADER, token()),
-                                    new Guard(RECORD, stamps.getOrDefault(RECORD, 0L))),
-                            List.of(Change.set(RECORD, lines)),
+                                    new Guard(record, stamps.getOrDefault(record, 0L))),
+                            List.of(Change.set(record, lines)),
                             result -> got[0] = result);
             return got[0];
         }
@@ -310,24 +314,25 @@
     }
 
     @Test
-    void recordsWrittenSinceAnEarlierRollbackAreFoundByTheNext() {
+    void recordsWrittenSinceAnUnfinishedRollbackAreFoundByTheNext() {
         activate();
-        for (int round = 0; round < 2; round++) {
-            leader.write(round == 0 ? LINES : LATER);
-            hearAll();
-            leader.command("rollback", "{}");
-            leader.hear();
-            // It has read past the record when the version is activated once more.
-            loop.run(loop.now() + 1);
-            leader.hear();
-            if (round == 0) {
-                leader.command("activate", ACTIVATE);
-                hearAll();
-            }
+        for (int job = 1; job <= 6; job++) {
+            assertInstanceOf(
+                    TxnResult.Committed.class, leader.write(Keys.run("run-00000" + job, 0), LINES));
         }
+        hearAll();
+        leader.command("rollback", "{}");
+        leader.hear();
+        assertEquals(2, state.count(Keys.SECOND_RUN), "not rewritten yet");
+        assertEquals(200, leader.command("activate", ACTIVATE).status());
+        hearAll();
+        // Compact once more, before the place that the rewriting had reached.
+        assertInstanceOf(TxnResult.Committed.class, leader.write(LATER));
+        leader.command("rollback", "{}");
         passTime();
-        assertEquals(LATER, state.get(RECORD));
         assertEquals(0, state.count(Keys.SECOND_RUN));
+        assertEquals(LATER, state.get(RECORD));
+        assertEquals(ClusterVersion.INITIAL, version());
     }
 
     // ---- commands
--- /dev/null
+++ b/src/test/java/io/pepperfield/rollout/RolloutMeasurement.java
@@ -0,0 +1,201 @@
+package io.pepperfield.rollout;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.config.Operators;
+import io.pepperfield.config.Settings;
+import io.pepperfield.config.SettingsReader;
+import io.pepperfield.http.Json;
+import io.pepperfield.jobs.RunRecord;
+import io.pepperfield.jobs.RunRecord.State;
+import io.pepperfield.leadership.LeaderClaim;
+import io.pepperfield.standin.DirectState;
+import io.pepperfield.standin.Region;
+import io.pepperfield.standin.Scenario;
+import io.pepperfield.standin.SimOperator.Command;
+import io.pepperfield.standin.SimulatedLoop;
+import io.pepperfield.standin.Trouble.LargeArrays;
+import io.pepperfield.standin.Trouble.OperatorAsks;
+import io.pepperfield.standin.Version;
+import io.pepperfield.store.Keys;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Figures for {@code docs/design/rollout.md}, not part of the tests: what a rollback of 10,000
+ * records takes, and what the compact form saves. Run its {@code main} with the test class path.
+ */
+final class RolloutMeasurement {
+
+    private static final int RECORDS = 10_000;
+    private static final int LINES = 136;
+    private static final int ARRAYS = 6;
+    private static final int TASKS = 600;
+
+    private static final String SETTINGS =
+            """
+            node = "node-0"
+            zone = "east"
+            bind = "127.0.0.1:1"
+            peer_listen = "127.0.0.1:1"
+            [endpoints]
+            cloud = "127.0.0.1:1"
+            state = "127.0.0.1:1"
+            [deployment]
+            size = 1
+            [deployment.workers]
+            report_s = 2.5
+            lease_s = 12
+            cancel_s = 37
+            [deployment.state]
+            rps = 150
+            write_rps = 50
+            value_kb = 8
+            txn_ops = 40
+            [deployment.cloud]
+            rps = 2
+            list_lag_s = 8
+            [deployment.quota]
+            core_share = 1
+            mem_mb = 256
+            sockets = 256
+            """;
+
+    private RolloutMeasurement() {}
+
+    /** A leader that is never replaced. */
+    private record Lead(DirectState state) implements LeaderClaim {
+        @Override
+        public boolean confirmed() {
+            return true;
+        }
+
+        @Override
+        public long token() {
+            return state.stamp(Keys.SECOND_LEADER);
+        }
+
+        @Override
+        public long grant() {
+            return 1;
+        }
+
+        @Override
+        public JsonNode value() {
+            return Json.object().put("node", "node-0").put("grant", 1);
+        }
+
+        @Override
+        public String leader() {
+            return "node-0";
+        }
+    }
+
+    /** Prints all figures. */
+    public static void main(String[] arguments) throws Exception {
+        rollback();
+        for (boolean compact : new boolean[] {false, true}) {
+            starts(compact);
+        }
+        submissionsAround(Command.ACTIVATE);
+        submissionsAround(Command.ROLLBACK);
+    }
+
+    private static void rollback() throws Exception {
+        SimulatedLoop loop = new SimulatedLoop();
+        DirectState state = new DirectState();
+        JsonNode record = CompactRunRecords.encode(RunRecord.write(lines()));
+        for (int job = 0; job < RECORDS; job++) {
+            state.put(Keys.SECOND_RUN + String.format("run-%06d/0", job), record);
+        }
+        ClusterVersion active = ClusterVersion.INITIAL.activated(2, List.of());
+        state.put(Keys.SECOND_LEADER, new Lead(state).value());
+        state.put(Keys.ROLLOUT_VERSION, active.rollingBack().write());
+        Settings settings = SettingsReader.parse("measurement", SETTINGS, Operators.DEFAULTS);
+        Rollout rollout = new Rollout(loop, settings, state, Release.CURRENT);
+        rollout.attach(new Lead(state));
+        rollout.changed(
+                Keys.ROLLOUT_VERSION,
+                state.get(Keys.ROLLOUT_VERSION),
+                state.stamp(Keys.ROLLOUT_VERSION));
+        int transactions = state.transactions;
+        int changes = state.changes;
+        while (state.get(Keys.ROLLOUT_VERSION).path("highest").asInt() > 1) {
+            loop.run(loop.now() + 0.1);
+            rollout.tick();
+        }
+        System.out.printf(
+                "rollback of %d records: %.0f s at 50 changes/s, %d transactions, %d changes%n",
+                RECORDS, loop.now(), state.transactions - transactions, state.changes - changes);
+        System.out.printf(
+                "a record of %d lines: %d bytes compact, %d in the first form%n",
+                LINES, Json.write(record).length, Json.write(RunRecord.write(lines())).length);
+    }
+
+    private static List<RunRecord> lines() {
+        List<RunRecord> lines = new ArrayList<>();
+        for (int task = 0; task < LINES; task++) {
+            boolean done = task < LINES / 2;
+            lines.add(
+                    new RunRecord(
+                            task,
+                            1,
+                            done ? State.DONE : State.LIVE,
+                            done ? "" : "host-" + (100_000 + task / 4),
+                            done ? 0 : 1));
+        }
+        return lines;
+    }
+
+    /** What users see who submit a job every 50 ms while an operator's command is carried out. */
+    private static void submissionsAround(Command command) {
+        Region region = Region.beforeRollout(2, Version.ROLLOUT);
+        Scenario day = Scenario.jobs(1, 1);
+        if (command == Command.ROLLBACK) {
+            day = day.at(10, new OperatorAsks(Command.ACTIVATE, 5));
+        }
+        region.play(day.at(20, new OperatorAsks(command, 5)));
+        int[] refused = new int[2];
+        double[] longest = new double[2];
+        for (int i = 0; i < 200; i++) {
+            int number = 500_000 + i;
+            double sent = 15 + 0.05 * i;
+            int half = sent < 20 ? 0 : 1;
+            region.world.at(
+                    sent,
+                    () ->
+                            region.submitAt(
+                                    number % 5,
+                                    number,
+                                    reply -> {
+                                        refused[half] += reply.status() == 201 ? 0 : 1;
+                                        double took = region.world.now() - sent;
+                                        longest[half] = Math.max(longest[half], took);
+                                    }));
+        }
+        region.world.run(40);
+        System.out.printf(
+                "%s: of 100 submissions in 5 s before and after, %d and %d refused, longest %.3f s and %.3f s%n",
+                command, refused[0], refused[1], longest[0], longest[1]);
+    }
+
+    /** The same arrays under either version. */
+    private static void starts(boolean compact) {
+        Region region = Region.beforeRollout(1, Version.ROLLOUT);
+        Scenario day = Scenario.jobs(1, 1);
+        if (compact) {
+            day = day.at(10, new OperatorAsks(Command.ACTIVATE, 10));
+        }
+        day = day.at(20, new LargeArrays(ARRAYS, TASKS, 20));
+        region.play(day);
+        region.world.run(19);
+        int changes = region.changes();
+        long bytes = region.bytesWritten();
+        region.world.run(400);
+        System.out.printf(
+                "%s form: %d starts, %d changes, %d bytes of values%n",
+                compact ? "compact" : "first",
+                region.starts(),
+                region.changes() - changes,
+                region.bytesWritten() - bytes);
+    }
+}
--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pepperfield.config.Settings;
 import io.pepperfield.http.Call;
+import io.pepperfield.http.Json;
 import io.pepperfield.http.Reply;
 import io.pepperfield.peer.Partitions;
 import java.util.ArrayList;
@@ -25,6 +26,8 @@
     public static final double CANCEL_S = 20;
     private static final int FEW_NODES = 3;
 
+    private static final int FEW_MACHINES = 14;
+
     /** As many as a rollout is tried with. */
     private static final int MANY_NODES = 5;
 
@@ -53,29 +56,40 @@
     private int leaderChanges;
 
     public Region(long seed) {
-        this(seed, Version.CURRENT, RegionSettings.LIMITS_NOW, FEW_NODES);
+        this(seed, Version.CURRENT, RegionSettings.LIMITS_NOW, FEW_NODES, FEW_MACHINES);
+    }
+
+    /** A region that has so many machines to rent. */
+    public static Region large(long seed, int machinesToRent) {
+        return new Region(
+                seed, Version.CURRENT, RegionSettings.LIMITS_LARGE, FEW_NODES, machinesToRent);
     }
 
     /** A region of five controllers that know stored-state versions, or are going to. */
     public static Region beforeRollout(long seed, Version version) {
-        Region region = new Region(seed, version, RegionSettings.LIMITS_NEXT, MANY_NODES);
+        Region region =
+                new Region(seed, version, RegionSettings.LIMITS_NEXT, MANY_NODES, FEW_MACHINES);
         region.state.rolloutRules = new RolloutRules(region.world::now, region.broken);
         return region;
     }
 
     /** A region before its upgrade: the recorded version runs, and the limits are going to fall. */
     public static Region beforeUpgrade(long seed) {
-        return new Region(seed, Version.RECORDED, RegionSettings.LIMITS_NEXT, FEW_NODES);
+        return new Region(
+                seed, Version.RECORDED, RegionSettings.LIMITS_NEXT, FEW_NODES, FEW_MACHINES);
     }
 
     /**
      * @param next the limits that this version knows of
      */
-    private Region(long seed, Version version, Settings.State next, int nodeCount) {
+    private Region(long seed, Version version, Settings.State next, int nodeCount, int capacity) {
         world = new SimWorld(seed);
         state = new StateStandIn(world::now, 10_000);
         state.broken = broken;
-        state.limits = new StateLimits(RegionSettings.LIMITS_NOW, world.now());
+        state.limits =
+                new StateLimits(
+                        next == RegionSettings.LIMITS_LARGE ? next : RegionSettings.LIMITS_NOW,
+                        world.now());
         stateLink = new StateLink(world, state);
         Map<String, SimJob> jobs = new LinkedHashMap<>();
         PipelineRules rules = new PipelineRules(world, broken, jobs, this::durablyDone);
@@ -85,7 +99,7 @@
         troubles = new TroublePlayer(this, machines, users);
         copies = new ReportCopies(world, nodes);
         machines.reported = copies::reported;
-        cloud = new CloudStandIn(world::now, 14, machines);
+        cloud = new CloudStandIn(world::now, capacity, machines);
         world.listen("10.2.0.1:2379", host(stateLink::handle));
         world.listen(
                 "10.2.0.2:8443", host((from, call, answer) -> answer.accept(cloud.handle(call))));
@@ -277,6 +291,19 @@
                         number, "idle", "guests", "best_effort", tasks, 0.25, List.of(runS), true));
     }
 
+    /** An array of the team without a limit, of tasks that run for long. */
+    public void submitWide(int number, int tasks, int cpus) {
+        users.submit(
+                JobPlan.array(
+                        number, "idle", "guests", "standard", tasks, cpus, List.of(120.0), true));
+    }
+
+    /** Submits a small job once, at that node and without the network between. */
+    public void submitAt(int node, int number, Consumer<Reply> answer) {
+        JobPlan plan = JobPlan.array(number, "batch", "red", "standard", 1, 1, List.of(1.0), true);
+        nodes.get(node).request("users", "POST", "/api/jobs", Json.write(plan.body()), answer);
+    }
+
     /** An array whose tasks fail on every machine until its user cancels it. */
     public void submitMistake(int number, double cancelAt) {
         users.submit(
@@ -502,6 +529,11 @@
         return state.changes;
     }
 
+    /** Bytes of all values that the state service has taken so far. */
+    public long bytesWritten() {
+        return state.bytesWritten;
+    }
+
     /** Tasks that were killed with their machine or its lease, or stopped for others. */
     public int lostTasks() {
         return machines.lostTasks;
--- a/src/test/java/io/pepperfield/standin/RegionSettings.java
+++ b/src/test/java/io/pepperfield/standin/RegionSettings.java
@@ -21,6 +21,9 @@
     /** What it allows from some moment after an upgrade. */
     static final Settings.State LIMITS_NEXT = new Settings.State(100, 30, 1, 8);
 
+    /** What a fleet of thousands of machines comes with. */
+    static final Settings.State LIMITS_LARGE = new Settings.State(600, 300, 8, 40);
+
     private RegionSettings() {}
 
     /** What a team's tasks may use of CPUs together. */
--- a/src/test/java/io/pepperfield/standin/StateStandIn.java
+++ b/src/test/java/io/pepperfield/standin/StateStandIn.java
@@ -53,6 +53,9 @@
     /** Single keys written or deleted. */
     public int changes;
 
+    /** Bytes of all values written. */
+    long bytesWritten;
+
     private long nextGrant = 1;
     private long forgottenUpTo;
     private boolean out;
@@ -281,6 +284,7 @@
             } else {
                 String key = op.path("set").asText();
                 check(key, op.get("data"));
+                bytesWritten += Json.write(op.get("data")).length;
                 entries.put(
                         key, new Entry(op.get("data"), generation, op.path("claim").longValue()));
                 events.add(new Event(key, op.get("data"), generation));
