--- a/src/main/java/io/pepperfield/node/Warnings.java
+++ b/src/main/java/io/pepperfield/node/Warnings.java
@@ -11,7 +11,7 @@
 final class Warnings {
 
     private static final Logger LOG = LoggerFactory.getLogger(Warnings.class);
-    private static final int MOST = 1000;
+    private static final int MOST = 10_000;
 
     private final Set<String> said = new HashSet<>();
 
--- a/src/test/java/io/pepperfield/cli/CommandLineTest.java
+++ b/src/test/java/io/pepperfield/cli/CommandLineTest.java
@@ -30,6 +30,12 @@
         assertEquals(2, run("cancel", "../up", "--server", "127.0.0.1:9"));
         assertEquals(2, run("nodes", "--server", "nonsense"));
         assertEquals(2, run("nodes", "--server", "127.0.0.1:70000"));
+        assertEquals(2, run("rollout"));
+        assertEquals(2, run("rollout", "frob"));
+        assertEquals(2, run("rollout", "activate", "--to", "two"));
+        assertEquals(2, run("state"));
+        assertEquals(2, run("state", "export", "file.tar"));
+        assertEquals(2, run("state", "inspect"));
     }
 
     @Test
@@ -38,6 +44,12 @@
         assertEquals(1, run("check", "--config", bad.toString()));
         assertEquals(1, run("serve", "--config", dir.resolve("none.toml").toString()));
         assertEquals(1, run("submit", dir.resolve("none.json").toString()));
+        Path foreign = Files.writeString(dir.resolve("foreign.tar"), "no archive");
+        assertEquals(1, run("state", "inspect", foreign.toString()));
+        assertEquals(1, run("state", "inspect", dir.resolve("none.tar").toString()));
+        assertEquals(1, run("state", "export", "x.tar", "--config", bad.toString()));
+        assertEquals(1, run("rollout", "status", "--server", "127.0.0.1:1"));
+        assertEquals(1, run("rollout", "activate", "--server", "127.0.0.1:1"));
         // Port 1 of this machine: nothing listens there.
         assertEquals(1, run("nodes", "--server", "127.0.0.1:1"));
     }
--- a/src/test/java/io/pepperfield/config/SettingsTest.java
+++ b/src/test/java/io/pepperfield/config/SettingsTest.java
@@ -1,6 +1,7 @@
 package io.pepperfield.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -121,6 +122,16 @@
     void readsOperatorsXmlAndRefusesSlips() throws SettingsException {
         assertEquals(90, xml("<pepperfield><charge-s>90</charge-s></pepperfield>").chargeS());
         assertEquals(Operators.DEFAULTS, xml("<pepperfield/>"));
+        assertTrue(
+                xml("<pepperfield><rollout>on</rollout></pepperfield>").enabled(Feature.ROLLOUT));
+        assertFalse(
+                xml("<pepperfield><rollout>off</rollout></pepperfield>").enabled(Feature.ROLLOUT));
+        assertEquals(
+                "f.xml: <rollout> = \"maybe\": want on or off",
+                assertThrows(
+                                SettingsException.class,
+                                () -> xml("<pepperfield><rollout>maybe</rollout></pepperfield>"))
+                        .getMessage());
         for (String bad :
                 new String[] {
                     "<pepperfield><charge-s>0</charge-s></pepperfield>",
--- /dev/null
+++ b/src/test/java/io/pepperfield/rollout/RecordedVersionFencedTest.java
@@ -0,0 +1,72 @@
+package io.pepperfield.rollout;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.http.Json;
+import io.pepperfield.http.Reply;
+import io.pepperfield.standin.Region;
+import io.pepperfield.standin.Trace;
+import io.pepperfield.standin.Version;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** The recorded version beside the keys of a newer stored-state version, as it was seen to act. */
+class RecordedVersionFencedTest {
+
+    private static final String JOB =
+            "{\"w\":\"batch\",\"o\":\"red\",\"s\":0,\"r\":2,\"n\":3,\"c\":2.0,\"g\":0.0,\"m\":2.0,"
+                    + "\"i\":\"img\",\"ig\":0.1,\"e\":1.0,\"ce\":0.0,\"cs\":0.0,\"at\":1000,\"k\":136,"
+                    + "\"t\":false,\"sp\":false,\"re\":true}";
+
+    private static final Map<String, String> KEYS =
+            Map.of(
+                    "pepperfield/v2/leader", "{\"node\":\"node-0\",\"grant\":9}",
+                    "pepperfield/rollout/version",
+                            "{\"writes\":2,\"highest\":2,\"finalized\":1,\"removed\":[]}",
+                    "pepperfield/job/run-000001", JOB,
+                    "pepperfield/v2/run/run-000001/0",
+                            "{\"v\":2,\"done\":[0,1,1],\"live\":[[\"host-000001\",1,1,2,1]]}");
+
+    private static JsonNode json(String text) {
+        return Json.read(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void writesNothingAndLeadsNobody() throws IOException {
+        Trace.check("recorded-version-fenced.txt", RecordedVersionFencedTest::play);
+    }
+
+    private static List<String> play(String[] words) {
+        Region region = Region.beforeRollout(1, Version.RECORDED);
+        if (words[0].equals("while-one-leads")) {
+            region.world.run(15);
+        }
+        region.write("pepperfield/leader", VersionedStateService.fence());
+        KEYS.forEach((key, data) -> region.write(key, json(data)));
+        int changes = region.changes();
+        region.world.run(region.world.now() + 40);
+        String led = region.leader().equals("node-0") ? "nobody of them leads" : region.leader();
+        String first = led + ", " + (region.changes() - changes) + " changes in 40 s";
+        String job = state(region);
+        Reply up = region.answer(0, "GET", "/up");
+        Reply beat = region.report(0, "east");
+        region.write("pepperfield/end/run-000001", json("{\"s\":\"done\"}"));
+        region.world.run(region.world.now() + 2);
+        return List.of(
+                first,
+                "asked about the job: " + job,
+                "asked by the load balancer: " + up.status(),
+                "a worker's report: "
+                        + beat.status()
+                        + " "
+                        + Json.read(beat.body()).path("manager").asText(),
+                "asked about the job once it is done: " + state(region));
+    }
+
+    private static String state(Region region) {
+        Reply reply = region.answer(0, "GET", "/api/jobs/run-000001");
+        return reply.status() + " " + Json.read(reply.body()).path("status").asText();
+    }
+}
--- a/src/test/java/io/pepperfield/rollout/RolloutCommandsTest.java
+++ b/src/test/java/io/pepperfield/rollout/RolloutCommandsTest.java
@@ -27,6 +27,7 @@
 import io.pepperfield.store.StateService.TxnResult;
 import io.pepperfield.store.StateService.Urgency;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -263,6 +264,45 @@
                 why(old.command("rollback", "{}")));
     }
 
+    @Test
+    void aReleaseThatLacksTheVersionServesNobodyBeforeARollbackHasEnded() throws SettingsException {
+        activate();
+        leader.write(LINES);
+        leader.command("rollback", "{}");
+        Node old = new Node(1, GATED);
+        old.hear();
+        assertFalse(old.rollout.gate().serves());
+        passTime();
+        old.hear();
+        assertTrue(old.rollout.gate().serves());
+        assertEquals(LINES.toString(), old.seen.get(RECORD).toString());
+    }
+
+    @Test
+    void aFullTransactionThatChangesTheFormOfAllItsRecordsIsNotTooLarge() {
+        state.mostChanges = 8;
+        assertEquals(8, leader.rollout.limits().changes());
+        assertEquals(4 * 8 - 1, leader.rollout.limits().guards());
+        List<Guard> guards = new ArrayList<>(List.of(new Guard(Keys.LEADER, leader.token())));
+        for (int job = 1; job <= 4; job++) {
+            leader.write(Keys.run("run-00000" + job, 0), LINES);
+        }
+        leader.hear();
+        activate();
+        int most = leader.rollout.limits().changes();
+        List<Change> changes = new ArrayList<>();
+        for (int job = 1; job <= most; job++) {
+            String key = Keys.run("run-00000" + job, 0);
+            guards.add(new Guard(key, leader.stamps.getOrDefault(key, 0L)));
+            changes.add(Change.set(key, LATER));
+        }
+        guards.set(0, new Guard(Keys.LEADER, leader.token()));
+        TxnResult[] got = new TxnResult[1];
+        leader.rollout.state().txn(Urgency.RUN, guards, changes, result -> got[0] = result);
+        assertInstanceOf(TxnResult.Committed.class, got[0]);
+        assertTrue(leader.rollout.limits().guards() <= 4 * 8 - 1 - most);
+    }
+
     @Test
     void aRecordThatWasRewrittenMeanwhileKeepsTheNewerLines() {
         activate();
--- a/src/test/java/io/pepperfield/standin/Region.java
+++ b/src/test/java/io/pepperfield/standin/Region.java
@@ -1,6 +1,7 @@
 package io.pepperfield.standin;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.config.Settings;
 import io.pepperfield.http.Call;
 import io.pepperfield.http.Json;
@@ -298,6 +299,14 @@
                         number, "idle", "guests", "standard", tasks, cpus, List.of(120.0), true));
     }
 
+    /** Writes a key as a controller of another release would. */
+    public void write(String key, JsonNode data) {
+        ObjectNode body = Json.object();
+        body.putArray("guards");
+        body.putArray("apply").addObject().put("set", key).set("data", data);
+        state.handle(SimWorld.call("POST", "/txn", Json.write(body)), reply -> {});
+    }
+
     /** Submits a small job once, at that node and without the network between. */
     public void submitAt(int node, int number, Consumer<Reply> answer) {
         JobPlan plan = JobPlan.array(number, "batch", "red", "standard", 1, 1, List.of(1.0), true);
