Rollback: records that fit lowered limits only in the compact form are divided

Cause: records as large as the recorded version makes them, made compact, and limits that fall before a rollback: the first form did not fit into a value any more, so the rollback never ended.

--- a/src/main/java/io/pepperfield/jobs/JobSpec.java
+++ b/src/main/java/io/pepperfield/jobs/JobSpec.java
@@ -1,5 +1,6 @@
 package io.pepperfield.jobs;
 
+import io.pepperfield.store.Keys;
 import java.util.List;
 import java.util.function.UnaryOperator;
 
@@ -84,6 +85,14 @@
         return (tasks + chunk - 1) / chunk;
     }
 
+    /**
+     * The key of a part of a divided run record: numbers beyond those of the chunks, which every
+     * version reads like any other chunk.
+     */
+    public String partKey(int chunkNumber, int part) {
+        return Keys.run(id, chunkNumber + part * chunks());
+    }
+
     /** The same job with another rank. */
     public JobSpec ranked(Rank other) {
         return copy(other, awaits);
--- a/src/main/java/io/pepperfield/jobs/RunRecord.java
+++ b/src/main/java/io/pepperfield/jobs/RunRecord.java
@@ -43,6 +43,21 @@
         return all;
     }
 
+    /**
+     * The lines of a record that begins with {@code firstTask} and takes {@code chunk} tasks,
+     * divided among its parts.
+     */
+    public static List<List<RunRecord>> divide(List<RunRecord> lines, int firstTask, int chunk) {
+        List<List<RunRecord>> parts = new ArrayList<>();
+        for (int part = 0; part < PARTS; part++) {
+            parts.add(new ArrayList<>());
+        }
+        for (RunRecord line : lines) {
+            parts.get((line.task() - firstTask) * PARTS / chunk).add(line);
+        }
+        return parts;
+    }
+
     /**
      * Which of two lines of one task is the newer one. A task that is done stays done, attempts
      * only count up, and an attempt that was alive is never alive again.
--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -9,6 +9,7 @@
 import io.pepperfield.http.Reply;
 import io.pepperfield.jobs.Catalog;
 import io.pepperfield.jobs.JobMessages;
+import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.Status;
 import io.pepperfield.jobs.UserRequests;
 import io.pepperfield.leadership.Leadership;
@@ -151,7 +152,7 @@
         double grantS = Math.min(times.leaseS() / 8, reportS);
         this.leadership = new Leadership(loop, state, settings.node(), grantS, this);
         if (rollout != null) {
-            rollout.attach(leadership);
+            rollout.attach(leadership, this::jobSpec);
         }
         this.tickS = grantS / 20;
         this.catalog = new Catalog(sync::contactAt);
@@ -313,6 +314,12 @@
         }
     }
 
+    /** The description of an accepted job, or null. */
+    private JobSpec jobSpec(String id) {
+        Catalog.Record record = catalog.get(id);
+        return record == null ? null : record.spec();
+    }
+
     /** What has changed about a job, and about those that need it. */
     private void tellLeader(String id) {
         List<String> affected = catalog.takeAffected();
--- a/src/main/java/io/pepperfield/node/RunRecords.java
+++ b/src/main/java/io/pepperfield/node/RunRecords.java
@@ -155,35 +155,24 @@
             return true;
         }
         for (int part = 1; part < RunRecord.PARTS; part++) {
-            if (replica.get(partKey(job, chunk, part)) != null) {
+            if (replica.get(job.spec.partKey(chunk, part)) != null) {
                 return true;
             }
         }
         return false;
     }
 
-    /** Numbers beyond those of the chunks, which both versions read like any other chunk. */
-    private static String partKey(Job job, int chunk, int part) {
-        return Keys.run(job.spec.id(), chunk + part * job.spec.chunks());
-    }
-
     /**
      * The lines of a divided record. All parts are written together, so that none is ever missing
      * and none is found in two of them. A part without a line is not written yet.
      */
     private Map<String, JsonNode> parts(Job job, int chunk) {
-        List<List<RunRecord>> parts = new ArrayList<>();
-        for (int part = 0; part < RunRecord.PARTS; part++) {
-            parts.add(new ArrayList<>());
-        }
-        for (RunRecord line : lines(job, chunk)) {
-            int place = line.task() - chunk * job.spec.chunk();
-            parts.get(place * RunRecord.PARTS / job.spec.chunk()).add(line);
-        }
+        List<List<RunRecord>> parts =
+                RunRecord.divide(lines(job, chunk), chunk * job.spec.chunk(), job.spec.chunk());
         Map<String, JsonNode> values = new LinkedHashMap<>();
         for (int part = 0; part < RunRecord.PARTS; part++) {
             if (part == 0 || !parts.get(part).isEmpty()) {
-                values.put(partKey(job, chunk, part), RunRecord.write(parts.get(part)));
+                values.put(job.spec.partKey(chunk, part), RunRecord.write(parts.get(part)));
             }
         }
         return values;
--- a/src/main/java/io/pepperfield/rollout/RollbackRewriter.java
+++ b/src/main/java/io/pepperfield/rollout/RollbackRewriter.java
@@ -1,5 +1,8 @@
 package io.pepperfield.rollout;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.jobs.JobSpec;
+import io.pepperfield.jobs.RunRecord;
 import io.pepperfield.node.Loop;
 import io.pepperfield.rollout.CompactRunRecords.UnreadableRecord;
 import io.pepperfield.store.Keys;
@@ -12,6 +15,7 @@
 import io.pepperfield.store.StateService.Urgency;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,10 +42,21 @@
     private static final String FIRST_PLACE =
             Keys.SECOND_RUN.substring(0, Keys.SECOND_RUN.length() - 1);
 
+    /** How the next records are written, after a transaction was refused for good. */
+    private enum Attempt {
+        /** Several at a time. */
+        TOGETHER,
+        /** One by one, as one of them may be too large. */
+        ALONE,
+        /** One, among several keys. */
+        DIVIDED
+    }
+
     private final Loop loop;
     private final StateService raw;
     private final VersionGate gate;
     private final VersionChanges versions;
+    private final Function<String, JobSpec> jobs;
     private final int mostRecords;
     private final double changeS;
 
@@ -55,20 +70,24 @@
     /** Whether a record could not be rewritten since the reading began anew. */
     private boolean skipped;
 
-    /** Records are tried one by one, after a transaction was refused for good. */
-    private boolean alone;
+    private Attempt attempt = Attempt.TOGETHER;
 
+    /**
+     * @param jobs gives the description of an accepted job, or null
+     */
     RollbackRewriter(
             Loop loop,
             StateService raw,
             VersionGate gate,
             VersionChanges versions,
+            Function<String, JobSpec> jobs,
             int mostChanges,
             double writesPerS) {
         this.loop = loop;
         this.raw = raw;
         this.gate = gate;
         this.versions = versions;
+        this.jobs = jobs;
         this.mostRecords = Math.max(1, mostChanges / CHANGES_PER_RECORD);
         this.changeS = 1 / (RATE_SHARE * writesPerS);
     }
@@ -108,7 +127,7 @@
         List<Item> records =
                 read.items().stream()
                         .filter(item -> item.key().startsWith(Keys.SECOND_RUN))
-                        .limit(alone ? 1 : mostRecords)
+                        .limit(attempt == Attempt.TOGETHER ? mostRecords : 1)
                         .toList();
         if (!records.isEmpty()) {
             rewrite(records);
@@ -138,18 +157,12 @@
         List<Change> changes = new ArrayList<>();
         for (Item record : records) {
             try {
-                changes.add(
-                        Change.set(
-                                VersionedStateService.firstKey(record.key()),
-                                CompactRunRecords.decode(record.data())));
+                addRewriting(record, guards, changes);
             } catch (UnreadableRecord e) {
                 // Neither guessed nor lost: the rollback does not end while it is there.
                 LOG.warn("{} cannot be rewritten: {}", record.key(), e.getMessage());
                 skipped = true;
-                continue;
             }
-            changes.add(Change.delete(record.key()));
-            guards.add(new Guard(record.key(), record.stamp()));
         }
         String last = records.get(records.size() - 1).key();
         if (changes.isEmpty()) {
@@ -167,17 +180,61 @@
                 });
     }
 
+    private void addRewriting(Item record, List<Guard> guards, List<Change> changes)
+            throws UnreadableRecord {
+        String key = VersionedStateService.firstKey(record.key());
+        JsonNode lines = CompactRunRecords.decode(record.data());
+        if (attempt == Attempt.DIVIDED) {
+            addParts(key, lines, guards, changes);
+        } else {
+            changes.add(Change.set(key, lines));
+        }
+        changes.add(Change.delete(record.key()));
+        guards.add(new Guard(record.key(), record.stamp()));
+    }
+
+    /**
+     * The record as several of the first form, as the leader divides one that does not fit any
+     * more: all are written together, and none may be there yet.
+     */
+    private void addParts(String key, JsonNode lines, List<Guard> guards, List<Change> changes)
+            throws UnreadableRecord {
+        int slash = key.lastIndexOf('/');
+        JobSpec spec = jobs.apply(key.substring(Keys.RUN.length(), slash));
+        int chunk = Integer.parseInt(key.substring(slash + 1));
+        if (spec == null || chunk >= spec.chunks()) {
+            throw new UnreadableRecord("too large for the first form, and not to be divided");
+        }
+        int part = 0;
+        for (List<RunRecord> some :
+                RunRecord.divide(RunRecord.read(lines), chunk * spec.chunk(), spec.chunk())) {
+            String partKey = spec.partKey(chunk, part++);
+            changes.add(Change.set(partKey, RunRecord.write(some)));
+            guards.add(new Guard(partKey, 0));
+            if (part > 1) {
+                guards.add(new Guard(VersionedStateService.compactKey(partKey), 0));
+            }
+        }
+    }
+
     private void written(TxnResult result, int count, String last) {
         if (result instanceof TxnResult.Committed) {
             after = last;
-            alone = false;
-        } else if (result instanceof TxnResult.Refused refused && refused.status() == MALFORMED) {
-            if (count == 1) {
-                LOG.warn("{} is too large for the first form under today's limits", last);
-                after = last;
-                skipped = true;
-            }
-            alone = count > 1;
+            attempt = Attempt.TOGETHER;
+            return;
+        }
+        if (!(result instanceof TxnResult.Refused refused) || refused.status() != MALFORMED) {
+            return;
+        }
+        if (count > 1) {
+            attempt = Attempt.ALONE;
+        } else if (attempt != Attempt.DIVIDED) {
+            attempt = Attempt.DIVIDED;
+        } else {
+            LOG.warn("{} is too large for the first form under today's limits", last);
+            after = last;
+            skipped = true;
+            attempt = Attempt.TOGETHER;
         }
     }
 }
--- a/src/main/java/io/pepperfield/rollout/Rollout.java
+++ b/src/main/java/io/pepperfield/rollout/Rollout.java
@@ -4,6 +4,7 @@
 import io.pepperfield.config.Settings;
 import io.pepperfield.http.Call;
 import io.pepperfield.http.Reply;
+import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.leadership.LeaderClaim;
 import io.pepperfield.node.Loop;
 import io.pepperfield.rollout.ClusterVersion.Phase;
@@ -11,6 +12,7 @@
 import io.pepperfield.store.StateService;
 import io.pepperfield.store.TransactionLimits;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /**
  * The rollout of stored-state versions on one controller. All of it runs on the event loop; {@link
@@ -49,14 +51,20 @@
                         settings.deployment().workers().leaseS());
     }
 
-    /** The lead of this node, which alone changes the version. */
-    public void attach(LeaderClaim lead) {
+    /**
+     * Completes it.
+     *
+     * @param lead of this node, which alone changes the version
+     * @param jobs gives the description of an accepted job, or null
+     */
+    public void attach(LeaderClaim lead, Function<String, JobSpec> jobs) {
         claim = lead;
         VersionChanges versions = new VersionChanges(raw, gate, forms, registry, lead);
         requests = new RolloutRequests(gate, forms, registry, versions, lead);
         Settings.State limits = settings.deployment().state();
         rewriter =
-                new RollbackRewriter(loop, raw, gate, versions, limits.txnOps(), limits.writeRps());
+                new RollbackRewriter(
+                        loop, raw, gate, versions, jobs, limits.txnOps(), limits.writeRps());
     }
 
     /** The state service for the rest of the program. */
--- a/src/test/java/io/pepperfield/rollout/RolloutCommandsTest.java
+++ b/src/test/java/io/pepperfield/rollout/RolloutCommandsTest.java
@@ -13,9 +13,11 @@
 import io.pepperfield.config.SettingsReader;
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Reply;
+import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.RunRecord;
 import io.pepperfield.leadership.LeaderClaim;
 import io.pepperfield.standin.DirectState;
+import io.pepperfield.standin.JobSpecBuilder;
 import io.pepperfield.standin.SimWorld;
 import io.pepperfield.standin.SimulatedLoop;
 import io.pepperfield.store.Keys;
@@ -44,6 +46,7 @@
     private static final Release GATED = new Release("gated", 1, 1, 1);
     private static final double SECONDS = 20;
 
+    private JobSpec spec;
     private final SimulatedLoop loop = new SimulatedLoop();
     private final DirectState state = new DirectState();
 
@@ -57,7 +60,7 @@
 
         Node(int index, Release release) throws SettingsException {
             rollout = new Rollout(loop, settings(index), state, release);
-            rollout.attach(this);
+            rollout.attach(this, id -> spec);
         }
 
         private void changed(String key, JsonNode data, long stamp) {
@@ -375,6 +378,30 @@
         assertEquals(ClusterVersion.INITIAL, version());
     }
 
+    @Test
+    void aRecordThatNoLongerFitsInTheFirstFormIsDivided() {
+        spec = new JobSpecBuilder().id("run-000001").tasks(100).chunk(100).build();
+        List<RunRecord> lines = new ArrayList<>();
+        for (int task = 0; task < 100; task++) {
+            lines.add(new RunRecord(task, 1, RunRecord.State.LIVE, "host-" + task / 2, 1));
+        }
+        activate();
+        leader.write(RunRecord.write(lines));
+        leader.hear();
+        leader.write(Keys.run("run-000002", 0), LINES);
+        leader.hear();
+        state.mostValueBytes = 1024;
+        leader.command("rollback", "{}");
+        passTime();
+        assertEquals(ClusterVersion.INITIAL, version());
+        List<RunRecord> found = new ArrayList<>();
+        for (int part = 0; part < RunRecord.PARTS; part++) {
+            found.addAll(RunRecord.read(state.get(spec.partKey(0, part))));
+        }
+        assertEquals(lines, found);
+        assertEquals(LINES.toString(), state.get(Keys.run("run-000002", 0)).toString());
+    }
+
     // ---- commands
 
     @Test
--- a/src/test/java/io/pepperfield/rollout/RolloutMeasurement.java
+++ b/src/test/java/io/pepperfield/rollout/RolloutMeasurement.java
@@ -112,7 +112,7 @@
         state.put(Keys.ROLLOUT_VERSION, active.rollingBack().write());
         Settings settings = SettingsReader.parse("measurement", SETTINGS, Operators.DEFAULTS);
         Rollout rollout = new Rollout(loop, settings, state, Release.CURRENT);
-        rollout.attach(new Lead(state));
+        rollout.attach(new Lead(state), id -> null);
         rollout.changed(
                 Keys.ROLLOUT_VERSION,
                 state.get(Keys.ROLLOUT_VERSION),
--- a/src/test/java/io/pepperfield/rollout/RolloutSimulationTest.java
+++ b/src/test/java/io/pepperfield/rollout/RolloutSimulationTest.java
@@ -1,6 +1,7 @@
 package io.pepperfield.rollout;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -14,6 +15,8 @@
 import io.pepperfield.standin.Trouble.LateWrites;
 import io.pepperfield.standin.Trouble.LeaderChanges;
 import io.pepperfield.standin.Trouble.LimitsFall;
+import io.pepperfield.standin.Trouble.MachineReboot;
+import io.pepperfield.standin.Trouble.Machines;
 import io.pepperfield.standin.Trouble.NodeCrash;
 import io.pepperfield.standin.Trouble.NodeFreeze;
 import io.pepperfield.standin.Trouble.OperatorAsks;
@@ -118,6 +121,33 @@
                 Phase.FINALIZED);
     }
 
+    /** Records as large as the recorded version makes them, which fit any more only if compact. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void whatNoLongerFitsInTheFirstFormIsDividedOnTheWayBack(long seed) {
+        for (int more = 0; more <= Integer.getInteger("pepperfield.seeds", 0); more++) {
+            Region region = Region.beforeRollout(seed + 1000L * more, Version.RECORDED);
+            Scenario day =
+                    Scenario.jobs(10, 2)
+                            .at(10, new LargeArrays(2, 136, 70))
+                            .at(14, new Upgrade(10, Version.ROLLOUT))
+                            .at(26, new OperatorAsks(Command.ACTIVATE, 10))
+                            // Their tasks begin once more, and so their lines are written.
+                            .at(38, new MachineReboot(Machines.share(1)))
+                            .at(60, new LimitsFall())
+                            .at(61, new OperatorAsks(Command.ROLLBACK, 10))
+                            .at(62, new NodeCrash(Controllers.LEADER, 2));
+            region.play(day);
+            region.world.run(59);
+            assertNotNull(region.durable("pepperfield/v2/run/run-800000/0"), "seed " + seed);
+            region.world.run(100);
+            assertEquals(ClusterVersion.INITIAL, version(region), "seed " + seed);
+            assertNotNull(region.durable("pepperfield/run/run-800000/2"), "nothing was divided");
+            region.world.run(day.endsAt() + 100);
+            checkEnd(region, Phase.FINALIZED, "seed " + seed);
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {11, 12, 13, 14, 15, 16})
     void noRuleBreaksWhateverFailsDuringARollout(long seed) {
--- a/src/test/java/io/pepperfield/standin/DirectState.java
+++ b/src/test/java/io/pepperfield/standin/DirectState.java
@@ -1,6 +1,7 @@
 package io.pepperfield.standin;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.http.Json;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +32,9 @@
     /** Refused beyond so many changes in a transaction. */
     public int mostChanges = Integer.MAX_VALUE;
 
+    /** Refused beyond so many bytes in a value. */
+    public int mostValueBytes = Integer.MAX_VALUE;
+
     /** Single keys written or deleted, and transactions carried out. */
     public int changes;
 
@@ -49,7 +53,14 @@
     }
 
     private TxnResult carryOut(List<Guard> guards, List<Change> wanted) {
-        if (wanted.size() > mostChanges) {
+        boolean tooLong =
+                wanted.stream()
+                        .anyMatch(
+                                change ->
+                                        change.data() != null
+                                                && Json.write(change.data()).length
+                                                        > mostValueBytes);
+        if (wanted.size() > mostChanges || tooLong) {
             return new TxnResult.Refused(400);
         }
         List<String> failed =
