Controller: what may be done with what is stored is a class of its own

Need: the rollout had left null checks in six places of a class that was large before. Change: StoredVersion answers them; the console's three changing commands share one base.

--- a/src/main/java/io/pepperfield/cli/RolloutCommand.java
+++ b/src/main/java/io/pepperfield/cli/RolloutCommand.java
@@ -47,14 +47,34 @@
         }
     }
 
+    /** A change of the version, which only the leader makes. */
+    private abstract static class Change implements Callable<Integer> {
+
+        @Mixin private Remote remote;
+
+        private final String path;
+
+        Change(String name) {
+            path = PATH + "/" + name;
+        }
+
+        /** What the leader has to know beside the command. */
+        ObjectNode body() {
+            return Json.object();
+        }
+
+        @Override
+        public Integer call() {
+            return remote.callLeader("POST", path, Json.write(body()));
+        }
+    }
+
     /** Activates the next version once every controller has declared that it knows it. */
     @Command(
             name = "activate",
             mixinStandardHelpOptions = true,
             description = "Writes the next version from now on; may be repeated.")
-    static final class ActivateCommand implements Callable<Integer> {
-
-        @Mixin private Remote remote;
+    static final class ActivateCommand extends Change {
 
         @Option(
                 names = "--to",
@@ -75,14 +95,18 @@
                         "Your word that no release without a version gate will be started again.")
         private boolean olderRetired;
 
+        ActivateCommand() {
+            super("activate");
+        }
+
         @Override
-        public Integer call() {
+        ObjectNode body() {
             ObjectNode body = Json.object().put("olderReleasesRetired", olderRetired);
             if (target != null) {
                 body.put("to", target);
             }
             without.forEach(body.putArray("without")::add);
-            return remote.callLeader("POST", PATH + "/activate", Json.write(body));
+            return body;
         }
     }
 
@@ -91,13 +115,10 @@
             name = "finalize",
             mixinStandardHelpOptions = true,
             description = "Makes the active version final: there is no way back afterwards.")
-    static final class FinalizeCommand implements Callable<Integer> {
-
-        @Mixin private Remote remote;
+    static final class FinalizeCommand extends Change {
 
-        @Override
-        public Integer call() {
-            return remote.callLeader("POST", PATH + "/finalize", Json.write(Json.object()));
+        FinalizeCommand() {
+            super("finalize");
         }
     }
 
@@ -106,13 +127,10 @@
             name = "rollback",
             mixinStandardHelpOptions = true,
             description = "Goes back to the version before; may be repeated to see what is left.")
-    static final class RollbackCommand implements Callable<Integer> {
-
-        @Mixin private Remote remote;
+    static final class RollbackCommand extends Change {
 
-        @Override
-        public Integer call() {
-            return remote.callLeader("POST", PATH + "/rollback", Json.write(Json.object()));
+        RollbackCommand() {
+            super("rollback");
         }
     }
 }
--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -23,12 +23,10 @@
 import io.pepperfield.store.Replica;
 import io.pepperfield.store.StateService;
 import io.pepperfield.store.Sync;
-import io.pepperfield.store.TransactionLimits;
 import io.pepperfield.store.Writer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import java.util.function.IntUnaryOperator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -51,11 +49,6 @@
     /** Where users ask about jobs. */
     static final String JOBS = "/api/jobs/";
 
-    /** Where operators ask about the rollout and change it. */
-    private static final String ROLLOUT = "/api/rollout";
-
-    private static final String NOT_SERVING = "this controller cannot read all that is stored";
-
     /** Where workers report. */
     static final String BEAT = "/agent/beat";
 
@@ -86,17 +79,7 @@
     private final RequestRouter router;
     private final NodeOverview overview;
 
-    /** The rollout of stored-state versions, or null where operators have not switched it on. */
-    private final Rollout rollout;
-
-    /** What one of the leader's transactions may hold. */
-    private final TransactionLimits limits;
-
-    /**
-     * Whether records of a newer form exist while this node knows nothing of them, since its
-     * rollout is switched off.
-     */
-    private boolean versionUnknown;
+    private final StoredVersion storedVersion;
 
     private final double reportS;
     private final double tickS;
@@ -123,11 +106,7 @@
             ReportForwarder forwarder,
             Rates rates,
             Rollout rollout) {
-        this.rollout = rollout;
-        this.limits =
-                rollout == null
-                        ? TransactionLimits.all(settings.deployment().state().txnOps())
-                        : rollout.limits();
+        this.storedVersion = new StoredVersion(rollout, settings);
         this.loop = loop;
         this.settings = settings;
         this.cloud = cloud;
@@ -194,7 +173,14 @@
 
     private Writer writer(StateService state) {
         return new Writer(
-                loop, state, replica, sync, new LeadersWrites(), limits, reportS / 10, 2 * reportS);
+                loop,
+                state,
+                replica,
+                sync,
+                new LeadersWrites(),
+                storedVersion.limits(),
+                reportS / 10,
+                2 * reportS);
     }
 
     private UserRequests userRequests(StateService state) {
@@ -210,7 +196,7 @@
                 service.valueKb(),
                 RateSharing.USERS_PART * service.writeRps(),
                 questionsAtOnce(settings) / 2,
-                rollout == null ? IntUnaryOperator.identity() : rollout::linesInRecord,
+                storedVersion::linesInRecord,
                 cancelledHere::add);
     }
 
@@ -219,16 +205,16 @@
 
         @Override
         public void forwarded(ForwardingMessages.Batch batch, Consumer<Reply> answer) {
-            if (serves()) {
+            if (storedVersion.serves()) {
                 reports.receiveForwarded(batch, answer);
             } else {
-                answer.accept(Reply.error(503, NOT_SERVING));
+                answer.accept(Reply.error(503, StoredVersion.NOT_SERVING));
             }
         }
 
         @Override
         public void direct(long token, ForwardingMessages.Direct message) {
-            if (pauseDetector.stale() || !serves()) {
+            if (pauseDetector.stale() || !storedVersion.serves()) {
                 // Meant for then; by now another may lead, and the machine be told otherwise.
                 return;
             }
@@ -242,23 +228,6 @@
         }
     }
 
-    /**
-     * Whether this node can read all that is stored. If not it does nothing but say so: what it
-     * knows of jobs and machines may lack what others have written.
-     */
-    private boolean serves() {
-        return rollout == null ? !versionUnknown : rollout.gate().serves();
-    }
-
-    /** The rollout is switched off here, and another controller's is not. */
-    private void versionWithoutRollout(JsonNode data) {
-        boolean unknown = data != null && data.path("highest").asInt(Integer.MAX_VALUE) > 1;
-        if (unknown && !versionUnknown) {
-            LOG.error("serving nobody: a newer stored-state version is in use, and rollout is off");
-        }
-        versionUnknown = unknown;
-    }
-
     /** The leadership that guards this node's durable writes. */
     private final class LeadersWrites implements Writer.Lead {
 
@@ -297,11 +266,7 @@
             return;
         }
         if (key.startsWith(Keys.ROLLOUT)) {
-            if (rollout != null) {
-                rollout.changed(key, data, stamp);
-            } else if (key.equals(Keys.ROLLOUT_VERSION)) {
-                versionWithoutRollout(data);
-            }
+            storedVersion.changed(key, data, stamp);
             return;
         }
         if (key.equals(Keys.TYPES) && data != null && !types.known()) {
@@ -351,11 +316,12 @@
     private void tick() {
         loop.after(tickS, this::tick);
         pauseDetector.stale();
-        if (rollout != null && sync.loaded()) {
-            rollout.tick();
+        if (sync.loaded()) {
+            storedVersion.tick();
         }
-        if (!serves()) {
-            leadership.abdicate(NOT_SERVING, settings.deployment().workers().leaseS());
+        if (!storedVersion.serves()) {
+            leadership.abdicate(
+                    StoredVersion.NOT_SERVING, settings.deployment().workers().leaseS());
             return;
         }
         rates.live(liveControllers(), leadership.leading());
@@ -408,7 +374,7 @@
     /** At the end of each batch of commands. */
     public void flush() {
         pauseDetector.stale();
-        if (!serves()) {
+        if (!storedVersion.serves()) {
             return;
         }
         if (leader != null) {
@@ -459,7 +425,8 @@
                         loop,
                         settings,
                         leadership,
-                        new DurableState(replica, catalog, writer, limits, sync::contactAt),
+                        new DurableState(
+                                replica, catalog, writer, storedVersion.limits(), sync::contactAt),
                         partitionOrders,
                         cloud,
                         types,
@@ -492,12 +459,12 @@
 
     /** Takes a request of a user, a worker or the load balancer. */
     public void handle(Call call, Consumer<Reply> answer) {
-        if (rollout != null && call.path().startsWith(ROLLOUT)) {
-            rollout.handle(call, answer);
-        } else if (serves()) {
+        if (storedVersion.handles(call)) {
+            storedVersion.handle(call, answer);
+        } else if (storedVersion.serves()) {
             router.handle(call, answer);
         } else {
-            answer.accept(Reply.later(NOT_SERVING));
+            answer.accept(Reply.later(StoredVersion.NOT_SERVING));
         }
     }
 
--- /dev/null
+++ b/src/main/java/io/pepperfield/node/StoredVersion.java
@@ -0,0 +1,93 @@
+package io.pepperfield.node;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.config.Settings;
+import io.pepperfield.http.Call;
+import io.pepperfield.http.Reply;
+import io.pepperfield.rollout.Rollout;
+import io.pepperfield.store.Keys;
+import io.pepperfield.store.TransactionLimits;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Whether this controller can read all that is stored, with the rollout of stored-state versions or
+ * without one. If it cannot, it does nothing but say so: what it knows of jobs and machines may
+ * lack what others have written.
+ */
+final class StoredVersion {
+
+    /** What is said to whoever asks a controller that does not serve. */
+    static final String NOT_SERVING = "this controller cannot read all that is stored";
+
+    private static final Logger LOG = LoggerFactory.getLogger(StoredVersion.class);
+
+    /** Where operators ask about the rollout and change it. */
+    private static final String PATH = "/api/rollout";
+
+    /** The only version that a controller without a rollout knows. */
+    private static final int FIRST = 1;
+
+    private final Rollout rollout;
+    private final TransactionLimits limits;
+
+    /** The rollout is switched off here, and records of a newer form exist. */
+    private boolean unknown;
+
+    /**
+     * @param rollout null where operators have not switched it on
+     */
+    StoredVersion(Rollout rollout, Settings settings) {
+        this.rollout = rollout;
+        this.limits =
+                rollout == null
+                        ? TransactionLimits.all(settings.deployment().state().txnOps())
+                        : rollout.limits();
+    }
+
+    /** Whether this controller may take part in the cluster. */
+    boolean serves() {
+        return rollout == null ? !unknown : rollout.gate().serves();
+    }
+
+    /** What one of the leader's transactions may hold. */
+    TransactionLimits limits() {
+        return limits;
+    }
+
+    /** Tasks in a run record of a new job, where the first form has so many. */
+    int linesInRecord(int first) {
+        return rollout == null ? first : rollout.linesInRecord(first);
+    }
+
+    /** The replica's news of a key below {@link Keys#ROLLOUT}. */
+    void changed(String key, JsonNode data, long stamp) {
+        if (rollout != null) {
+            rollout.changed(key, data, stamp);
+        } else if (key.equals(Keys.ROLLOUT_VERSION)) {
+            boolean newer = data != null && data.path("highest").asInt(FIRST + 1) > FIRST;
+            if (newer && !unknown) {
+                LOG.error(
+                        "serving nobody: a newer stored-state version is in use, and rollout is off");
+            }
+            unknown = newer;
+        }
+    }
+
+    /** To be called a few times per grant, once the replica is loaded. */
+    void tick() {
+        if (rollout != null) {
+            rollout.tick();
+        }
+    }
+
+    /** Whether the request is an operator's about the rollout. */
+    boolean handles(Call call) {
+        return rollout != null && call.path().startsWith(PATH);
+    }
+
+    void handle(Call call, Consumer<Reply> answer) {
+        rollout.handle(call, answer);
+    }
+}
