Placing: a job that fits nowhere costs no look at the whole fleet, whatever its size

Cause: a pass looked at every machine for each waiting job of another size, and weighed every task of the fleet for each job that could stop nothing. Both grow with the square of a fleet: with 4,045 machines and 35,805 waiting tasks a pass took up to 1.6 s, and only 6 to 65 passes were made in a minute.

Change: what needs as much or more of the same kind of machine than something that has found none is not looked for (UnplacedNeeds; rooms only shrink in a pass); a job is weighed against the tasks of the fleet only if it ranks above one, has a guarantee to claim from what is borrowed, or may fit (PreemptionBounds). Both leave out only what would come to nothing: no decision changes.

Excluded: a limit on what a pass looks at. Kept traces, placement, preemption and simulation green.

--- a/src/main/java/io/pepperfield/placement/Placer.java
+++ b/src/main/java/io/pepperfield/placement/Placer.java
@@ -1,13 +1,10 @@
 package io.pepperfield.placement;
 
-import io.pepperfield.jobs.JobSpec;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * Which waiting task goes to which machine. A queue for each team, served in turn: work within a
@@ -19,16 +16,6 @@
     /** A place for one task of a job. */
     public record Choice(String job, String machine) {}
 
-    /** What decides whether a task finds a place, where its job's other tasks have no say in it. */
-    private record Need(
-            double cpus,
-            double gpus,
-            double memGb,
-            List<String> types,
-            String zone,
-            boolean spot,
-            String image) {}
-
     private static final double SLACK = 1e-6;
     private static final Comparator<PlacementRequest> IN_TEAM =
             Comparator.comparing((PlacementRequest w) -> !w.overdue)
@@ -57,8 +44,7 @@
         queues.values().forEach(queue -> queue.sort(IN_TEAM));
         List<String> teams = queues.keySet().stream().sorted().toList();
         List<Choice> choices = new ArrayList<>();
-        // Of a swarm of like jobs that find no room one looks at the whole fleet, not each.
-        Set<Need> hopeless = new HashSet<>();
+        UnplacedNeeds unplaced = new UnplacedNeeds();
         while (true) {
             PlacementRequest next = null;
             for (String team : teams) {
@@ -72,11 +58,11 @@
             }
             Share share = shares.get(next.job.team());
             if (!next.job.gang()) {
-                Need need = need(next);
-                Room room = need != null && hopeless.contains(need) ? null : choose(next, rooms);
+                boolean covered = unplaced.cover(next);
+                Room room = covered ? null : choose(next, rooms);
                 if (room == null) {
-                    if (need != null) {
-                        hopeless.add(need);
+                    if (!covered) {
+                        unplaced.add(next);
                     }
                     // Nothing fits this one now; what comes behind may be smaller or allowed
                     // elsewhere.
@@ -104,7 +90,7 @@
                     }
                 }
                 next.stuck = true;
-                hopeless.clear();
+                unplaced.clear();
                 continue;
             }
             for (Room room : taken) {
@@ -134,21 +120,6 @@
         }
     }
 
-    /** Null where zones or machines to avoid make the job a case of its own. */
-    private static Need need(PlacementRequest request) {
-        JobSpec job = request.job;
-        return job.oneZone() || job.spread() || !request.avoid.isEmpty()
-                ? null
-                : new Need(
-                        job.cpus(),
-                        job.gpus(),
-                        job.memGb(),
-                        job.types(),
-                        job.zone(),
-                        job.spot(),
-                        request.warmOnly ? job.image() : "");
-    }
-
     /**
      * A turn fills a machine, so that a large array does not cost a look at the whole fleet for
      * each task.
@@ -240,11 +211,15 @@
     }
 
     static boolean holds(PlacementRequest request, double cpus, double gpus, double memGb) {
-        return cpus + SLACK >= request.job.cpus()
+        return holdsCpus(request, cpus)
                 && memGb + SLACK >= request.job.memGb()
                 && gpus + SLACK >= request.job.gpus();
     }
 
+    static boolean holdsCpus(PlacementRequest request, double cpus) {
+        return cpus + SLACK >= request.job.cpus();
+    }
+
     /**
      * Type, zone and kind, with regard to where the job's other tasks may be alive at this moment.
      */
--- a/src/main/java/io/pepperfield/placement/Preemption.java
+++ b/src/main/java/io/pepperfield/placement/Preemption.java
@@ -79,7 +79,12 @@
                                         .thenComparing(w -> w.job.rank())
                                         .thenComparing(w -> w.submittedAt))
                         .toList();
+        PreemptionBounds bounds = new PreemptionBounds(shares.values());
+        places.forEach(place -> bounds.add(place.room, place.victims));
         for (PlacementRequest request : order) {
+            if (!bounds.allow(request)) {
+                continue;
+            }
             Share share = shares.get(request.job.team());
             // Every place is weighed once for the job and again only when it comes up, not once
             // more for each task.
@@ -108,6 +113,7 @@
                 for (Victim victim : best.stopped) {
                     best.place.victims.remove(victim);
                     best.place.room.free(victim.job, 1);
+                    bounds.widen(best.place.room);
                     shares.get(victim.job.team()).free(victim.job, 1);
                     stopped.add(victim.id);
                 }
