--- a/src/test/java/io/pepperfield/standin/ControllerProcess.java
+++ b/src/test/java/io/pepperfield/standin/ControllerProcess.java
@@ -66,6 +66,10 @@
                         Set.of(Feature.ROLLOUT));
         Settings settings = SettingsReader.read(Path.of(arguments[0]), operators);
         Service service = new Service(settings, Version.valueOf(arguments[1]).release());
+        // A test that is killed must not leave controllers behind.
+        ProcessHandle.current()
+                .parent()
+                .ifPresent(test -> test.onExit().thenRun(() -> Runtime.getRuntime().halt(0)));
         service.start();
         service.run();
     }
