--- a/src/test/java/io/pepperfield/node/LargeFleetTest.java
+++ b/src/test/java/io/pepperfield/node/LargeFleetTest.java
@@ -24,7 +24,7 @@
         // What may wait has machines for about half of it at a time.
         int arrays = 40;
         for (int number = 1; number <= arrays; number++) {
-            region.submitWide(number, 2 * MACHINES / arrays, CPUS);
+            region.jobs.submitWide(number, 2 * MACHINES / arrays, CPUS);
         }
         long began = System.nanoTime();
         int most = 0;
--- a/src/test/java/io/pepperfield/node/SimulationTest.java
+++ b/src/test/java/io/pepperfield/node/SimulationTest.java
@@ -23,7 +23,7 @@
         Region region = new Region(seed);
         for (int i = 1; i <= jobs; i++) {
             int number = i;
-            region.world.at(10 + everyS * i, () -> region.submit(number));
+            region.world.at(10 + everyS * i, () -> region.jobs.submit(number));
         }
         return region;
     }
@@ -215,9 +215,9 @@
         int before = region.changes();
         for (int i = 0; i < 160; i++) {
             int number = 1000 + i;
-            region.world.at(30 + i / 16.0, () -> region.submitGuests(number, 1, 6));
+            region.world.at(30 + i / 16.0, () -> region.jobs.submitGuests(number, 1, 6));
         }
-        region.world.at(31, () -> region.submitGuests(2000, 400, 2));
+        region.world.at(31, () -> region.jobs.submitGuests(2000, 400, 2));
         region.world.run(41);
         // The submissions alone are one each; intents of their own would be as many again, and
         // completions too.
@@ -233,11 +233,11 @@
         Region region = region(22, 0, 3);
         for (int i = 1; i <= 8; i++) {
             int number = i;
-            region.world.at(10 + 2 * i, () -> region.submitGuests(number, 20, 4));
+            region.world.at(10 + 2 * i, () -> region.jobs.submitGuests(number, 20, 4));
         }
         for (int i = 0; i < 5; i++) {
             int number = 500 + i;
-            region.world.at(12 + i, () -> region.submitMistake(number, 110));
+            region.world.at(12 + i, () -> region.jobs.submitMistake(number, 110));
         }
         region.world.run(60);
         int rentals = region.rentals();
@@ -259,9 +259,9 @@
     void machinesThatComeLateAreWaitedForAndThoseThatNeverComeReplaced() {
         Region late = new Region(23);
         late.boots(4, 0, 60);
-        late.world.at(10, () -> late.submitGuests(1, 64, 20));
+        late.world.at(10, () -> late.jobs.submitGuests(1, 64, 20));
         Region usual = new Region(23);
-        usual.world.at(10, () -> usual.submitGuests(1, 64, 20));
+        usual.world.at(10, () -> usual.jobs.submitGuests(1, 64, 20));
         late.world.run(140);
         usual.world.run(140);
         assertEquals(List.of(), late.unfinished());
@@ -270,7 +270,7 @@
                 "a second fleet: " + late.rentals() + " machines, usually " + usual.rentals());
         Region never = new Region(24);
         never.boots(1, 1, 14);
-        never.world.at(10, () -> never.submitGuests(1, 64, 5));
+        never.world.at(10, () -> never.jobs.submitGuests(1, 64, 5));
         never.world.run(60);
         assertEquals(List.of(), never.unfinished());
     }
@@ -346,15 +346,15 @@
         region.world.copies = 0.01;
         for (int i = 1; i <= 40; i++) {
             int number = i;
-            region.world.at(5 + 4 * i, () -> region.submit(number));
+            region.world.at(5 + 4 * i, () -> region.jobs.submit(number));
         }
         for (int i = 1; i <= 24; i++) {
             int number = 100 + i;
-            region.world.at(60 + i / 6.0, () -> region.submitGuests(number, 1, 5));
+            region.world.at(60 + i / 6.0, () -> region.jobs.submitGuests(number, 1, 5));
         }
-        region.world.at(70, () -> region.submitGuests(200, 150, 2));
-        region.world.at(30, () -> region.submitMistake(201, 150));
-        region.world.at(80, () -> region.submitMistake(202, 180));
+        region.world.at(70, () -> region.jobs.submitGuests(200, 150, 2));
+        region.world.at(30, () -> region.jobs.submitMistake(201, 150));
+        region.world.at(80, () -> region.jobs.submitMistake(202, 180));
         for (int i = 0; i < 14; i++) {
             region.world.at(20 + 11 * i, region::trouble);
             region.world.at(25 + 11 * i, region::askForNothing);
--- /dev/null
+++ b/src/test/java/io/pepperfield/standin/JobMix.java
@@ -0,0 +1,147 @@
+package io.pepperfield.standin;
+
+import java.util.List;
+
+/** The kinds of jobs that a simulated region's users submit, drawn from its seed. */
+public final class JobMix {
+
+    private final SimWorld world;
+    private final SimUsers users;
+
+    JobMix(SimWorld world, SimUsers users) {
+        this.world = world;
+        this.users = users;
+    }
+
+    /** The jobs of a scenario: each kind in its turn. */
+    void submitOneOfAll(int number) {
+        switch (number % 6) {
+            case 1 -> submitUneven(number);
+            case 3 -> submitBound(number);
+            case 5 -> submitTogether(number);
+            default -> submit(number);
+        }
+    }
+
+    /**
+     * Submits a job and follows it to its end; a third of the arrays and all services are cancelled
+     * at some time.
+     */
+    public void submit(int number) {
+        boolean service = world.random.nextInt(4) == 0;
+        int tasks = service ? 1 + world.random.nextInt(3) : 1 + world.random.nextInt(8);
+        double cancelAt =
+                service || world.random.nextInt(3) == 0
+                        ? world.now() + 5 + 60 * world.random.nextDouble()
+                        : JobPlan.NEVER;
+        double runS = 2 + 8 * world.random.nextDouble();
+        boolean spot = !service && world.random.nextBoolean();
+        users.submit(
+                new JobPlan(
+                        JobPlan.id(number),
+                        service ? "gate" : "batch",
+                        team(),
+                        service ? "production" : "standard",
+                        service,
+                        tasks,
+                        service ? 2 : 4,
+                        List.of(runS),
+                        spot,
+                        service,
+                        false,
+                        null,
+                        false,
+                        cancelAt,
+                        List.of()));
+    }
+
+    String team() {
+        return world.random.nextBoolean() ? "red" : "blue";
+    }
+
+    /** An array of two or three tasks that end far apart. */
+    public void submitUneven(int number) {
+        users.submit(
+                JobPlan.array(
+                        number,
+                        "batch",
+                        team(),
+                        "standard",
+                        2 + world.random.nextInt(2),
+                        2,
+                        List.of(1.5, 45.0, 12.0),
+                        true));
+    }
+
+    /** An array of which each task may only run in one zone. */
+    public void submitBound(int number) {
+        users.submit(
+                JobPlan.array(
+                                number,
+                                "batch",
+                                team(),
+                                "urgent",
+                                1 + world.random.nextInt(4),
+                                2,
+                                List.of(6.0, 14.0),
+                                true)
+                        .boundTo(world.random.nextBoolean() ? "east" : "west"));
+    }
+
+    /** An array whose tasks must all be in one zone, whichever it is. */
+    public void submitTogether(int number) {
+        users.submit(
+                JobPlan.array(
+                                number,
+                                "batch",
+                                team(),
+                                "standard",
+                                2 + world.random.nextInt(5),
+                                2,
+                                List.of(4.0, 11.0, 20.0),
+                                true)
+                        .inOneZone());
+    }
+
+    /** A single small task, of one in four its user calls off. */
+    public void submitSingle(int number) {
+        JobPlan plan =
+                JobPlan.array(
+                        number,
+                        "batch",
+                        world.random.nextBoolean() ? "guests" : team(),
+                        "standard",
+                        1,
+                        1,
+                        List.of(1 + 6 * world.random.nextDouble()),
+                        true);
+        users.submit(
+                world.random.nextInt(4) == 0
+                        ? plan.cancelledAt(world.now() + 8 * world.random.nextDouble())
+                        : plan);
+    }
+
+    /**
+     * An array of a team without a guarantee or a limit: many small short tasks of the lowest rank.
+     */
+    public void submitGuests(int number, int tasks, double runS) {
+        users.submit(
+                JobPlan.array(
+                        number, "idle", "guests", "best_effort", tasks, 0.25, List.of(runS), true));
+    }
+
+    /** An array of the team without a limit, of tasks that run for long. */
+    public void submitWide(int number, int tasks, int cpus) {
+        users.submit(
+                JobPlan.array(
+                        number, "idle", "guests", "standard", tasks, cpus, List.of(120.0), true));
+    }
+
+    /** An array whose tasks fail on every machine until its user cancels it. */
+    public void submitMistake(int number, double cancelAt) {
+        users.submit(
+                JobPlan.array(number, "batch", "red", "standard", 12, 2, List.of(1.0), true)
+                        .withMistake()
+                        .cancelledAt(cancelAt));
+    }
+}
--- a/src/test/java/io/pepperfield/standin/TroublePlayer.java
+++ b/src/test/java/io/pepperfield/standin/TroublePlayer.java
@@ -137,7 +137,7 @@
             int first = 100_000 * ++swarms;
             for (int i = 0; i < swarm.perS() * swarm.forS(); i++) {
                 int number = first + i;
-                world.after(i / swarm.perS(), () -> region.submitSingle(number));
+                world.after(i / swarm.perS(), () -> region.jobs.submitSingle(number));
             }
         } else if (trouble instanceof Trouble.Pipelines pipelines) {
             for (int i = 0; i < pipelines.count(); i++) {
@@ -151,7 +151,8 @@
         } else if (trouble instanceof Trouble.LargeArrays arrays) {
             for (int i = 0; i < arrays.count(); i++) {
                 int number = 800_000 + largeArrays++;
-                world.after(i, () -> region.submitGuests(number, arrays.tasks(), arrays.runS()));
+                world.after(
+                        i, () -> region.jobs.submitGuests(number, arrays.tasks(), arrays.runS()));
             }
         } else {
             return false;
