Rollout over loopback: the declaration of a killed process is waited for

Cause: the test timed out once in a full run on a busy machine. A controller was killed right after its upgrade; its declaration, already under way, took effect after the one of its first process had been seen, so the activation that should have been refused was accepted. The service does so by design: an old process beside the declaration of the one before it is kept from writing by the version's guard. Change: the test waits until the upgraded process has declared itself before it kills it.

--- a/src/test/java/io/pepperfield/rollout/RolloutLoopbackTest.java
+++ b/src/test/java/io/pepperfield/rollout/RolloutLoopbackTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Locale;
 import java.util.Random;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -85,6 +86,11 @@
         return ClusterVersion.read(region.durable("pepperfield/rollout/version"));
     }
 
+    private void untilDeclared(int node, String release) throws Exception {
+        region.untilAny(
+                "GET", "/api/rollout", null, answer -> release.equals(declared(answer, node)));
+    }
+
     private static String declared(Outcome.Answered answer, int node) {
         return answer.json()
                 .path("controllers")
@@ -115,10 +121,11 @@
             submitSome();
         }
         int back = random.nextInt(CONTROLLERS);
+        // Or its declaration could arrive after the one of its first process has been seen below.
+        untilDeclared(back, Release.CURRENT.name());
         replace(back, Version.GATED);
         // As long as the declaration of the process before it stands, it would not be waited for.
-        region.untilAny(
-                "GET", "/api/rollout", null, answer -> "gated".equals(declared(answer, back)));
+        untilDeclared(back, Version.GATED.name().toLowerCase(Locale.ROOT));
         // The leader waits for it; if it leads itself, it does not know the version.
         region.untilAny(
                 "POST", "/api/rollout/activate", ACTIVATE, answer -> answer.status() == REFUSED);
