Rollback: confirmed before it is called needless; a record left out keeps no other from it

Causes, both found by reading the change once more. (1) The confirmation that `rollback` on a final version was to get had been written and was never called: a leader that had not heard of an activation said "version 1 is the only one". (2) After a record that could not be divided, the rewriting went on trying to divide each later one, and left out those that it could not.

Change: the confirmation is called; leaving a record out and beginning anew end the dividing. Checked: a test for each, seen to fail without the mend (200 instead of 503; the small record was never rewritten).

--- a/src/main/java/io/pepperfield/rollout/RollbackRewriter.java
+++ b/src/main/java/io/pepperfield/rollout/RollbackRewriter.java
@@ -115,6 +115,14 @@
     private void beginAnew() {
         after = FIRST_PLACE;
         skipped = false;
+        attempt = Attempt.TOGETHER;
+    }
+
+    /** The rollback does not end while a record is left out. */
+    private void skip(String last) {
+        after = last;
+        skipped = true;
+        attempt = Attempt.TOGETHER;
     }
 
     private void read(ReadResult result, long readUnder) {
@@ -159,14 +167,14 @@
             try {
                 addRewriting(record, guards, changes);
             } catch (UnreadableRecord e) {
-                // Neither guessed nor lost: the rollback does not end while it is there.
+                // Neither guessed nor lost.
                 LOG.warn("{} cannot be rewritten: {}", record.key(), e.getMessage());
                 skipped = true;
             }
         }
         String last = records.get(records.size() - 1).key();
         if (changes.isEmpty()) {
-            after = last;
+            skip(last);
             pause(1);
             return;
         }
@@ -232,9 +240,7 @@
             attempt = Attempt.DIVIDED;
         } else {
             LOG.warn("{} is too large for the first form under today's limits", last);
-            after = last;
-            skipped = true;
-            attempt = Attempt.TOGETHER;
+            skip(last);
         }
     }
 }
--- a/src/main/java/io/pepperfield/rollout/VersionChanges.java
+++ b/src/main/java/io/pepperfield/rollout/VersionChanges.java
@@ -113,14 +113,7 @@
     void rollback(Consumer<RolloutAnswer> done) {
         ClusterVersion now = gate.version();
         switch (now.phase()) {
-            case FINALIZED ->
-                    done.accept(
-                            now.writes() == StoredVersions.FIRST
-                                    ? new RolloutAnswer.Done("version 1 is the only one")
-                                    : new RolloutAnswer.Refused(
-                                            "version "
-                                                    + now.writes()
-                                                    + " is final: there is no way back"));
+            case FINALIZED -> noWayBack(now, done);
             case ROLLING_BACK ->
                     confirm(
                             "rolling back, about " + forms.compactRecords() + " records are left",
--- a/src/test/java/io/pepperfield/rollout/RolloutCommandsTest.java
+++ b/src/test/java/io/pepperfield/rollout/RolloutCommandsTest.java
@@ -7,10 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.pepperfield.config.Operators;
 import io.pepperfield.config.Settings;
-import io.pepperfield.config.SettingsException;
-import io.pepperfield.config.SettingsReader;
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Reply;
 import io.pepperfield.jobs.JobSpec;
@@ -18,6 +15,7 @@
 import io.pepperfield.leadership.LeaderClaim;
 import io.pepperfield.standin.DirectState;
 import io.pepperfield.standin.JobSpecBuilder;
+import io.pepperfield.standin.RegionSettings;
 import io.pepperfield.standin.SimWorld;
 import io.pepperfield.standin.SimulatedLoop;
 import io.pepperfield.store.Keys;
@@ -58,7 +56,7 @@
         final Replica replica = new Replica(this::changed);
         boolean leads;
 
-        Node(int index, Release release) throws SettingsException {
+        Node(int index, Release release) {
             rollout = new Rollout(loop, settings(index), state, release);
             rollout.attach(this, id -> spec);
         }
@@ -142,45 +140,12 @@
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
-    private static Settings settings(int index) throws SettingsException {
-        int peer = 1 - index;
-        String toml =
-                """
-                node = "node-%d"
-                zone = "east"
-                bind = "127.0.0.1:1"
-                peer_listen = "127.0.0.1:1"
-                [[members]]
-                node = "node-%d"
-                zone = "east"
-                addr = "127.0.0.1:1"
-                [endpoints]
-                cloud = "127.0.0.1:1"
-                state = "127.0.0.1:1"
-                [deployment]
-                size = 2
-                [deployment.workers]
-                report_s = 1
-                lease_s = 4
-                cancel_s = 12
-                [deployment.state]
-                rps = 100
-                write_rps = 50
-                value_kb = 8
-                txn_ops = 8
-                [deployment.cloud]
-                rps = 1
-                list_lag_s = 1
-                [deployment.quota]
-                core_share = 1
-                mem_mb = 256
-                sockets = 256
-                """;
-        return SettingsReader.parse("test", toml.formatted(index, peer), Operators.DEFAULTS);
+    private static Settings settings(int index) {
+        return RegionSettings.of(index, 2, new Settings.State(100, 50, 8, 8));
     }
 
     @BeforeEach
-    void start() throws SettingsException {
+    void start() {
         state.put(Keys.LEADER, Json.object().put("node", "node-0").put("grant", 1));
         leader = new Node(0, Release.CURRENT);
         leader.leads = true;
@@ -255,7 +220,7 @@
     }
 
     @Test
-    void aReleaseThatLacksTheVersionWritesNothingAndSaysWhy() throws SettingsException {
+    void aReleaseThatLacksTheVersionWritesNothingAndSaysWhy() {
         activate();
         Node old = new Node(1, GATED);
         old.hear();
@@ -268,7 +233,7 @@
     }
 
     @Test
-    void aReleaseThatLacksTheVersionServesNobodyBeforeARollbackHasEnded() throws SettingsException {
+    void aReleaseThatLacksTheVersionServesNobodyBeforeARollbackHasEnded() {
         activate();
         leader.write(LINES);
         leader.command("rollback", "{}");
@@ -378,13 +343,18 @@
         assertEquals(ClusterVersion.INITIAL, version());
     }
 
-    @Test
-    void aRecordThatNoLongerFitsInTheFirstFormIsDivided() {
-        spec = new JobSpecBuilder().id("run-000001").tasks(100).chunk(100).build();
+    private static List<RunRecord> longLines() {
         List<RunRecord> lines = new ArrayList<>();
         for (int task = 0; task < 100; task++) {
             lines.add(new RunRecord(task, 1, RunRecord.State.LIVE, "host-" + task / 2, 1));
         }
+        return lines;
+    }
+
+    @Test
+    void aRecordThatNoLongerFitsInTheFirstFormIsDivided() {
+        spec = new JobSpecBuilder().id("run-000001").tasks(100).chunk(100).build();
+        List<RunRecord> lines = longLines();
         activate();
         leader.write(RunRecord.write(lines));
         leader.hear();
@@ -402,6 +372,22 @@
         assertEquals(LINES.toString(), state.get(Keys.run("run-000002", 0)).toString());
     }
 
+    @Test
+    void aRecordThatCannotBeRewrittenKeepsNoOtherFromIt() {
+        activate();
+        leader.write(RunRecord.write(longLines()));
+        leader.hear();
+        leader.write(Keys.run("run-000002", 0), LINES);
+        leader.hear();
+        // It does not fit any more, and its job, which says how to divide it, is not known.
+        state.mostValueBytes = 1024;
+        leader.command("rollback", "{}");
+        passTime();
+        assertEquals(LINES.toString(), String.valueOf(state.get(Keys.run("run-000002", 0))));
+        assertEquals(1, state.count(Keys.SECOND_RUN));
+        assertEquals(ClusterVersion.Phase.ROLLING_BACK, version().phase());
+    }
+
     // ---- commands
 
     @Test
@@ -429,6 +415,12 @@
         assertEquals(503, leader.command("activate", ACTIVATE).status());
     }
 
+    @Test
+    void isNotCalledTheOnlyOneByWhoHasNotHeardOfAnActivation() {
+        state.put(Keys.ROLLOUT_VERSION, ClusterVersion.INITIAL.activated(2, List.of()).write());
+        assertEquals(503, leader.command("rollback", "{}").status());
+    }
+
     @Test
     void refusesWhatCannotBeAndWritesNothing() {
         int before = state.changes;
@@ -455,7 +447,7 @@
     }
 
     @Test
-    void aControllerThatNeverComesBackIsLeftOutByName() throws SettingsException {
+    void aControllerThatNeverComesBackIsLeftOutByName() {
         Node alone = new Node(0, Release.CURRENT);
         alone.leads = true;
         alone.hear();
--- a/src/test/java/io/pepperfield/rollout/RolloutMeasurement.java
+++ b/src/test/java/io/pepperfield/rollout/RolloutMeasurement.java
@@ -1,15 +1,14 @@
 package io.pepperfield.rollout;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.pepperfield.config.Operators;
 import io.pepperfield.config.Settings;
-import io.pepperfield.config.SettingsReader;
 import io.pepperfield.http.Json;
 import io.pepperfield.jobs.RunRecord;
 import io.pepperfield.jobs.RunRecord.State;
 import io.pepperfield.leadership.LeaderClaim;
 import io.pepperfield.standin.DirectState;
 import io.pepperfield.standin.Region;
+import io.pepperfield.standin.RegionSettings;
 import io.pepperfield.standin.Scenario;
 import io.pepperfield.standin.SimOperator.Command;
 import io.pepperfield.standin.SimulatedLoop;
@@ -31,35 +30,6 @@
     private static final int ARRAYS = 6;
     private static final int TASKS = 600;
 
-    private static final String SETTINGS =
-            """
-            node = "node-0"
-            zone = "east"
-            bind = "127.0.0.1:1"
-            peer_listen = "127.0.0.1:1"
-            [endpoints]
-            cloud = "127.0.0.1:1"
-            state = "127.0.0.1:1"
-            [deployment]
-            size = 1
-            [deployment.workers]
-            report_s = 2.5
-            lease_s = 12
-            cancel_s = 37
-            [deployment.state]
-            rps = 150
-            write_rps = 50
-            value_kb = 8
-            txn_ops = 40
-            [deployment.cloud]
-            rps = 2
-            list_lag_s = 8
-            [deployment.quota]
-            core_share = 1
-            mem_mb = 256
-            sockets = 256
-            """;
-
     private RolloutMeasurement() {}
 
     /** A leader that is never replaced. */
@@ -91,7 +61,7 @@
     }
 
     /** Prints all figures. */
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         rollback();
         for (boolean compact : new boolean[] {false, true}) {
             starts(compact);
@@ -100,7 +70,7 @@
         submissionsAround(Command.ROLLBACK);
     }
 
-    private static void rollback() throws Exception {
+    private static void rollback() {
         SimulatedLoop loop = new SimulatedLoop();
         DirectState state = new DirectState();
         JsonNode record = CompactRunRecords.encode(RunRecord.write(lines()));
@@ -110,7 +80,7 @@
         ClusterVersion active = ClusterVersion.INITIAL.activated(2, List.of());
         state.put(Keys.SECOND_LEADER, new Lead(state).value());
         state.put(Keys.ROLLOUT_VERSION, active.rollingBack().write());
-        Settings settings = SettingsReader.parse("measurement", SETTINGS, Operators.DEFAULTS);
+        Settings settings = RegionSettings.of(0, 1, new Settings.State(150, 50, 8, 40));
         Rollout rollout = new Rollout(loop, settings, state, Release.CURRENT);
         rollout.attach(new Lead(state), id -> null);
         rollout.changed(
--- a/src/test/java/io/pepperfield/standin/RegionSettings.java
+++ b/src/test/java/io/pepperfield/standin/RegionSettings.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 
 /** The settings of a simulated region's controllers. */
-final class RegionSettings {
+public final class RegionSettings {
 
     private static final Map<String, Double> TEAM_LIMITS =
             Map.of("red", 24.0, "blue", 24.0, "guests", Double.POSITIVE_INFINITY);
@@ -35,7 +35,7 @@
      * Of the controller with that index among so many, which keeps these limits of the state
      * service.
      */
-    static Settings of(int index, int nodes, Settings.State limits) {
+    public static Settings of(int index, int nodes, Settings.State limits) {
         List<Settings.Member> members = new ArrayList<>();
         for (int i = 0; i < nodes; i++) {
             if (i != index) {
