Tidying: answers of the state service, command groups and the rollout's path stand once

What the change had written again: reading of pairs and events (HttpStateService and the archive's source, now StateAnswers), the command that only holds others (three times, now CommandGroup), the path and the first version's number (three times). One change at a time is kept in one place of RolloutRequests.

--- a/src/main/java/io/pepperfield/cli/Main.java
+++ b/src/main/java/io/pepperfield/cli/Main.java
@@ -20,14 +20,7 @@
             StateCommand.class,
             Rehearse.class
         })
-public final class Main implements Runnable {
-
-    @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
-
-    @Override
-    public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "Want a command");
-    }
+public final class Main extends CommandGroup {
 
     /** Sets up logging and runs the command that the arguments name; exits with its code. */
     public static void main(String[] arguments) {
--- a/src/main/java/io/pepperfield/cli/RolloutCommand.java
+++ b/src/main/java/io/pepperfield/cli/RolloutCommand.java
@@ -2,10 +2,10 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.pepperfield.http.Json;
+import io.pepperfield.rollout.Rollout;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
@@ -21,16 +21,7 @@
             RolloutCommand.FinalizeCommand.class,
             RolloutCommand.RollbackCommand.class
         })
-final class RolloutCommand implements Runnable {
-
-    private static final String PATH = "/api/rollout";
-
-    @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
-
-    @Override
-    public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "Want a command");
-    }
+final class RolloutCommand extends CommandGroup {
 
     /** Prints the version, the controllers' releases and who holds up an activation. */
     @Command(
@@ -43,7 +34,7 @@
 
         @Override
         public Integer call() {
-            return remote.call("GET", PATH, null);
+            return remote.call("GET", Rollout.PATH, null);
         }
     }
 
@@ -55,7 +46,7 @@
         private final String path;
 
         Change(String name) {
-            path = PATH + "/" + name;
+            path = Rollout.PATH + "/" + name;
         }
 
         /** What the leader has to know beside the command. */
--- a/src/main/java/io/pepperfield/cli/StateCommand.java
+++ b/src/main/java/io/pepperfield/cli/StateCommand.java
@@ -16,7 +16,6 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Parameters;
@@ -27,17 +26,10 @@
         mixinStandardHelpOptions = true,
         description = "Writes and checks archives of all that the state service holds.",
         subcommands = {StateCommand.ExportCommand.class, StateCommand.InspectCommand.class})
-final class StateCommand implements Runnable {
+final class StateCommand extends CommandGroup {
 
     private static final int MOST_ANSWER_BYTES = 64 * 1024 * 1024;
 
-    @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
-
-    @Override
-    public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "Want a command");
-    }
-
     private static int failed(String why) {
         System.err.println("pepperfield: " + why);
         return 1;
--- a/src/main/java/io/pepperfield/node/StoredVersion.java
+++ b/src/main/java/io/pepperfield/node/StoredVersion.java
@@ -5,6 +5,7 @@
 import io.pepperfield.http.Call;
 import io.pepperfield.http.Reply;
 import io.pepperfield.rollout.Rollout;
+import io.pepperfield.rollout.StoredVersions;
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.TransactionLimits;
 import java.util.function.Consumer;
@@ -23,12 +24,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(StoredVersion.class);
 
-    /** Where operators ask about the rollout and change it. */
-    private static final String PATH = "/api/rollout";
-
-    /** The only version that a controller without a rollout knows. */
-    private static final int FIRST = 1;
-
     private final Rollout rollout;
     private final TransactionLimits limits;
 
@@ -66,7 +61,9 @@
         if (rollout != null) {
             rollout.changed(key, data, stamp);
         } else if (key.equals(Keys.ROLLOUT_VERSION)) {
-            boolean newer = data != null && data.path("highest").asInt(FIRST + 1) > FIRST;
+            boolean newer =
+                    data != null
+                            && data.path("highest").asInt(Integer.MAX_VALUE) > StoredVersions.FIRST;
             if (newer && !unknown) {
                 LOG.error(
                         "serving nobody: a newer stored-state version is in use, and rollout is off");
@@ -84,7 +81,7 @@
 
     /** Whether the request is an operator's about the rollout. */
     boolean handles(Call call) {
-        return rollout != null && call.path().startsWith(PATH);
+        return rollout != null && call.path().startsWith(Rollout.PATH);
     }
 
     void handle(Call call, Consumer<Reply> answer) {
--- a/src/main/java/io/pepperfield/recovery/HttpStateSource.java
+++ b/src/main/java/io/pepperfield/recovery/HttpStateSource.java
@@ -5,10 +5,8 @@
 import io.pepperfield.http.HttpClient;
 import io.pepperfield.http.Outcome;
 import io.pepperfield.store.Keys;
-import io.pepperfield.store.StateService.Item;
+import io.pepperfield.store.StateAnswers;
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.LockSupport;
 
@@ -40,11 +38,8 @@
     public Page page(String after) throws IOException {
         String since = after.isEmpty() ? "" : "&since=" + after;
         JsonNode body = get("/kv?starts=" + Keys.ROOT + "&limit=" + PAGE + since).json();
-        List<Item> items = new ArrayList<>();
-        for (JsonNode pair : body.path("pairs")) {
-            items.add(item(pair.path("k").asText(), pair.get("data"), pair));
-        }
-        return new Page(items, body.path("truncated").asBoolean(), revision(body));
+        boolean more = body.path("truncated").asBoolean();
+        return new Page(StateAnswers.pairs(body), more, revision(body));
     }
 
     @Override
@@ -55,17 +50,7 @@
             throw new ChangesForgotten(revision);
         }
         JsonNode body = answer.json();
-        List<Item> items = new ArrayList<>();
-        for (JsonNode event : body.path("events")) {
-            boolean deleted = event.has("delete");
-            String key = event.path(deleted ? "delete" : "set").asText();
-            items.add(item(key, deleted ? null : event.get("data"), event));
-        }
-        return new Page(items, false, revision(body));
-    }
-
-    private static Item item(String key, JsonNode data, JsonNode from) {
-        return new Item(key, data, from.path("stamp").longValue());
+        return new Page(StateAnswers.events(body), false, revision(body));
     }
 
     private static long revision(JsonNode body) throws IOException {
--- a/src/main/java/io/pepperfield/rollout/Rollout.java
+++ b/src/main/java/io/pepperfield/rollout/Rollout.java
@@ -20,6 +20,9 @@
  */
 public final class Rollout {
 
+    /** Where operators ask about the rollout and change it. */
+    public static final String PATH = "/api/rollout";
+
     private final Loop loop;
     private final Settings settings;
     private final StateService raw;
--- a/src/main/java/io/pepperfield/rollout/RolloutRequests.java
+++ b/src/main/java/io/pepperfield/rollout/RolloutRequests.java
@@ -9,7 +9,6 @@
 import io.pepperfield.leadership.LeaderClaim;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 
 /**
@@ -17,9 +16,6 @@
  */
 final class RolloutRequests {
 
-    /** Where operators ask. */
-    static final String PATH = "/api/rollout";
-
     private final VersionGate gate;
     private final VersionedStateService forms;
     private final MemberRegistry registry;
@@ -41,7 +37,7 @@
     }
 
     void handle(Call call, Consumer<Reply> answer) {
-        if (call.path().equals(PATH)) {
+        if (call.path().equals(Rollout.PATH)) {
             answer.accept(
                     call.method().equals("GET")
                             ? Reply.json(200, status())
@@ -67,29 +63,28 @@
     }
 
     private void change(Call call, Consumer<Reply> answer) {
-        Consumer<RolloutAnswer> done =
-                result -> {
-                    busy = false;
-                    answer.accept(result.reply());
-                };
-        busy = true;
-        switch (call.path().substring(PATH.length())) {
-            case "/activate" -> activate(call.body(), done, answer);
-            case "/finalize" -> versions.finalizeActive(done);
-            case "/rollback" -> versions.rollback(done);
-            default -> {
-                busy = false;
-                answer.accept(Reply.error(404, "no such path"));
-            }
+        switch (call.path().substring(Rollout.PATH.length())) {
+            case "/activate" -> activate(call.body(), answer);
+            case "/finalize" -> versions.finalizeActive(begin(answer));
+            case "/rollback" -> versions.rollback(begin(answer));
+            default -> answer.accept(Reply.error(404, "no such path"));
         }
     }
 
-    private void activate(byte[] raw, Consumer<RolloutAnswer> done, Consumer<Reply> answer) {
+    /** One change at a time: the next may begin once this one is answered. */
+    private Consumer<RolloutAnswer> begin(Consumer<Reply> answer) {
+        busy = true;
+        return result -> {
+            busy = false;
+            answer.accept(result.reply());
+        };
+    }
+
+    private void activate(byte[] raw, Consumer<Reply> answer) {
         JsonNode body = Json.read(raw);
         boolean readable = body != null && body.isObject();
         JsonNode target = readable ? body.path("to") : null;
         if (target == null || !target.isMissingNode() && !target.isInt()) {
-            busy = false;
             answer.accept(Reply.error(400, "to: want the number of a version"));
             return;
         }
@@ -99,7 +94,7 @@
                 target.asInt(gate.release().writes()),
                 without,
                 body.path("olderReleasesRetired").asBoolean(),
-                done);
+                begin(answer));
     }
 
     private ObjectNode status() {
@@ -131,6 +126,7 @@
         if (member == null) {
             return line.put("release", "not declared");
         }
-        return line.setAll(Map.of("release", member.write()));
+        line.set("release", member.write());
+        return line;
     }
 }
--- a/src/main/java/io/pepperfield/rollout/VersionedStateService.java
+++ b/src/main/java/io/pepperfield/rollout/VersionedStateService.java
@@ -139,9 +139,9 @@
         } else if (isCompact(key, stamp)) {
             // Also while rolling back: only the rewriting changes a record's form then, so that the
             // two never undo each other's work.
-            stored.add(Change.set(compactKey(key), CompactRunRecords.encode(change.data())));
+            stored.add(compactChange(change));
         } else if (gate.writesCompactRunRecords()) {
-            stored.add(Change.set(compactKey(key), CompactRunRecords.encode(change.data())));
+            stored.add(compactChange(change));
             if (stamp != 0) {
                 stored.add(Change.delete(key));
             }
@@ -150,6 +150,10 @@
         }
     }
 
+    private static Change compactChange(Change first) {
+        return Change.set(compactKey(first.key()), CompactRunRecords.encode(first.data()));
+    }
+
     private TxnResult result(TxnResult result, List<Change> changes) {
         if (result instanceof TxnResult.Committed done) {
             changes.forEach(change -> noteCompact(change.key(), done.revision()));
@@ -219,9 +223,12 @@
             return isFence(item) ? null : item;
         }
         if (isRunRecord(key)) {
+            if (item.data() == null) {
+                // Deleted only in the same transaction that writes the other form.
+                return null;
+            }
             noteFirst(key, item.stamp());
-            // Deleted only in the same transaction that writes the other form.
-            return item.data() == null ? null : item;
+            return item;
         }
         return item;
     }
--- a/src/main/java/io/pepperfield/store/HttpStateService.java
+++ b/src/main/java/io/pepperfield/store/HttpStateService.java
@@ -129,20 +129,9 @@
                                     if (outcome instanceof Outcome.Answered answer
                                             && answer.status() == 200) {
                                         JsonNode body = answer.json();
-                                        List<Item> items = new ArrayList<>();
-                                        body.path("pairs")
-                                                .forEach(
-                                                        p ->
-                                                                items.add(
-                                                                        new Item(
-                                                                                p.path("k")
-                                                                                        .asText(),
-                                                                                p.get("data"),
-                                                                                p.path("stamp")
-                                                                                        .longValue())));
                                         done.accept(
                                                 new ReadResult.Read(
-                                                        items,
+                                                        StateAnswers.pairs(body),
                                                         body.path("truncated").asBoolean(),
                                                         body.path("generation").longValue()));
                                     } else {
@@ -186,23 +175,9 @@
                                         done.accept(new ReadResult.Failed());
                                         return;
                                     }
-                                    List<Item> items = new ArrayList<>();
-                                    for (JsonNode event : body.path("events")) {
-                                        long stamp = event.path("stamp").longValue();
-                                        items.add(
-                                                event.has("delete")
-                                                        ? new Item(
-                                                                event.path("delete").asText(),
-                                                                null,
-                                                                stamp)
-                                                        : new Item(
-                                                                event.path("set").asText(),
-                                                                event.get("data"),
-                                                                stamp));
-                                    }
                                     done.accept(
                                             new ReadResult.Read(
-                                                    items,
+                                                    StateAnswers.events(body),
                                                     false,
                                                     body.path("generation").longValue()));
                                 }),
