--- a/src/main/java/io/pepperfield/cloud/Cloud.java
+++ b/src/main/java/io/pepperfield/cloud/Cloud.java
@@ -1,5 +1,6 @@
 package io.pepperfield.cloud;
 
+import io.pepperfield.fleet.MachineType;
 import java.util.List;
 import java.util.function.Consumer;
 
--- a/src/main/java/io/pepperfield/cloud/Renting.java
+++ b/src/main/java/io/pepperfield/cloud/Renting.java
@@ -5,7 +5,7 @@
 import io.pepperfield.fleet.Fleet;
 import io.pepperfield.fleet.Machine;
 import io.pepperfield.http.Json;
-import io.pepperfield.node.Loop;
+import io.pepperfield.loop.Loop;
 import io.pepperfield.steering.Pool;
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.Writer;
--- a/src/main/java/io/pepperfield/cloud/TypesRecord.java
+++ b/src/main/java/io/pepperfield/cloud/TypesRecord.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pepperfield.fleet.MachineType;
 import io.pepperfield.http.Json;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/io/pepperfield/fleet/HttpWorkers.java
+++ b/src/main/java/io/pepperfield/fleet/HttpWorkers.java
@@ -5,7 +5,7 @@
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Outcome;
 import io.pepperfield.http.Sender;
-import io.pepperfield.node.Loop;
+import io.pepperfield.loop.Loop;
 import java.util.List;
 import java.util.function.Consumer;
 
--- a/src/main/java/io/pepperfield/fleet/Machine.java
+++ b/src/main/java/io/pepperfield/fleet/Machine.java
@@ -1,6 +1,5 @@
 package io.pepperfield.fleet;
 
-import io.pepperfield.cloud.MachineType;
 import io.pepperfield.jobs.Job;
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.placement.Capacity;
--- a/src/main/java/io/pepperfield/cloud/MachineType.java
+++ b/src/main/java/io/pepperfield/fleet/MachineType.java
@@ -1,4 +1,4 @@
-package io.pepperfield.cloud;
+package io.pepperfield.fleet;
 
 import java.util.List;
 
--- a/src/main/java/io/pepperfield/http/Admission.java
+++ b/src/main/java/io/pepperfield/http/PendingQueryLimit.java
@@ -8,7 +8,7 @@
  * what is beyond it is told at once to come back, and neither fills the owner's queue nor delays
  * reports, submissions and health answers there.
  */
-public final class Admission implements HttpServer.Handler {
+public final class PendingQueryLimit implements HttpServer.Handler {
 
     private final HttpServer.Handler next;
     private final int most;
@@ -18,7 +18,7 @@
     /**
      * @param prefix the paths whose GETs are counted
      */
-    public Admission(String prefix, int most, HttpServer.Handler next) {
+    public PendingQueryLimit(String prefix, int most, HttpServer.Handler next) {
         this.prefix = prefix;
         this.most = most;
         this.next = next;
--- a/src/main/java/io/pepperfield/jobs/CreateIfAbsent.java
+++ b/src/main/java/io/pepperfield/jobs/CreateIfAbsent.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pepperfield.http.Json;
-import io.pepperfield.node.Loop;
+import io.pepperfield.loop.Loop;
 import io.pepperfield.store.StateService;
 import io.pepperfield.store.StateService.Change;
 import io.pepperfield.store.StateService.Guard;
@@ -32,7 +32,8 @@
     }
 
     /** A key to be created, until when it may be tried (loop time), and whom to tell. */
-    private record Wish(String key, JsonNode data, double until, List<Consumer<Result>> asked) {
+    private record PendingCreation(
+            String key, JsonNode data, double until, List<Consumer<Result>> asked) {
 
         void done(Result result) {
             asked.forEach(one -> one.accept(result));
@@ -48,8 +49,8 @@
     private final int mostWaiting;
     private final int mostChanges;
     private final int mostBytes;
-    private final ArrayDeque<Wish> wishes = new ArrayDeque<>();
-    private final Map<String, Wish> waiting = new HashMap<>();
+    private final ArrayDeque<PendingCreation> queue = new ArrayDeque<>();
+    private final Map<String, PendingCreation> waiting = new HashMap<>();
     private boolean writing;
 
     /**
@@ -71,17 +72,18 @@
     }
 
     void create(String key, JsonNode data, Consumer<Result> done) {
-        Wish same = waiting.get(key);
+        PendingCreation same = waiting.get(key);
         if (same != null) {
             // Asked again while the first request waits: one answer for both.
             same.asked.add(done);
         } else if (waiting.size() >= mostWaiting) {
             done.accept(Result.TOO_MANY);
         } else {
-            Wish wish =
-                    new Wish(key, data, loop.now() + PATIENCE_S, new ArrayList<>(List.of(done)));
-            waiting.put(key, wish);
-            wishes.add(wish);
+            PendingCreation creation =
+                    new PendingCreation(
+                            key, data, loop.now() + PATIENCE_S, new ArrayList<>(List.of(done)));
+            waiting.put(key, creation);
+            queue.add(creation);
         }
     }
 
@@ -90,25 +92,25 @@
      * together.
      */
     void flush() {
-        if (writing || wishes.isEmpty()) {
+        if (writing || queue.isEmpty()) {
             return;
         }
-        List<Wish> batch = new ArrayList<>();
+        List<PendingCreation> batch = new ArrayList<>();
         int bytes = 0;
-        while (!wishes.isEmpty() && batch.size() < mostChanges) {
-            Wish wish = wishes.peek();
+        while (!queue.isEmpty() && batch.size() < mostChanges) {
+            PendingCreation creation = queue.peek();
             // As sent: counted in letters, names of another script would have the service refuse
             // everybody in the transaction.
-            int size = Json.write(wish.data).length + 2 * wish.key.length();
+            int size = Json.write(creation.data).length + 2 * creation.key.length();
             if (!batch.isEmpty() && bytes + size > mostBytes) {
                 break;
             }
-            wishes.poll();
-            waiting.remove(wish.key);
-            if (wish.until < loop.now()) {
-                wish.done(Result.TOO_MANY);
+            queue.poll();
+            waiting.remove(creation.key);
+            if (creation.until < loop.now()) {
+                creation.done(Result.TOO_MANY);
             } else {
-                batch.add(wish);
+                batch.add(creation);
                 bytes += size;
             }
         }
@@ -128,11 +130,11 @@
                         batch.forEach(w -> w.done(Result.CREATED));
                     } else if (result instanceof TxnResult.Conflict conflict
                             && batch.stream().anyMatch(w -> conflict.failed().contains(w.key))) {
-                        for (Wish wish : batch) {
-                            if (conflict.failed().contains(wish.key)) {
-                                wish.done(Result.EXISTS);
+                        for (PendingCreation creation : batch) {
+                            if (conflict.failed().contains(creation.key)) {
+                                creation.done(Result.EXISTS);
                             } else {
-                                again(wish);
+                                again(creation);
                             }
                         }
                     } else {
@@ -148,12 +150,12 @@
      * Was in a transaction that failed for another key's sake; joined by what asked for the same
      * meanwhile.
      */
-    private void again(Wish wish) {
-        Wish later = waiting.put(wish.key, wish);
+    private void again(PendingCreation creation) {
+        PendingCreation later = waiting.put(creation.key, creation);
         if (later != null) {
-            wishes.remove(later);
-            wish.asked.addAll(later.asked);
+            queue.remove(later);
+            creation.asked.addAll(later.asked);
         }
-        wishes.addFirst(wish);
+        queue.addFirst(creation);
     }
 }
--- a/src/main/java/io/pepperfield/jobs/LinearizableReads.java
+++ b/src/main/java/io/pepperfield/jobs/LinearizableReads.java
@@ -45,22 +45,22 @@
     }
 
     /** Whether this node has heard that the job was accepted; that it has not says nothing. */
-    boolean heardOf(String id) {
+    boolean isKnown(String id) {
         return catalog.get(id) != null;
     }
 
     void read(String id, Consumer<Reading> done) {
-        if (over(id)) {
+        if (isFinal(id)) {
             done.accept(new Reading.Accepted(catalog.get(id)));
             return;
         }
         sync.confirm(
                 current -> {
-                    if (!current && !over(id)) {
+                    if (!current && !isFinal(id)) {
                         done.accept(new Reading.Unavailable());
                     } else {
                         done.accept(
-                                heardOf(id)
+                                isKnown(id)
                                         ? new Reading.Accepted(catalog.get(id))
                                         : new Reading.NeverAccepted());
                     }
@@ -68,7 +68,7 @@
     }
 
     /** Whether this node knows the job's final state, which it may tell at any time. */
-    boolean over(String id) {
-        return heardOf(id) && catalog.get(id).end() != null;
+    boolean isFinal(String id) {
+        return isKnown(id) && catalog.get(id).end() != null;
     }
 }
--- a/src/main/java/io/pepperfield/jobs/UserRequests.java
+++ b/src/main/java/io/pepperfield/jobs/UserRequests.java
@@ -4,7 +4,7 @@
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Reply;
 import io.pepperfield.jobs.LinearizableReads.Reading;
-import io.pepperfield.node.Loop;
+import io.pepperfield.loop.Loop;
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.StateService;
 import io.pepperfield.store.Sync;
@@ -37,11 +37,11 @@
     private final CreateIfAbsent cancellations;
     private final IntSupplier linesInRecord;
     private final int mostValueBytes;
-    private final int mostStrangers;
+    private final int mostUnknownQueries;
     private final Consumer<String> cancelled;
 
     /** Questions about jobs that this node knows nothing of, waiting for their confirmation. */
-    private int strangers;
+    private int unknownQueries;
 
     /**
      * @param linesInRecord tasks in a run record of a new job, given how many the first stored form
@@ -57,13 +57,13 @@
             int mostChanges,
             double valueKb,
             double changesPerS,
-            int mostStrangers,
+            int mostUnknownQueries,
             IntUnaryOperator linesInRecord,
             Consumer<String> cancelled) {
         this.loop = loop;
         this.reads = new LinearizableReads(catalog, sync);
         this.feasibility = feasibility;
-        this.mostStrangers = mostStrangers;
+        this.mostUnknownQueries = mostUnknownQueries;
         this.cancelled = cancelled;
         this.mostValueBytes = (int) (valueKb * 1024 * 0.9);
         // A run record takes up to about 60 bytes a task; half of a value leaves room for long
@@ -97,7 +97,7 @@
                                     : "nameId: want run- and at least six digits"));
             return;
         }
-        if (reads.heardOf(id)) {
+        if (reads.isKnown(id)) {
             query(id, answer);
             return;
         }
@@ -125,7 +125,7 @@
             unlessKnown(id, Reply.error(422, refusal), answer);
             return;
         }
-        if (job.awaits().stream().allMatch(reads::heardOf)) {
+        if (job.awaits().stream().allMatch(reads::isKnown)) {
             accept(id, durable, answer);
             return;
         }
@@ -134,14 +134,15 @@
         reads.read(
                 id,
                 reading -> {
-                    String stranger =
+                    String unknownPrerequisite =
                             job.awaits().stream()
-                                    .filter(needed -> !reads.heardOf(needed))
+                                    .filter(needed -> !reads.isKnown(needed))
                                     .findFirst()
                                     .orElse(null);
                     if (reading instanceof Reading.Accepted accepted) {
                         answer.accept(Reply.json(200, accepted.job().answer()));
-                    } else if (reading instanceof Reading.NeverAccepted && stranger == null) {
+                    } else if (reading instanceof Reading.NeverAccepted
+                            && unknownPrerequisite == null) {
                         accept(id, durable, answer);
                     } else {
                         answer.accept(
@@ -149,7 +150,9 @@
                                         reading,
                                         Reply.error(
                                                 422,
-                                                "awaits: " + stranger + " was never accepted")));
+                                                "awaits: "
+                                                        + unknownPrerequisite
+                                                        + " was never accepted")));
                     }
                 });
     }
@@ -220,19 +223,19 @@
 
     /** Answers a user's query for a job's state. */
     public void query(String id, Consumer<Reply> answer) {
-        if (reads.heardOf(id)) {
+        if (reads.isKnown(id)) {
             unlessKnown(id, NO_JOB, answer);
-        } else if (strangers >= mostStrangers) {
+        } else if (unknownQueries >= mostUnknownQueries) {
             // Questions about jobs that nobody submitted must leave room for those about jobs that
             // somebody did.
             answer.accept(Reply.later("too many questions about unknown jobs"));
         } else {
-            strangers++;
+            unknownQueries++;
             unlessKnown(
                     id,
                     NO_JOB,
                     reply -> {
-                        strangers--;
+                        unknownQueries--;
                         answer.accept(reply);
                     });
         }
@@ -240,7 +243,7 @@
 
     /** Cancels a job durably, and answers its user. */
     public void cancel(String id, Consumer<Reply> answer) {
-        if (reads.heardOf(id)) {
+        if (reads.isKnown(id)) {
             end(id, answer);
             return;
         }
@@ -260,7 +263,7 @@
      * unless this node knows it.
      */
     private void end(String id, Consumer<Reply> answer) {
-        if (reads.over(id)) {
+        if (reads.isFinal(id)) {
             ended(id, answer);
             return;
         }
--- a/src/main/java/io/pepperfield/node/Loop.java
+++ b/src/main/java/io/pepperfield/loop/Loop.java
@@ -1,4 +1,4 @@
-package io.pepperfield.node;
+package io.pepperfield.loop;
 
 /** The event loop that owns all state, as its users see it: a clock and a queue. */
 public interface Loop {
--- a/src/main/java/io/pepperfield/node/BootTracker.java
+++ b/src/main/java/io/pepperfield/node/BootTracker.java
@@ -1,8 +1,8 @@
 package io.pepperfield.node;
 
-import io.pepperfield.cloud.MachineType;
 import io.pepperfield.fleet.Fleet;
 import io.pepperfield.fleet.Machine;
+import io.pepperfield.fleet.MachineType;
 import io.pepperfield.predict.BootTimes;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/io/pepperfield/node/CloudInventory.java
+++ b/src/main/java/io/pepperfield/node/CloudInventory.java
@@ -5,6 +5,7 @@
 import io.pepperfield.config.Settings;
 import io.pepperfield.fleet.Fleet;
 import io.pepperfield.fleet.Machine;
+import io.pepperfield.loop.Loop;
 import java.util.List;
 
 /**
--- a/src/main/java/io/pepperfield/node/ClusterState.java
+++ b/src/main/java/io/pepperfield/node/ClusterState.java
@@ -1,6 +1,5 @@
 package io.pepperfield.node;
 
-import io.pepperfield.cloud.MachineType;
 import io.pepperfield.cloud.Renting;
 import io.pepperfield.config.Aims;
 import io.pepperfield.config.Settings;
@@ -8,7 +7,9 @@
 import io.pepperfield.fleet.Fleet;
 import io.pepperfield.fleet.Ledger;
 import io.pepperfield.fleet.Machine;
+import io.pepperfield.fleet.MachineType;
 import io.pepperfield.jobs.Job;
+import io.pepperfield.loop.Loop;
 import io.pepperfield.placement.Room;
 import io.pepperfield.placement.Share;
 import java.util.ArrayList;
--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -13,6 +13,7 @@
 import io.pepperfield.jobs.Status;
 import io.pepperfield.jobs.UserRequests;
 import io.pepperfield.leadership.Leadership;
+import io.pepperfield.loop.Loop;
 import io.pepperfield.peer.ForwardingMessages;
 import io.pepperfield.peer.Members;
 import io.pepperfield.peer.PartitionOrders;
--- a/src/main/java/io/pepperfield/node/DirectOrders.java
+++ b/src/main/java/io/pepperfield/node/DirectOrders.java
@@ -6,6 +6,7 @@
 import io.pepperfield.fleet.Order;
 import io.pepperfield.fleet.Workers;
 import io.pepperfield.leadership.Leadership;
+import io.pepperfield.loop.Loop;
 import io.pepperfield.peer.PartitionOrders;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
--- a/src/main/java/io/pepperfield/node/Dispatcher.java
+++ b/src/main/java/io/pepperfield/node/Dispatcher.java
@@ -1,9 +1,9 @@
 package io.pepperfield.node;
 
-import io.pepperfield.cloud.MachineType;
 import io.pepperfield.config.Settings;
 import io.pepperfield.fleet.Attempt;
 import io.pepperfield.fleet.Machine;
+import io.pepperfield.fleet.MachineType;
 import io.pepperfield.jobs.Job;
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.placement.PlacementRequest;
--- a/src/main/java/io/pepperfield/node/EventLoop.java
+++ b/src/main/java/io/pepperfield/node/EventLoop.java
@@ -1,5 +1,6 @@
 package io.pepperfield.node;
 
+import io.pepperfield.loop.Loop;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
--- a/src/main/java/io/pepperfield/node/FleetSupply.java
+++ b/src/main/java/io/pepperfield/node/FleetSupply.java
@@ -1,8 +1,8 @@
 package io.pepperfield.node;
 
-import io.pepperfield.cloud.MachineType;
 import io.pepperfield.fleet.Attempt;
 import io.pepperfield.fleet.Machine;
+import io.pepperfield.fleet.MachineType;
 import io.pepperfield.jobs.Job;
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.predict.Predictor;
--- a/src/main/java/io/pepperfield/node/JobRecovery.java
+++ b/src/main/java/io/pepperfield/node/JobRecovery.java
@@ -6,6 +6,7 @@
 import io.pepperfield.jobs.Catalog;
 import io.pepperfield.jobs.Job;
 import io.pepperfield.jobs.RunRecord;
+import io.pepperfield.loop.Loop;
 
 /**
  * Rebuilds one job and its attempts from the run records of earlier leaders. Whatever a record
--- a/src/main/java/io/pepperfield/node/JobTracker.java
+++ b/src/main/java/io/pepperfield/node/JobTracker.java
@@ -13,6 +13,7 @@
 import io.pepperfield.jobs.RankInheritance;
 import io.pepperfield.jobs.SharedRecords;
 import io.pepperfield.jobs.Status;
+import io.pepperfield.loop.Loop;
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.Replica;
 import io.pepperfield.store.Writer;
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -11,6 +11,7 @@
 import io.pepperfield.fleet.Order;
 import io.pepperfield.fleet.Report;
 import io.pepperfield.leadership.Leadership;
+import io.pepperfield.loop.Loop;
 import io.pepperfield.peer.ForwardingMessages;
 import io.pepperfield.peer.PartitionOrders;
 import io.pepperfield.store.Keys;
--- a/src/main/java/io/pepperfield/node/LeaderOverview.java
+++ b/src/main/java/io/pepperfield/node/LeaderOverview.java
@@ -2,9 +2,9 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.pepperfield.cloud.MachineType;
 import io.pepperfield.config.Settings;
 import io.pepperfield.fleet.Machine;
+import io.pepperfield.fleet.MachineType;
 import io.pepperfield.jobs.Catalog;
 import io.pepperfield.jobs.Job;
 import io.pepperfield.placement.PlacementRequest;
--- a/src/main/java/io/pepperfield/node/MachineTypes.java
+++ b/src/main/java/io/pepperfield/node/MachineTypes.java
@@ -1,7 +1,7 @@
 package io.pepperfield.node;
 
-import io.pepperfield.cloud.MachineType;
 import io.pepperfield.config.Settings;
+import io.pepperfield.fleet.MachineType;
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.UserRequests;
 import java.util.Collection;
--- a/src/main/java/io/pepperfield/node/MachineTypesPoll.java
+++ b/src/main/java/io/pepperfield/node/MachineTypesPoll.java
@@ -1,7 +1,7 @@
 package io.pepperfield.node;
 
 import io.pepperfield.cloud.Cloud;
-import io.pepperfield.cloud.MachineType;
+import io.pepperfield.fleet.MachineType;
 import java.util.List;
 
 /**
--- a/src/main/java/io/pepperfield/node/PauseDetector.java
+++ b/src/main/java/io/pepperfield/node/PauseDetector.java
@@ -1,5 +1,6 @@
 package io.pepperfield.node;
 
+import io.pepperfield.loop.Loop;
 import java.util.function.DoubleSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
--- a/src/main/java/io/pepperfield/node/ReportHandler.java
+++ b/src/main/java/io/pepperfield/node/ReportHandler.java
@@ -8,6 +8,7 @@
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Reply;
 import io.pepperfield.leadership.Leadership;
+import io.pepperfield.loop.Loop;
 import io.pepperfield.peer.ForwardingMessages;
 import io.pepperfield.peer.Members;
 import io.pepperfield.peer.Partitions;
--- a/src/main/java/io/pepperfield/node/RequestRouter.java
+++ b/src/main/java/io/pepperfield/node/RequestRouter.java
@@ -5,6 +5,7 @@
 import io.pepperfield.http.Reply;
 import io.pepperfield.jobs.JobMessages;
 import io.pepperfield.jobs.UserRequests;
+import io.pepperfield.loop.Loop;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
--- a/src/main/java/io/pepperfield/node/Service.java
+++ b/src/main/java/io/pepperfield/node/Service.java
@@ -8,10 +8,10 @@
 import io.pepperfield.config.Settings;
 import io.pepperfield.config.Shortage;
 import io.pepperfield.fleet.HttpWorkers;
-import io.pepperfield.http.Admission;
 import io.pepperfield.http.Call;
 import io.pepperfield.http.HttpClient;
 import io.pepperfield.http.HttpServer;
+import io.pepperfield.http.PendingQueryLimit;
 import io.pepperfield.http.Reply;
 import io.pepperfield.peer.Peers;
 import io.pepperfield.peer.ReportForwarder;
@@ -105,7 +105,7 @@
                 new HttpServer(
                                 network,
                                 sockets * 7 / 10,
-                                new Admission(
+                                new PendingQueryLimit(
                                         Controller.JOBS,
                                         Controller.questionsAtOnce(settings),
                                         (call, answer) ->
--- a/src/main/java/io/pepperfield/peer/ReportForwarder.java
+++ b/src/main/java/io/pepperfield/peer/ReportForwarder.java
@@ -5,7 +5,7 @@
 import io.pepperfield.fleet.Report;
 import io.pepperfield.http.Outcome;
 import io.pepperfield.http.Sender;
-import io.pepperfield.node.Loop;
+import io.pepperfield.loop.Loop;
 import io.pepperfield.peer.ForwardingMessages.Answer;
 import io.pepperfield.peer.ForwardingMessages.Kept;
 import io.pepperfield.peer.ForwardingMessages.Verdict;
--- a/src/main/java/io/pepperfield/rollout/MemberDeclaration.java
+++ b/src/main/java/io/pepperfield/rollout/MemberDeclaration.java
@@ -1,7 +1,7 @@
 package io.pepperfield.rollout;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.pepperfield.node.Loop;
+import io.pepperfield.loop.Loop;
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.StateService;
 import io.pepperfield.store.StateService.Change;
--- a/src/main/java/io/pepperfield/rollout/RollbackRewriter.java
+++ b/src/main/java/io/pepperfield/rollout/RollbackRewriter.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.RunRecord;
-import io.pepperfield.node.Loop;
+import io.pepperfield.loop.Loop;
 import io.pepperfield.rollout.CompactRunRecords.UnreadableRecord;
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.StateService;
--- a/src/main/java/io/pepperfield/rollout/Rollout.java
+++ b/src/main/java/io/pepperfield/rollout/Rollout.java
@@ -6,7 +6,7 @@
 import io.pepperfield.http.Reply;
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.leadership.LeaderClaim;
-import io.pepperfield.node.Loop;
+import io.pepperfield.loop.Loop;
 import io.pepperfield.rollout.ClusterVersion.Phase;
 import io.pepperfield.store.Keys;
 import io.pepperfield.store.StateService;
--- a/src/main/java/io/pepperfield/store/Budget.java
+++ b/src/main/java/io/pepperfield/store/Budget.java
@@ -1,6 +1,6 @@
 package io.pepperfield.store;
 
-import io.pepperfield.node.Loop;
+import io.pepperfield.loop.Loop;
 import java.util.ArrayDeque;
 import java.util.EnumMap;
 import java.util.Map;
--- a/src/main/java/io/pepperfield/store/HttpStateService.java
+++ b/src/main/java/io/pepperfield/store/HttpStateService.java
@@ -7,7 +7,7 @@
 import io.pepperfield.http.Json;
 import io.pepperfield.http.Outcome;
 import io.pepperfield.http.Sender;
-import io.pepperfield.node.Loop;
+import io.pepperfield.loop.Loop;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
--- a/src/main/java/io/pepperfield/store/Sync.java
+++ b/src/main/java/io/pepperfield/store/Sync.java
@@ -1,6 +1,6 @@
 package io.pepperfield.store;
 
-import io.pepperfield.node.Loop;
+import io.pepperfield.loop.Loop;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
--- a/src/main/java/io/pepperfield/store/Writer.java
+++ b/src/main/java/io/pepperfield/store/Writer.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.pepperfield.http.Json;
-import io.pepperfield.node.Loop;
+import io.pepperfield.loop.Loop;
 import io.pepperfield.store.StateService.Change;
 import io.pepperfield.store.StateService.Guard;
 import io.pepperfield.store.StateService.TxnResult;
--- a/src/test/java/io/pepperfield/http/AdmissionTest.java
+++ b/src/test/java/io/pepperfield/http/PendingQueryLimitTest.java
@@ -9,12 +9,12 @@
 import org.junit.jupiter.api.Test;
 
 /** Many times as many questions as usual. */
-class AdmissionTest {
+class PendingQueryLimitTest {
 
     private final List<Consumer<Reply>> waiting = new ArrayList<>();
     private final List<Reply> said = new ArrayList<>();
-    private final Admission admission =
-            new Admission("/api/jobs/", 3, (call, answer) -> waiting.add(answer));
+    private final PendingQueryLimit admission =
+            new PendingQueryLimit("/api/jobs/", 3, (call, answer) -> waiting.add(answer));
 
     private void call(String method, String path) {
         admission.handle(Call.of(method, path, new byte[0]), said::add);
--- a/src/test/java/io/pepperfield/node/FailureDetectorTest.java
+++ b/src/test/java/io/pepperfield/node/FailureDetectorTest.java
@@ -4,14 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.pepperfield.cloud.Cloud;
-import io.pepperfield.cloud.MachineType;
 import io.pepperfield.cloud.Renting;
 import io.pepperfield.config.Aims;
 import io.pepperfield.config.Settings;
 import io.pepperfield.fleet.Fleet;
 import io.pepperfield.fleet.HttpWorkers;
 import io.pepperfield.fleet.Ledger;
+import io.pepperfield.fleet.MachineType;
 import io.pepperfield.fleet.Report;
+import io.pepperfield.loop.Loop;
 import io.pepperfield.standin.SilentCloud;
 import io.pepperfield.standin.SilentFleetListener;
 import io.pepperfield.standin.SingleNodeSettings;
--- a/src/test/java/io/pepperfield/node/SizerTest.java
+++ b/src/test/java/io/pepperfield/node/SizerTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.pepperfield.cloud.MachineType;
 import io.pepperfield.cloud.Renting;
 import io.pepperfield.config.Aims;
 import io.pepperfield.config.Settings;
@@ -10,10 +9,12 @@
 import io.pepperfield.fleet.Fleet;
 import io.pepperfield.fleet.Ledger;
 import io.pepperfield.fleet.Machine;
+import io.pepperfield.fleet.MachineType;
 import io.pepperfield.fleet.Report;
 import io.pepperfield.fleet.TaskRef;
 import io.pepperfield.jobs.Job;
 import io.pepperfield.jobs.JobSpec.Shape;
+import io.pepperfield.loop.Loop;
 import io.pepperfield.standin.JobSpecBuilder;
 import io.pepperfield.standin.SilentCloud;
 import io.pepperfield.standin.SilentFleetListener;
--- a/src/test/java/io/pepperfield/standin/SilentCloud.java
+++ b/src/test/java/io/pepperfield/standin/SilentCloud.java
@@ -1,7 +1,7 @@
 package io.pepperfield.standin;
 
 import io.pepperfield.cloud.Cloud;
-import io.pepperfield.cloud.MachineType;
+import io.pepperfield.fleet.MachineType;
 import java.util.List;
 import java.util.function.Consumer;
 
--- a/src/test/java/io/pepperfield/standin/SimulatedLoop.java
+++ b/src/test/java/io/pepperfield/standin/SimulatedLoop.java
@@ -1,6 +1,6 @@
 package io.pepperfield.standin;
 
-import io.pepperfield.node.Loop;
+import io.pepperfield.loop.Loop;
 import java.util.PriorityQueue;
 
 /**
