--- /dev/null
+++ b/src/main/java/io/pepperfield/admission/AdmissionLimits.java
@@ -0,0 +1,82 @@
+package io.pepperfield.admission;
+
+import io.pepperfield.config.AdmissionSettings;
+import io.pepperfield.config.Settings;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What there is to divide and by which weights, derived from the settings, which are the same on
+ * every controller. Rates are admissions per minute, in whole numbers.
+ *
+ * @param fixedPerMinute what each controller may admit without anybody's word
+ * @param dividedPerMinute what the leader hands out beyond the fixed shares of all controllers
+ * @param evenPerMinute what each controller has when all have the same
+ * @param durationS how long an allotment lasts, counted by its holder from the sending of its
+ *     request
+ * @param intervalS time between two requests of a controller
+ * @param weights the weight of each team
+ * @param waitingLimitS predicted waiting beyond which further work is refused
+ * @param band how far a team may be from its entitlement before it is marked
+ */
+record AdmissionLimits(
+        int fixedPerMinute,
+        int dividedPerMinute,
+        int evenPerMinute,
+        double durationS,
+        double intervalS,
+        Map<String, Double> weights,
+        double waitingLimitS,
+        double band) {
+
+    static final double SECONDS_PER_MINUTE = 60;
+
+    /** Of a report period: long enough for a lost message or two, short enough after a failure. */
+    private static final double DURATION = 1.0;
+
+    private static final double INTERVAL = 0.25;
+
+    static AdmissionLimits of(Settings settings) {
+        AdmissionSettings fairness = settings.operators().admission();
+        Settings.Deployment deployment = settings.deployment();
+        double perMinute =
+                deployment.state().writeRps() * fairness.acceptanceShare() * SECONDS_PER_MINUTE;
+        int fixed = (int) Math.floor(perMinute * fairness.reserveShare() / deployment.size());
+        double reportS = deployment.workers().reportS();
+        return new AdmissionLimits(
+                fixed,
+                (int) Math.floor(perMinute) - fixed * deployment.size(),
+                (int) Math.floor(perMinute / deployment.size()),
+                DURATION * reportS,
+                INTERVAL * reportS,
+                weights(deployment.teams(), fairness.weights()),
+                fairness.waitingLimitS(),
+                fairness.band());
+    }
+
+    /**
+     * By guarantee unless operators give another weight; a team without a guarantee weighs as much
+     * as the least that has one.
+     */
+    private static Map<String, Double> weights(
+            Map<String, Settings.Team> teams, Map<String, Double> given) {
+        double least =
+                teams.values().stream()
+                        .mapToDouble(Settings.Team::cpus)
+                        .filter(cpus -> cpus > 0)
+                        .min()
+                        .orElse(1);
+        Map<String, Double> weights = new HashMap<>();
+        teams.forEach(
+                (name, team) ->
+                        weights.put(
+                                name,
+                                given.getOrDefault(name, team.cpus() > 0 ? team.cpus() : least)));
+        return weights;
+    }
+
+    /** Weight of a team; one that the settings do not name is refused before it comes here. */
+    double weight(String team) {
+        return weights.getOrDefault(team, 1.0);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/admission/AdmissionMessages.java
@@ -0,0 +1,159 @@
+package io.pepperfield.admission;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pepperfield.admission.Allotment.ClassShare;
+import io.pepperfield.admission.DemandReport.ClassDemand;
+import io.pepperfield.http.Json;
+import io.pepperfield.jobs.JobSpec;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * What controllers and the leader tell each other about admission; the only place that knows its
+ * field names. A class is an array of its team, its workload, whether its jobs wait for others, and
+ * its figures.
+ */
+final class AdmissionMessages {
+
+    private static final double MOST_PER_MINUTE = 1e9;
+
+    private AdmissionMessages() {}
+
+    static byte[] write(DemandReport report) {
+        ObjectNode node =
+                Json.object()
+                        .put("node", report.node())
+                        .put("process", report.process())
+                        .put("seq", report.sequence())
+                        .put("heldEpoch", report.heldToken())
+                        .put("heldSerial", report.heldSerial());
+        ArrayNode classes = node.putArray("classes");
+        report.classes()
+                .forEach(
+                        (of, asked) ->
+                                name(classes.addArray(), of)
+                                        .add(Math.round(asked.perMinute() * 100) / 100.0)
+                                        .add(asked.admitted())
+                                        .add(asked.refused()));
+        return Json.write(node);
+    }
+
+    /** Null where it is no such message. */
+    static DemandReport readReport(JsonNode message) {
+        if (!message.path("node").isTextual()
+                || !message.path("process").isTextual()
+                || !message.path("seq").isIntegralNumber()
+                || !message.path("heldEpoch").isIntegralNumber()
+                || !message.path("heldSerial").isIntegralNumber()
+                || !message.path("classes").isArray()) {
+            return null;
+        }
+        SortedMap<WorkloadClass, ClassDemand> classes = new TreeMap<>();
+        for (JsonNode line : message.path("classes")) {
+            double perMinute = line.path(3).asDouble(-1);
+            if (!isClass(line) || !(perMinute >= 0 && perMinute <= MOST_PER_MINUTE)) {
+                return null;
+            }
+            classes.put(
+                    readClass(line),
+                    new ClassDemand(perMinute, line.path(4).asInt(), line.path(5).asInt()));
+        }
+        return new DemandReport(
+                message.path("node").textValue(),
+                message.path("process").textValue(),
+                message.path("seq").longValue(),
+                message.path("heldEpoch").longValue(),
+                message.path("heldSerial").longValue(),
+                classes);
+    }
+
+    static byte[] write(Allotment allotment) {
+        ObjectNode node =
+                Json.object()
+                        .put("node", allotment.node())
+                        .put("epoch", allotment.token())
+                        .put("serial", allotment.serial())
+                        .put("durationMs", Math.round(allotment.durationS() * 1000))
+                        .put("extraPerMinute", allotment.extraPerMinute());
+        ArrayNode classes = node.putArray("classes");
+        allotment
+                .classes()
+                .forEach(
+                        (of, share) ->
+                                name(classes.addArray(), of)
+                                        .add(share.perMinute())
+                                        .add(share.limited()));
+        ArrayNode waits = node.putArray("waits");
+        allotment
+                .waits()
+                .forEach(
+                        wait ->
+                                waits.addArray()
+                                        .add(wait.team())
+                                        .add(wait.rank().name())
+                                        .add(Math.round(wait.waitS())));
+        return Json.write(node);
+    }
+
+    /** Null where it is no such message. */
+    static Allotment readAllotment(JsonNode message) {
+        if (!message.path("node").isTextual()
+                || !message.path("epoch").isIntegralNumber()
+                || !message.path("serial").isIntegralNumber()
+                || !message.path("durationMs").isIntegralNumber()
+                || !message.path("extraPerMinute").canConvertToInt()
+                || message.path("extraPerMinute").intValue() < 0) {
+            return null;
+        }
+        SortedMap<WorkloadClass, ClassShare> classes = new TreeMap<>();
+        for (JsonNode line : message.path("classes")) {
+            if (!isClass(line) || line.path(3).asInt(-1) < 0) {
+                return null;
+            }
+            classes.put(
+                    readClass(line),
+                    new ClassShare(line.path(3).asInt(), line.path(4).asBoolean()));
+        }
+        List<QueueWait> waits = new ArrayList<>();
+        for (JsonNode line : message.path("waits")) {
+            JobSpec.Rank rank = rank(line.path(1).asText());
+            if (rank != null) {
+                waits.add(new QueueWait(line.path(0).asText(), rank, line.path(2).asDouble()));
+            }
+        }
+        return new Allotment(
+                message.path("node").textValue(),
+                message.path("epoch").longValue(),
+                message.path("serial").longValue(),
+                message.path("durationMs").longValue() / 1000.0,
+                message.path("extraPerMinute").intValue(),
+                classes,
+                waits);
+    }
+
+    private static JobSpec.Rank rank(String name) {
+        for (JobSpec.Rank rank : JobSpec.Rank.values()) {
+            if (rank.name().equals(name)) {
+                return rank;
+            }
+        }
+        return null;
+    }
+
+    private static ArrayNode name(ArrayNode line, WorkloadClass of) {
+        return line.add(of.team()).add(of.workload()).add(of.dependent());
+    }
+
+    private static boolean isClass(JsonNode line) {
+        return line.path(0).isTextual() && line.path(1).isTextual() && line.path(2).isBoolean();
+    }
+
+    private static WorkloadClass readClass(JsonNode line) {
+        return new WorkloadClass(
+                line.path(0).textValue(), line.path(1).textValue(), line.path(2).booleanValue());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/admission/AdmissionOverview.java
@@ -0,0 +1,83 @@
+package io.pepperfield.admission;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pepperfield.admission.DemandReport.ClassDemand;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SortedMap;
+
+/** What operators see of admission on one node; all rates are per minute. */
+final class AdmissionOverview {
+
+    private final AdmissionLimits limits;
+    private final SubmissionAdmission own;
+    private final AllotmentIssuer issuer;
+    private final double now;
+
+    /**
+     * @param issuer null while another node leads
+     */
+    AdmissionOverview(
+            AdmissionLimits limits, SubmissionAdmission own, AllotmentIssuer issuer, double now) {
+        this.limits = limits;
+        this.own = own;
+        this.issuer = issuer;
+        this.now = now;
+    }
+
+    void describe(ObjectNode node) {
+        node.put("fixed", limits.fixedPerMinute()).put("mayAdmit", own.perMinute());
+        if (Double.isFinite(own.endsInS())) {
+            node.put("allotmentEndsInS", tenths(own.endsInS()));
+        }
+        if (issuer == null) {
+            return;
+        }
+        node.put("divided", limits.dividedPerMinute());
+        describeControllers(node.putArray("controllers"));
+        describeClasses(node.putArray("classes"));
+        describeQueues(node.putArray("queues"));
+    }
+
+    private void describeControllers(ArrayNode lines) {
+        for (String controller : issuer.nodes()) {
+            lines.addObject()
+                    .put("node", controller)
+                    .put("allotted", issuer.ledger().committed(controller, now))
+                    .put("endsInS", tenths(issuer.ledger().endsAt(controller) - now));
+        }
+    }
+
+    private void describeClasses(ArrayNode lines) {
+        SortedMap<WorkloadClass, Double> entitled = issuer.entitlements();
+        for (Map.Entry<WorkloadClass, ClassDemand> entry : issuer.classes().entrySet()) {
+            WorkloadClass of = entry.getKey();
+            ClassDemand figures = entry.getValue();
+            double due = Math.min(entitled.get(of), figures.perMinute());
+            lines.addObject()
+                    .put("team", of.team())
+                    .put("class", of.workload())
+                    .put("dependent", of.dependent())
+                    .put("entitled", tenths(entitled.get(of)))
+                    .put("demand", tenths(figures.perMinute()))
+                    .put("admitted", figures.admitted())
+                    .put("refused", figures.refused())
+                    .put("withinBand", figures.admitted() >= due * (1 - limits.band()));
+        }
+    }
+
+    private void describeQueues(ArrayNode lines) {
+        for (QueueWait wait : issuer.waits()) {
+            lines.addObject()
+                    .put("team", wait.team())
+                    .put("rank", wait.rank().name().toLowerCase(Locale.ROOT))
+                    .put("predictedWaitS", tenths(wait.waitS()))
+                    .put("beyondLimit", wait.waitS() > limits.waitingLimitS());
+        }
+    }
+
+    private static double tenths(double value) {
+        return Math.round(value * 10) / 10.0;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/admission/Allotment.java
@@ -0,0 +1,38 @@
+package io.pepperfield.admission;
+
+import java.util.List;
+import java.util.SortedMap;
+
+/**
+ * What the leader lets one controller admit for a while: a lease on a part of the rate.
+ *
+ * @param node the controller that it is for
+ * @param token the leader's token
+ * @param serial grows with each allotment of a leader
+ * @param durationS how long it lasts; its holder counts from the sending of the request that it
+ *     answers, and so ends before the leader takes it for ended
+ * @param extraPerMinute admissions per minute beyond the holder's fixed share
+ * @param classes each class's part of the fixed share and of that together
+ * @param waits the queues whose predicted waiting is worth knowing
+ */
+record Allotment(
+        String node,
+        long token,
+        long serial,
+        double durationS,
+        int extraPerMinute,
+        SortedMap<WorkloadClass, ClassShare> classes,
+        List<QueueWait> waits) {
+
+    /**
+     * One class's part.
+     *
+     * @param limited its demand is not met: it may not use what nobody else asked for
+     */
+    record ClassShare(int perMinute, boolean limited) {}
+
+    /** Whether another allotment is the later one. */
+    boolean isBefore(Allotment other) {
+        return token < other.token || token == other.token && serial < other.serial;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/admission/AllotmentIssuer.java
@@ -0,0 +1,227 @@
+package io.pepperfield.admission;
+
+import io.pepperfield.admission.Allotment.ClassShare;
+import io.pepperfield.admission.DemandReport.ClassDemand;
+import io.pepperfield.peer.Members;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * The leader's side, for as long as one leadership lasts: divides the rate by the demand that the
+ * controllers report, and answers each report with that controller's allotment.
+ */
+final class AllotmentIssuer {
+
+    /**
+     * Of the rate, what no class is given, for classes that nobody has reported yet: they have a
+     * share before the leader knows them.
+     */
+    static final double NEWCOMERS_SHARE = 0.05;
+
+    /** Below this part of its demand a class's share does not meet it. */
+    private static final double MET = 0.99;
+
+    /** Beyond any rate, to see what each class would get if all asked for more than there is. */
+    private static final double UNBOUNDED = 1e12;
+
+    /** A report and when it came. */
+    private record Known(DemandReport report, double at) {}
+
+    private final AdmissionLimits limits;
+    private final long firstToken;
+    private final Members members;
+    private final AllotmentLedger ledger;
+    private final Map<String, Known> reports = new HashMap<>();
+    private final Map<String, LargestRemainder<WorkloadClass>> rounding = new HashMap<>();
+    private long token;
+    private long serial;
+    private List<QueueWait> waits = List.of();
+
+    /**
+     * @param token this leadership's token
+     * @param electedAt when this leader learnt that it leads
+     */
+    AllotmentIssuer(AdmissionLimits limits, String self, long token, double electedAt) {
+        this.limits = limits;
+        this.firstToken = token;
+        this.token = token;
+        this.members = new Members(self, limits.durationS());
+        this.ledger = new AllotmentLedger(limits.dividedPerMinute(), limits.durationS(), electedAt);
+    }
+
+    /** The leader's token was minted anew; the leadership is the same. */
+    void token(long renewed) {
+        token = renewed;
+    }
+
+    /** The queues whose waiting the controllers are to know. */
+    void waits(List<QueueWait> predicted) {
+        waits = predicted;
+    }
+
+    /** The answer to a controller's report; null where the report is a late copy. */
+    Allotment issue(DemandReport report, double now) {
+        if (!members.heard(report.node(), report.process(), report.sequence(), now)) {
+            return null;
+        }
+        if (report.heldToken() >= firstToken) {
+            ledger.acknowledged(report.node(), report.heldSerial());
+        }
+        reports.values().removeIf(known -> now - known.at > limits.durationS());
+        reports.put(report.node(), new Known(report, now));
+        return allot(report, now);
+    }
+
+    private Allotment allot(DemandReport report, double now) {
+        Division division = new Division();
+        int wanted = division.extra(report);
+        int extra = Math.min(wanted, ledger.available(report.node(), now));
+        ledger.issue(report.node(), ++serial, extra, now);
+        return new Allotment(
+                report.node(),
+                token,
+                serial,
+                limits.durationS(),
+                extra,
+                division.classes(report, extra),
+                waits);
+    }
+
+    /** Whether a share leaves demand unmet. */
+    static boolean unmet(double share, double demand) {
+        return share < MET * demand;
+    }
+
+    /** The division of the whole rate by the demand that is known now. */
+    private final class Division {
+
+        private final SortedMap<WorkloadClass, Double> demand = totalDemand();
+        private final SortedMap<WorkloadClass, Double> shares =
+                FairDivision.divide(usable(), demand, limits::weight);
+        private final double excess = totalExcess();
+
+        /**
+         * What is divided: all that the leader hands out, and of the fixed shares what their
+         * controllers have demand for.
+         */
+        private double usable() {
+            double fixed = 0;
+            for (Known known : reports.values()) {
+                fixed += Math.min(limits.fixedPerMinute(), demandOf(known.report));
+            }
+            return (limits.dividedPerMinute() + fixed) * (1 - NEWCOMERS_SHARE);
+        }
+
+        private double totalExcess() {
+            return reports.values().stream().mapToDouble(known -> excess(known.report)).sum();
+        }
+
+        /** What a controller is due of one class: the class's share by where its demand is. */
+        private double due(WorkloadClass of, ClassDemand at) {
+            double all = demand.get(of);
+            return all > 0 ? shares.get(of) * at.perMinute() / all : 0;
+        }
+
+        private double due(DemandReport report) {
+            double sum = 0;
+            for (Map.Entry<WorkloadClass, ClassDemand> entry : report.classes().entrySet()) {
+                sum += due(entry.getKey(), entry.getValue());
+            }
+            return sum;
+        }
+
+        /** What a controller is due beyond its fixed share. */
+        private double excess(DemandReport report) {
+            return Math.max(0, due(report) - limits.fixedPerMinute());
+        }
+
+        /** Part of the excess that can be given; the fixed shares of some may lie idle. */
+        private double scale() {
+            return Math.min(1, excess > 0 ? limits.dividedPerMinute() / excess : 1);
+        }
+
+        /** A controller's part beyond its fixed share; what nobody is due is given evenly. */
+        int extra(DemandReport report) {
+            double evenly = limits.dividedPerMinute() - scale() * excess;
+            return (int) Math.floor(scale() * excess(report) + evenly / reports.size());
+        }
+
+        SortedMap<WorkloadClass, ClassShare> classes(DemandReport report, int extra) {
+            double most = (limits.fixedPerMinute() + extra) * (1 - NEWCOMERS_SHARE);
+            double due = due(report);
+            double factor = due > most ? most / due : 1;
+            SortedMap<WorkloadClass, Double> exact = new TreeMap<>();
+            report.classes()
+                    .forEach((known, asked) -> exact.put(known, factor * due(known, asked)));
+            SortedMap<WorkloadClass, ClassShare> rounded = new TreeMap<>();
+            rounding.computeIfAbsent(report.node(), node -> new LargestRemainder<>())
+                    .round(exact)
+                    .forEach(
+                            (known, perMinute) ->
+                                    rounded.put(known, new ClassShare(perMinute, limited(known))));
+            return rounded;
+        }
+
+        private boolean limited(WorkloadClass of) {
+            return unmet(shares.get(of), demand.get(of));
+        }
+    }
+
+    private SortedMap<WorkloadClass, Double> totalDemand() {
+        SortedMap<WorkloadClass, Double> demand = new TreeMap<>();
+        for (Known known : reports.values()) {
+            known.report
+                    .classes()
+                    .forEach((of, asked) -> demand.merge(of, asked.perMinute(), Double::sum));
+        }
+        return demand;
+    }
+
+    private static double demandOf(DemandReport report) {
+        return report.classes().values().stream().mapToDouble(ClassDemand::perMinute).sum();
+    }
+
+    // ---- what operators see
+
+    /** The demand and the counts of each class on all controllers together. */
+    SortedMap<WorkloadClass, ClassDemand> classes() {
+        SortedMap<WorkloadClass, ClassDemand> sums = new TreeMap<>();
+        for (Known known : reports.values()) {
+            known.report
+                    .classes()
+                    .forEach((of, asked) -> sums.merge(of, asked, AllotmentIssuer::sum));
+        }
+        return sums;
+    }
+
+    private static ClassDemand sum(ClassDemand first, ClassDemand second) {
+        return new ClassDemand(
+                first.perMinute() + second.perMinute(),
+                first.admitted() + second.admitted(),
+                first.refused() + second.refused());
+    }
+
+    /** What each class is entitled to if all classes known now ask for more than there is. */
+    SortedMap<WorkloadClass, Double> entitlements() {
+        SortedMap<WorkloadClass, Double> unbounded = new TreeMap<>();
+        totalDemand().keySet().forEach(of -> unbounded.put(of, UNBOUNDED));
+        int all = limits.dividedPerMinute() + reports.size() * limits.fixedPerMinute();
+        return FairDivision.divide(all, unbounded, limits::weight);
+    }
+
+    List<QueueWait> waits() {
+        return waits;
+    }
+
+    AllotmentLedger ledger() {
+        return ledger;
+    }
+
+    /** The controllers whose reports are counted. */
+    List<String> nodes() {
+        return reports.keySet().stream().sorted().toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/admission/QueueWait.java
@@ -0,0 +1,6 @@
+package io.pepperfield.admission;
+
+import io.pepperfield.jobs.JobSpec;
+
+/** How long new work of a team and rank is predicted to wait before it begins, in seconds. */
+public record QueueWait(String team, JobSpec.Rank rank, double waitS) {}
--- /dev/null
+++ b/src/main/java/io/pepperfield/admission/RefusedSubmissions.java
@@ -0,0 +1,84 @@
+package io.pepperfield.admission;
+
+import it.unimi.dsi.fastutil.HashCommon;
+import it.unimi.dsi.fastutil.longs.Long2DoubleOpenHashMap;
+
+/**
+ * Jobs that have been refused of late, each with the time at which it was told to come back: so
+ * that a job counts once as demand however often it is retried, and that who comes back when told
+ * goes before who comes for the first time. Kept as fingerprints in two generations; a job that was
+ * not seen for two of them is forgotten. Bounded: a flood of distinct ids beyond it is not
+ * remembered, and counts again with each retry, which earns its class nothing beyond its share.
+ */
+final class RefusedSubmissions {
+
+    /** What is kept of a job. */
+    enum Age {
+        NEVER,
+        CURRENT,
+        PREVIOUS
+    }
+
+    private static final double UNKNOWN = Double.NaN;
+
+    private final int mostOfGeneration;
+    private Long2DoubleOpenHashMap current = generation();
+    private Long2DoubleOpenHashMap previous = generation();
+
+    RefusedSubmissions(int mostOfGeneration) {
+        this.mostOfGeneration = mostOfGeneration;
+    }
+
+    private static Long2DoubleOpenHashMap generation() {
+        Long2DoubleOpenHashMap map = new Long2DoubleOpenHashMap();
+        map.defaultReturnValue(UNKNOWN);
+        return map;
+    }
+
+    /** A number that two jobs hardly ever share. */
+    static long fingerprint(String job) {
+        long hash = 0;
+        for (int i = 0; i < job.length(); i++) {
+            hash = hash * 1_000_003 + job.charAt(i);
+        }
+        return HashCommon.mix(hash);
+    }
+
+    Age age(long fingerprint) {
+        if (current.containsKey(fingerprint)) {
+            return Age.CURRENT;
+        }
+        return previous.containsKey(fingerprint) ? Age.PREVIOUS : Age.NEVER;
+    }
+
+    /** When it was told to come back, or not a number. */
+    double dueAt(long fingerprint) {
+        double due = current.get(fingerprint);
+        return Double.isNaN(due) ? previous.get(fingerprint) : due;
+    }
+
+    /** Keeps the time; false where there is no room for one more. */
+    boolean remember(long fingerprint, double dueAt) {
+        if (current.size() >= mostOfGeneration && !current.containsKey(fingerprint)) {
+            return false;
+        }
+        previous.remove(fingerprint);
+        current.put(fingerprint, dueAt);
+        return true;
+    }
+
+    void forget(long fingerprint) {
+        current.remove(fingerprint);
+        previous.remove(fingerprint);
+    }
+
+    /** Begins another generation; what was not seen since the last but one is forgotten. */
+    void rotate() {
+        previous = current;
+        current = generation();
+    }
+
+    int size() {
+        return current.size() + previous.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/pepperfield/admission/TokenBucket.java
@@ -0,0 +1,62 @@
+package io.pepperfield.admission;
+
+/**
+ * A token bucket that begins empty and fills by the clock, without a timer: a process that is back
+ * within a moment has forgotten what it spent before.
+ */
+final class TokenBucket {
+
+    private double ratePerS;
+    private double capacity;
+    private double tokens;
+    private double filledAt;
+
+    TokenBucket(double now) {
+        filledAt = now;
+    }
+
+    /** Sets the rate from now on, and how many tokens may be saved up. */
+    void rate(double perSecond, double mostTokens, double now) {
+        refill(now);
+        ratePerS = perSecond;
+        capacity = mostTokens;
+        tokens = Math.min(tokens, capacity);
+    }
+
+    /**
+     * Whether a token is there; with {@code debt} so many may be taken before they are, and with a
+     * negative one so many are left.
+     */
+    boolean has(double now, double debt) {
+        refill(now);
+        return tokens + debt >= 1;
+    }
+
+    /** Takes a token where {@link #has} says that there is one. */
+    boolean takeIf(double now, double debt) {
+        if (!has(now, debt)) {
+            return false;
+        }
+        tokens -= 1;
+        return true;
+    }
+
+    /** Tokens saved up for a state service that was out would be spent all at once. */
+    void empty(double now) {
+        refill(now);
+        tokens = Math.min(tokens, 0);
+    }
+
+    double ratePerS() {
+        return ratePerS;
+    }
+
+    double capacity() {
+        return capacity;
+    }
+
+    private void refill(double now) {
+        tokens = Math.min(capacity, tokens + Math.max(0, now - filledAt) * ratePerS);
+        filledAt = now;
+    }
+}
--- a/src/main/java/io/pepperfield/config/Feature.java
+++ b/src/main/java/io/pepperfield/config/Feature.java
@@ -3,7 +3,10 @@
 /** What operators can switch on; off, it costs nothing. */
 public enum Feature {
     /** The rollout of stored-state versions, see {@code docs/operations/rollout.md}. */
-    ROLLOUT("rollout");
+    ROLLOUT("rollout"),
+
+    /** Fair admission under overload, see {@code docs/operations/admission.md}. */
+    ADMISSION("admission");
 
     private final String element;
 
--- a/src/main/java/io/pepperfield/config/Operators.java
+++ b/src/main/java/io/pepperfield/config/Operators.java
@@ -15,6 +15,7 @@
  * @param steady the same quantile for work that has no aim on its wait
  * @param silentAtOnce how many silent machines may be under release at the same time
  * @param features what is switched on
+ * @param admission fair admission, where it is switched on
  */
 public record Operators(
         double chargeS,
@@ -23,9 +24,11 @@
         double headroom,
         double steady,
         int silentAtOnce,
-        Set<Feature> features) {
+        Set<Feature> features,
+        AdmissionSettings admission) {
 
-    public static final Operators DEFAULTS = new Operators(60, 0.2, 0.2, 0.8, 0.5, 3, Set.of());
+    public static final Operators DEFAULTS =
+            new Operators(60, 0.2, 0.2, 0.8, 0.5, 3, Set.of(), AdmissionSettings.DEFAULTS);
 
     /** Whether operators have switched it on. */
     public boolean enabled(Feature feature) {
--- a/src/main/java/io/pepperfield/config/OperatorsReader.java
+++ b/src/main/java/io/pepperfield/config/OperatorsReader.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import javax.xml.XMLConstants;
 import javax.xml.parsers.DocumentBuilder;
@@ -34,7 +35,11 @@
         PARTLY_SHARE("partly-share", 0, 1),
         HEADROOM("headroom", 0, 1),
         STEADY("steady", 0, 1),
-        SILENT_AT_ONCE("silent-at-once", 1, 100_000);
+        SILENT_AT_ONCE("silent-at-once", 1, 100_000),
+        ADMISSION_SHARE("admission-share", 0.05, 1),
+        ADMISSION_RESERVE("admission-reserve", 0.01, 0.9),
+        ADMISSION_BAND("admission-band", 0.01, 1),
+        ADMISSION_WAITING_LIMIT_S("admission-waiting-limit-s", 1, 86400);
 
         final String element;
         final double least;
@@ -47,6 +52,9 @@
         }
     }
 
+    private static final String TEAM_WEIGHT = "team-weight";
+    private static final double LEAST_WEIGHT = 0.001;
+    private static final double MOST_WEIGHT = 1_000_000;
     private static final String ON = "on";
     private static final String OFF = "off";
 
@@ -69,12 +77,15 @@
         List<String> faults = new ArrayList<>();
         Map<Field, Double> values = new HashMap<>();
         Map<Feature, Boolean> features = new EnumMap<>(Feature.class);
+        Map<String, Double> weights = new TreeMap<>();
         if (!root.getTagName().equals("pepperfield")) {
             faults.add("root element <" + root.getTagName() + ">: want <pepperfield>");
         }
         for (Node child = root.getFirstChild(); child != null; child = child.getNextSibling()) {
             if (child instanceof Element element) {
-                if (!takeFeature(element, features, faults)) {
+                if (element.getTagName().equals(TEAM_WEIGHT)) {
+                    takeWeight(element, weights, faults);
+                } else if (!takeFeature(element, features, faults)) {
                     take(element, values, faults);
                 }
             }
@@ -93,7 +104,50 @@
                         .intValue(),
                 features.keySet().stream()
                         .filter(features::get)
-                        .collect(Collectors.toUnmodifiableSet()));
+                        .collect(Collectors.toUnmodifiableSet()),
+                admission(values, weights));
+    }
+
+    private static AdmissionSettings admission(
+            Map<Field, Double> values, Map<String, Double> weights) {
+        AdmissionSettings defaults = AdmissionSettings.DEFAULTS;
+        return new AdmissionSettings(
+                values.getOrDefault(Field.ADMISSION_SHARE, defaults.acceptanceShare()),
+                values.getOrDefault(Field.ADMISSION_RESERVE, defaults.reserveShare()),
+                values.getOrDefault(Field.ADMISSION_BAND, defaults.band()),
+                values.getOrDefault(Field.ADMISSION_WAITING_LIMIT_S, defaults.waitingLimitS()),
+                Map.copyOf(weights));
+    }
+
+    /** Takes the weight of a team; whether there is such a team the platform's file says. */
+    private static void takeWeight(
+            Element element, Map<String, Double> weights, List<String> faults) {
+        String team = element.getAttribute("team");
+        double weight = number(element.getTextContent().strip());
+        if (team.isEmpty()) {
+            faults.add("<" + TEAM_WEIGHT + ">: want the attribute team");
+        } else if (!(weight >= LEAST_WEIGHT && weight <= MOST_WEIGHT)) {
+            faults.add(
+                    outOfRange(
+                            TEAM_WEIGHT + " team=\"" + team + "\"",
+                            element.getTextContent().strip(),
+                            LEAST_WEIGHT,
+                            MOST_WEIGHT));
+        } else if (weights.put(team, weight) != null) {
+            faults.add("<" + TEAM_WEIGHT + " team=\"" + team + "\"> is there twice");
+        }
+    }
+
+    private static double number(String text) {
+        try {
+            return Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+
+    private static String outOfRange(String tag, String text, double least, double most) {
+        return "<" + tag + "> = \"" + text + "\": want a number from " + least + " to " + most;
     }
 
     /** Takes a feature's switch; false where the element is none. */
@@ -122,22 +176,9 @@
             if (!field.element.equals(tag)) {
                 continue;
             }
-            double value = Double.NaN;
-            try {
-                value = Double.parseDouble(text);
-            } catch (NumberFormatException e) {
-                value = Double.NaN;
-            }
+            double value = number(text);
             if (!(value >= field.least && value <= field.most)) {
-                faults.add(
-                        "<"
-                                + tag
-                                + "> = \""
-                                + text
-                                + "\": want a number from "
-                                + field.least
-                                + " to "
-                                + field.most);
+                faults.add(outOfRange(tag, text, field.least, field.most));
             } else if (values.put(field, value) != null) {
                 faults.add("<" + tag + "> is there twice");
             }
--- a/src/main/java/io/pepperfield/config/SettingsReader.java
+++ b/src/main/java/io/pepperfield/config/SettingsReader.java
@@ -96,23 +96,8 @@
                 faults.add("deployment.zones = " + z + ": want names");
             }
         }
-        Map<String, Team> teams = new LinkedHashMap<>();
-        for (Team team :
-                each(
-                        d,
-                        "deployment.",
-                        "teams",
-                        t ->
-                                new Team(
-                                        text(t, "deployment.teams.", "name"),
-                                        number(t, "deployment.teams.", "cpus", 0, 1e9),
-                                        limit(t, "cpus_max"),
-                                        optional(t, "deployment.teams.", "gpus", 0, 1e9),
-                                        limit(t, "gpus_max")))) {
-            if (teams.put(team.name(), team) != null) {
-                faults.add("deployment.teams.name = \"" + team.name() + "\" is there twice");
-            }
-        }
+        Map<String, Team> teams = teams(d);
+        checkWeights(operators, teams);
         List<Objective> objectives =
                 each(
                         d,
@@ -176,6 +161,40 @@
                 operators);
     }
 
+    private Map<String, Team> teams(JsonNode deployment) {
+        Map<String, Team> teams = new LinkedHashMap<>();
+        for (Team team :
+                each(
+                        deployment,
+                        "deployment.",
+                        "teams",
+                        t ->
+                                new Team(
+                                        text(t, "deployment.teams.", "name"),
+                                        number(t, "deployment.teams.", "cpus", 0, 1e9),
+                                        limit(t, "cpus_max"),
+                                        optional(t, "deployment.teams.", "gpus", 0, 1e9),
+                                        limit(t, "gpus_max")))) {
+            if (teams.put(team.name(), team) != null) {
+                faults.add("deployment.teams.name = \"" + team.name() + "\" is there twice");
+            }
+        }
+        return teams;
+    }
+
+    /** A weight for a team that does not exist can only be a slip. */
+    private void checkWeights(Operators operators, Map<String, Team> teams) {
+        for (String weighted : operators.admission().weights().keySet()) {
+            if (!teams.containsKey(weighted)) {
+                faults.add(
+                        "<team-weight team=\""
+                                + weighted
+                                + "\"> in the operators' file: want a team of deployment.teams, one of "
+                                + teams.keySet());
+            }
+        }
+    }
+
     private JsonNode table(JsonNode in, String prefix, String field) {
         JsonNode value = in.path(field);
         if (!value.isObject()) {
--- a/src/main/java/io/pepperfield/jobs/CreateIfAbsent.java
+++ b/src/main/java/io/pepperfield/jobs/CreateIfAbsent.java
@@ -28,6 +28,8 @@
         CREATED,
         EXISTS,
         UNAVAILABLE,
+        /** The state service's rate did not allow it. */
+        THROTTLED,
         TOO_MANY
     }
 
@@ -43,6 +45,8 @@
     /** Users wait 5 s for an answer; what has waited so long is told to come back. */
     static final double PATIENCE_S = 3;
 
+    private static final int TOO_MANY_REQUESTS = 429;
+
     private final Loop loop;
     private final StateService state;
     private final Urgency urgency;
@@ -87,6 +91,11 @@
         }
     }
 
+    /** Whether the key's creation waits already, so that it is asked for once more at no cost. */
+    boolean isWaiting(String key) {
+        return waiting.containsKey(key);
+    }
+
     /**
      * To be called at the end of each batch of commands, so that one transaction carries what came
      * together.
@@ -137,6 +146,9 @@
                                 again(creation);
                             }
                         }
+                    } else if (result instanceof TxnResult.Refused refused
+                            && refused.status() == TOO_MANY_REQUESTS) {
+                        batch.forEach(w -> w.done(Result.THROTTLED));
                     } else {
                         // Also when nobody answered: the user comes back, and finds it accepted if
                         // it took effect after all.
--- a/src/main/java/io/pepperfield/jobs/UserRequests.java
+++ b/src/main/java/io/pepperfield/jobs/UserRequests.java
@@ -33,6 +33,7 @@
     private final Loop loop;
     private final LinearizableReads reads;
     private final Feasibility feasibility;
+    private final SubmissionPolicy policy;
     private final CreateIfAbsent submissions;
     private final CreateIfAbsent cancellations;
     private final IntSupplier linesInRecord;
@@ -54,6 +55,7 @@
             Sync sync,
             StateService state,
             Feasibility feasibility,
+            SubmissionPolicy policy,
             int mostChanges,
             double valueKb,
             double changesPerS,
@@ -63,6 +65,7 @@
         this.loop = loop;
         this.reads = new LinearizableReads(catalog, sync);
         this.feasibility = feasibility;
+        this.policy = policy;
         this.mostUnknownQueries = mostUnknownQueries;
         this.cancelled = cancelled;
         this.mostValueBytes = (int) (valueKb * 1024 * 0.9);
@@ -126,7 +129,7 @@
             return;
         }
         if (job.awaits().stream().allMatch(reads::isKnown)) {
-            accept(id, durable, answer);
+            accept(job, durable, answer);
             return;
         }
         // What it needs may have been accepted a moment ago by another node; what nobody has
@@ -143,7 +146,7 @@
                         answer.accept(Reply.json(200, accepted.job().answer()));
                     } else if (reading instanceof Reading.NeverAccepted
                             && unknownPrerequisite == null) {
-                        accept(id, durable, answer);
+                        accept(job, durable, answer);
                     } else {
                         answer.accept(
                                 notKnown(
@@ -174,7 +177,14 @@
                         + (bytes - listBytes);
     }
 
-    private void accept(String id, JsonNode durable, Consumer<Reply> answer) {
+    private void accept(JobSpec job, JsonNode durable, Consumer<Reply> answer) {
+        String id = job.id();
+        // Asked again while its creation waits, it costs nothing more.
+        if (!submissions.isWaiting(Keys.JOB + id)
+                && policy.decide(job) instanceof SubmissionPolicy.Decision.Refused refused) {
+            answer.accept(Reply.later(refused.why(), refused.retryAfterS()));
+            return;
+        }
         submissions.create(
                 Keys.JOB + id,
                 durable,
@@ -185,6 +195,10 @@
                                         Reply.json(201, JobMessages.brief(id, Status.PENDING)));
                         case EXISTS -> query(id, answer);
                         case UNAVAILABLE -> answer.accept(Reply.later(NO_STATE));
+                        case THROTTLED -> {
+                            policy.throttled();
+                            answer.accept(Reply.later(NO_STATE));
+                        }
                         case TOO_MANY -> answer.accept(tooMany());
                     }
                 });
@@ -277,7 +291,7 @@
                             answer.accept(Reply.json(200, JobMessages.brief(id, Status.CANCELLED)));
                         }
                         case EXISTS -> ended(id, answer);
-                        case UNAVAILABLE -> answer.accept(Reply.later(NO_STATE));
+                        case UNAVAILABLE, THROTTLED -> answer.accept(Reply.later(NO_STATE));
                         case TOO_MANY -> answer.accept(tooMany());
                     }
                 });
--- a/src/main/java/io/pepperfield/node/Controller.java
+++ b/src/main/java/io/pepperfield/node/Controller.java
@@ -1,8 +1,10 @@
 package io.pepperfield.node;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.pepperfield.admission.Admission;
 import io.pepperfield.cloud.Cloud;
 import io.pepperfield.cloud.TypesRecord;
+import io.pepperfield.config.Feature;
 import io.pepperfield.config.Settings;
 import io.pepperfield.fleet.Workers;
 import io.pepperfield.http.Call;
@@ -11,6 +13,7 @@
 import io.pepperfield.jobs.JobMessages;
 import io.pepperfield.jobs.JobSpec;
 import io.pepperfield.jobs.Status;
+import io.pepperfield.jobs.SubmissionPolicy;
 import io.pepperfield.jobs.UserRequests;
 import io.pepperfield.leadership.Leadership;
 import io.pepperfield.loop.Loop;
@@ -82,6 +85,9 @@
 
     private final StoredVersion storedVersion;
 
+    /** Null where operators have not switched it on. */
+    private final Admission admission;
+
     private final double reportS;
     private final double tickS;
 
@@ -152,8 +158,12 @@
                         renewal,
                         pauseDetector);
         this.writer = writer(state);
+        this.admission =
+                settings.operators().enabled(Feature.ADMISSION)
+                        ? new Admission(loop, settings, peers, leadership, sync::contactAt)
+                        : null;
         this.users = userRequests(state);
-        this.overview = new NodeOverview(settings, leadership, sync, members, reports);
+        this.overview = new NodeOverview(settings, leadership, sync, members, reports, admission);
         this.router =
                 new RequestRouter(
                         loop,
@@ -192,6 +202,7 @@
                 sync,
                 state,
                 types,
+                admission == null ? SubmissionPolicy.UNLIMITED : admission.policy(),
                 // Its guards are as many as its changes, so that one for the version has room.
                 service.txnOps(),
                 service.valueKb(),
@@ -337,6 +348,7 @@
         if (leader != null) {
             checkOthers(loop.now());
         }
+        tickAdmission();
         peers.tick(loop.now(), sync.contactAt(), leadership.token());
         forwarder.flush();
         double now = loop.now();
@@ -348,6 +360,21 @@
         }
     }
 
+    /** Fair admission on this controller, or null where it is switched off. */
+    public Admission admission() {
+        return admission;
+    }
+
+    private void tickAdmission() {
+        if (admission == null) {
+            return;
+        }
+        if (leader != null && admission.isDue()) {
+            leader.countQueues(admission.queues());
+        }
+        admission.tick();
+    }
+
     private int liveControllers() {
         double now = loop.now();
         if (leader != null) {
@@ -403,6 +430,9 @@
     public void elected(long token) {
         rates.share(true);
         writer.reset();
+        if (admission != null) {
+            admission.elected(token);
+        }
         begin(token);
     }
 
@@ -439,6 +469,9 @@
 
     @Override
     public void renewedToken(long token) {
+        if (admission != null) {
+            admission.renewedToken(token);
+        }
         if (leader != null) {
             leader.renewedToken(token);
         }
@@ -447,6 +480,9 @@
     @Override
     public void deposed(String why) {
         rates.share(false);
+        if (admission != null) {
+            admission.deposed();
+        }
         livenessLog.reset();
         if (leader != null) {
             leader.stop();
--- a/src/main/java/io/pepperfield/node/Dispatcher.java
+++ b/src/main/java/io/pepperfield/node/Dispatcher.java
@@ -57,6 +57,8 @@
      */
     private final Map<Job, Double> promised = new HashMap<>();
 
+    private final PreemptedRoom preempted = new PreemptedRoom();
+
     private boolean dirty = true;
     private double placedAt = Double.NEGATIVE_INFINITY;
     private double nextAt = Double.NEGATIVE_INFINITY;
@@ -185,8 +187,13 @@
     private void stop(List<String> chosen, Map<String, Attempt> victims) {
         for (String id : chosen) {
             LOG.debug("stopping {} to free room", id);
+            Attempt victim = victims.get(id);
+            preempted.stopped(
+                    victim.machine.name,
+                    victim.job.placed().rank(),
+                    cluster.loop().now() + cluster.reportS());
             // At once: to save first would hold up what it is stopped for.
-            starter.stop(victims.get(id), 0);
+            starter.stop(victim, 0);
         }
     }
 
@@ -279,6 +286,7 @@
         List<PlacementRequest> requests = new ArrayList<>();
         Map<String, Double> before = new HashMap<>();
         promised.values().removeIf(until -> until < now);
+        preempted.expire(now);
         List<Job> order = new ArrayList<>(cluster.jobs().values());
         order.sort(BY_AGE);
         Map<Job, Set<String>> kept = null;
@@ -332,6 +340,9 @@
                                             standing == null ? cluster.rooms(now, true) : standing)
                             && overdue.add(job.spec.team() + "/" + job.spec.workload()));
             request.promised(promised.containsKey(job));
+            if (!promised.containsKey(job) && !request.guaranteed()) {
+                request.avoid(preempted.keptFrom(job.placed().rank()));
+            }
             request.waited(now - job.readyAt());
             requests.add(request);
         }
--- a/src/main/java/io/pepperfield/node/Leader.java
+++ b/src/main/java/io/pepperfield/node/Leader.java
@@ -1,5 +1,6 @@
 package io.pepperfield.node;
 
+import io.pepperfield.admission.QueueWaitPredictor;
 import io.pepperfield.cloud.Cloud;
 import io.pepperfield.cloud.Renting;
 import io.pepperfield.cloud.TypesRecord;
@@ -10,6 +11,7 @@
 import io.pepperfield.fleet.Machine;
 import io.pepperfield.fleet.Order;
 import io.pepperfield.fleet.Report;
+import io.pepperfield.jobs.Job;
 import io.pepperfield.leadership.Leadership;
 import io.pepperfield.loop.Loop;
 import io.pepperfield.peer.ForwardingMessages;
@@ -54,6 +56,9 @@
     private double bootsUpdatedAt = Double.NEGATIVE_INFINITY;
     private boolean acting;
 
+    /** Null where admission is switched off, and before its first count. */
+    private QueueWaitPredictor queueWaits;
+
     Leader(
             Loop loop,
             Settings settings,
@@ -253,10 +258,32 @@
         fleet.remembered(kept.report(), loop.now() - kept.ageS());
     }
 
+    /** Counts what waits of each team, for admission. */
+    void countQueues(QueueWaitPredictor queues) {
+        queueWaits = queues;
+        double now = loop.now();
+        queues.recount();
+        for (Job job : jobs.jobs().values()) {
+            // What waits for other jobs, or fails wherever it is tried, says nothing about the
+            // queue.
+            if (job.end() == null && !job.isAwaiting() && !job.suspect()) {
+                int waiting = job.waitingCount();
+                if (waiting > 0) {
+                    queues.waiting(
+                            job.spec.team(), job.placed().rank(), waiting, now - job.readyAt());
+                }
+            }
+        }
+        queues.counted(now);
+    }
+
     // ---- events in the fleet
 
     @Override
     public void started(Attempt attempt) {
+        if (queueWaits != null) {
+            queueWaits.started(attempt.job.spec.team(), attempt.job.placed().rank());
+        }
         if (LOG.isDebugEnabled()) {
             LOG.debug(
                     "{} ({}) attempt {} runs on {}: {} s after its intent, {} s after its submission",
--- a/src/main/java/io/pepperfield/node/NodeOverview.java
+++ b/src/main/java/io/pepperfield/node/NodeOverview.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.pepperfield.admission.Admission;
 import io.pepperfield.config.Settings;
 import io.pepperfield.http.Json;
 import io.pepperfield.leadership.Leadership;
@@ -18,17 +19,22 @@
     private final Members members;
     private final ReportHandler reports;
 
+    /** Null where it is switched off. */
+    private final Admission admission;
+
     NodeOverview(
             Settings settings,
             Leadership leadership,
             Sync sync,
             Members members,
-            ReportHandler reports) {
+            ReportHandler reports,
+            Admission admission) {
         this.settings = settings;
         this.leadership = leadership;
         this.sync = sync;
         this.members = members;
         this.reports = reports;
+        this.admission = admission;
     }
 
     /**
@@ -43,6 +49,9 @@
                         .put("leading", leadership.leading())
                         .put("epoch", leadership.token())
                         .put("stateContactS", Math.round(100 * (now - sync.contactAt())) / 100.0);
+        if (admission != null) {
+            admission.describe(node);
+        }
         if (leader != null) {
             ArrayNode controllers = node.putArray("controllers");
             settings.members().forEach(member -> describe(member, controllers.addObject(), now));
--- a/src/main/java/io/pepperfield/node/RateSharing.java
+++ b/src/main/java/io/pepperfield/node/RateSharing.java
@@ -1,5 +1,6 @@
 package io.pepperfield.node;
 
+import io.pepperfield.config.Feature;
 import io.pepperfield.config.Settings;
 
 /**
@@ -18,6 +19,9 @@
     private static final double OTHERS_REQUESTS = 0.5;
     private static final double REQUESTS_ALONE = 0.95;
 
+    /** A single controller may be allotted all that is for accepting jobs. */
+    private final boolean divided;
+
     private final Controller.Rates rates;
     private final Settings.State limits;
     private final int size;
@@ -28,6 +32,7 @@
     RateSharing(Controller.Rates rates, Settings settings) {
         this.rates = rates;
         this.limits = settings.deployment().state();
+        this.divided = settings.operators().enabled(Feature.ADMISSION);
         this.size = settings.deployment().size();
         this.live = size;
     }
@@ -49,7 +54,14 @@
                 limits.writeRps() * usersPart());
     }
 
+    /**
+     * Of the state service's changes, for what comes from users to this node; where admission is
+     * divided between controllers, that and not this part is their limit.
+     */
     private double usersPart() {
+        if (divided) {
+            return 2 * USERS_PART;
+        }
         return Math.min(2 * USERS_PART, Math.max(USERS_PART, 3 * USERS_PART / live));
     }
 
--- a/src/main/java/io/pepperfield/peer/Peers.java
+++ b/src/main/java/io/pepperfield/peer/Peers.java
@@ -32,6 +32,12 @@
         void cancelled(List<String> ids);
     }
 
+    /** Answers what other controllers POST to a path of a feature. */
+    public interface Service {
+        /** Takes a message; the answer may come later. */
+        void handle(Call call, Consumer<Reply> answer);
+    }
+
     /** How this node stands with the state service, compared with the others. */
     public enum Contact {
         FINE,
@@ -44,6 +50,7 @@
     private final Sender client;
     private final double reportS;
     private final Map<String, Double> contactAt = new HashMap<>();
+    private final Map<String, Service> services = new HashMap<>();
     private Handler handler;
     private double reachedAt = Double.NEGATIVE_INFINITY;
     private double askedAt = Double.NEGATIVE_INFINITY;
@@ -148,6 +155,29 @@
         }
     }
 
+    /** Adds a path for a feature's messages; where it is not served, they get 404. */
+    public void serve(String path, Service service) {
+        services.put(path, service);
+    }
+
+    /** Sends a feature's message to another controller; the answer arrives on the event loop. */
+    public void ask(
+            Settings.Member member,
+            String path,
+            byte[] body,
+            double deadlineS,
+            Consumer<Outcome> done) {
+        client.send(
+                member.address().host(),
+                member.address().port(),
+                2,
+                "POST",
+                path,
+                body,
+                Math.round(deadlineS * 1000),
+                outcome -> loop.post(() -> done.accept(outcome)));
+    }
+
     /** Takes another node's message. */
     public void handle(Call call, Consumer<Reply> answer) {
         switch (call.method() + " " + call.path()) {
@@ -179,7 +209,14 @@
                 handler.cancelled(ForwardingMessages.readCancelled(Json.read(call.body())));
                 answer.accept(Reply.empty(200));
             }
-            default -> answer.accept(Reply.error(404, "no such path"));
+            default -> {
+                Service service = call.method().equals("POST") ? services.get(call.path()) : null;
+                if (service == null) {
+                    answer.accept(Reply.error(404, "no such path"));
+                } else {
+                    service.handle(call, answer);
+                }
+            }
         }
     }
 }
--- a/src/main/java/io/pepperfield/placement/PlacementRequest.java
+++ b/src/main/java/io/pepperfield/placement/PlacementRequest.java
@@ -79,6 +79,11 @@
         waitedForSize = job.service() ? 0 : seconds / (waiting * job.cpus());
     }
 
+    /** Adds machines that are not to be used for this job now. */
+    public void avoid(Set<String> machines) {
+        avoid.addAll(machines);
+    }
+
     /** Sets whether its job has only failed so far. */
     public void trial(boolean suspect) {
         trial = suspect;
--- /dev/null
+++ b/src/test/java/io/pepperfield/admission/AdmissionSimulationTest.java
@@ -0,0 +1,276 @@
+package io.pepperfield.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.pepperfield.standin.AdmissionLoad.Stream;
+import io.pepperfield.standin.AdmissionLoad.Submission;
+import io.pepperfield.standin.Region;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Three and five controllers that divide admission under a flood while they fail, with every rule
+ * of the protocol checked as things happen. More days with {@code -Dpepperfield.seeds=100}.
+ */
+class AdmissionSimulationTest {
+
+    /** Of 60 changes a second one half, in admissions a minute, less what rounding leaves. */
+    private static final int ALL_PER_MINUTE = 1800;
+
+    private static final Stream RED = new Stream("red", "batch", 4, false);
+    private static final Stream BLUE = new Stream("blue", "batch", 4, false);
+    private static final Stream FLOOD = new Stream("guests", "flood", 60, true);
+    private static final Stream PATIENT_FLOOD = new Stream("guests", "flood", 45, false);
+    private static final double FROM_S = 20;
+
+    /** A region whose machines are up and whose users submit from the twentieth second on. */
+    private static Region region(long seed, int nodes, double untilS, Stream... streams) {
+        Region region = Region.admitting(seed, nodes, 0);
+        region.load.watch(ALL_PER_MINUTE);
+        region.world.run(FROM_S);
+        for (Stream stream : streams) {
+            region.load.submit(stream, untilS);
+        }
+        return region;
+    }
+
+    private static void checkEnd(Region region, double calmAt, String day) {
+        region.world.run(calmAt + 100);
+        assertEquals(List.of(), region.load.overAllotted(), day);
+        assertEquals(List.of(), region.broken, day);
+        assertEquals(List.of(), region.unanswered(), day);
+        assertEquals(List.of(), region.leftOver(), day);
+        // A second's worth saved up and one of debt, and one admission for each node's rounding.
+        double mostIn10 = ALL_PER_MINUTE / 60.0 * 12 + 10;
+        assertTrue(
+                region.load.mostAcceptedWithin(10) <= mostIn10,
+                day + ": " + region.load.mostAcceptedWithin(10) + " within 10 s");
+    }
+
+    /** Every job of the team was accepted within that time. */
+    private static double[] checkAccepted(Region region, String team, double mostS, String day) {
+        region.world.run(region.world.now() + 15);
+        List<Submission> all = region.load.of(team);
+        assertFalse(all.isEmpty());
+        double[] took = all.stream().mapToDouble(Submission::tookS).sorted().toArray();
+        double longest = took[took.length - 1];
+        assertTrue(longest <= mostS, day + ": " + team + " " + longest);
+        return took;
+    }
+
+    /** And almost all of them at once. */
+    private static void checkServed(Region region, String team, double mostS, String day) {
+        double[] took = checkAccepted(region, team, mostS, day);
+        double ninth = took[took.length * 9 / 10];
+        assertTrue(ninth <= 3, day + ": 90% of " + team + " within " + ninth);
+    }
+
+    @Test
+    void aTeamThatFloodsHeedlesslyTakesNothingFromTheOthers() {
+        Region region = region(1, 3, 60, RED, BLUE, FLOOD);
+        region.world.run(60);
+        Map<String, Integer> accepted = region.load.accepted(30, 60);
+        // What the others leave of 30 a second is the flood's, less a twentieth for newcomers.
+        assertTrue(accepted.get("guests") >= 0.75 * 30 * (30 - 8 - 6), "" + accepted);
+        checkServed(region, "red", 6, "flood");
+        checkServed(region, "blue", 6, "flood");
+        checkEnd(region, 60, "flood");
+    }
+
+    @Test
+    void threeTeamsThatAllAskForMoreHaveWhatTheirWeightsSay() {
+        Region region =
+                region(
+                        2,
+                        3,
+                        70,
+                        new Stream("red", "batch", 60, false),
+                        new Stream("blue", "flood", 60, true),
+                        PATIENT_FLOOD);
+        region.world.run(70);
+        Map<String, Integer> accepted = region.load.accepted(30, 70);
+        // All three weigh the same: the guests as the least that has a guarantee.
+        double entitled = 40 * 30 / 3.0;
+        accepted.forEach(
+                (team, count) ->
+                        assertEquals(
+                                entitled, count, 0.25 * entitled, () -> team + " " + accepted));
+        checkEnd(region, 70, "three floods");
+    }
+
+    @Test
+    void twoControllersThatEachSeeHalfOfTheDemandDivideAsOneWould() {
+        Region region = region(3, 3, 60, RED, FLOOD);
+        int[] turn = new int[1];
+        region.load.node = () -> turn[0]++ % 2;
+        region.world.run(60);
+        Map<String, Integer> accepted = region.load.accepted(30, 60);
+        assertTrue(accepted.get("guests") >= 0.75 * 30 * (30 - 4 - 4), "" + accepted);
+        checkServed(region, "red", 6, "two halves");
+        checkEnd(region, 60, "two halves");
+    }
+
+    @Test
+    void allDemandMovesFromOneControllerToAnother() {
+        Region region = region(4, 3, 70, RED, FLOOD);
+        region.load.node = () -> 0;
+        region.world.run(45);
+        int before = region.load.perMinute(0);
+        assertTrue(before > ALL_PER_MINUTE * 0.6, "before " + before);
+        region.load.node = () -> 1;
+        region.world.run(49);
+        assertTrue(region.load.perMinute(1) > ALL_PER_MINUTE * 0.6, "" + region.load.perMinute(1));
+        region.world.run(70);
+        checkServed(region, "red", 8, "moved");
+        checkEnd(region, 70, "moved");
+    }
+
+    @Test
+    void aControllerCutOffFromTheLeaderKeepsToItsFixedShareAndServes() {
+        Region region = region(5, 3, 70, RED, FLOOD);
+        region.world.run(35);
+        int alone = (region.leaderIndex() + 1) % 3;
+        region.cuts.peers(alone, 50);
+        region.world.run(35 + 1.5);
+        assertEquals(ALL_PER_MINUTE * 0.2 / 3, region.load.perMinute(alone), 1);
+        // The cut flaps afterwards.
+        for (int i = 0; i < 5; i++) {
+            double from = 51 + 3 * i;
+            region.world.at(from, () -> region.cuts.peers(alone, from + 1.6));
+        }
+        region.world.run(70);
+        checkServed(region, "red", 12, "cut off");
+        checkEnd(region, 70, "cut off");
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {6, 7, 8})
+    void theLeaderIsFrozenForLongerThanAnAllotment(long seed) {
+        Region region = region(seed, 3, 60, RED, FLOOD);
+        region.world.run(35);
+        region.freeze(region.leaderIndex(), 35 + 4 + seed);
+        region.world.run(60);
+        checkAccepted(region, "red", 20, "frozen");
+        checkEnd(region, 60, "frozen leader " + seed);
+    }
+
+    @Test
+    void aProcessThatIsBackAtOnceHasForgottenWhatItSpent() {
+        Region region = region(9, 3, 60, RED, FLOOD);
+        region.world.run(30);
+        for (int i = 0; i < 20; i++) {
+            int node = i % 3;
+            region.world.at(30 + i, () -> region.crash(node, 0.1));
+        }
+        region.world.run(60);
+        checkAccepted(region, "red", 20, "back at once");
+        checkEnd(region, 60, "back at once");
+    }
+
+    @Test
+    void anOutageEndsWithEverybodysRetriesAtOnce() {
+        Region region = region(10, 3, 80, RED, PATIENT_FLOOD);
+        region.world.run(35);
+        region.stateOutage(45);
+        region.world.run(80);
+        checkAccepted(region, "red", 30, "outage");
+        checkEnd(region, 80, "outage");
+    }
+
+    @Test
+    void theRateFallsByHalfWithoutNotice() {
+        Region region = region(11, 3, 70, new Stream("red", "batch", 2, false), PATIENT_FLOOD);
+        region.world.run(35);
+        region.limitsFall();
+        region.world.run(70);
+        checkAccepted(region, "red", 30, "limits fell");
+        region.world.run(170);
+        assertEquals(List.of(), region.broken);
+    }
+
+    @Test
+    void besideControllersWithoutItEachKeepsToItsFixedShare() {
+        Region region = Region.admitting(12, 3, 1);
+        region.load.watch(ALL_PER_MINUTE);
+        region.world.run(FROM_S);
+        // The one without the feature leads.
+        for (int i = 0; i < 8 && region.leaderIndex() != 2; i++) {
+            region.crash(region.leaderIndex(), 6);
+            region.world.run(region.world.now() + 5);
+        }
+        assertEquals("node-2", region.leader());
+        double from = region.world.now() + 7;
+        region.world.run(from);
+        int[] turn = new int[1];
+        region.load.node = () -> turn[0]++ % 2;
+        region.load.submit(FLOOD, from + 30);
+        region.world.run(from + 30);
+        for (int i = 0; i < 2; i++) {
+            assertEquals(ALL_PER_MINUTE * 0.2 / 3, region.load.perMinute(i), 1);
+        }
+        int accepted = region.load.accepted(from + 10, from + 30).get("guests");
+        assertEquals(20 * 2 * 2.0, accepted, 8);
+        checkEnd(region, from + 30, "without");
+    }
+
+    /** Drawn days: who floods, where, and what fails. */
+    @ParameterizedTest
+    @ValueSource(longs = {21, 22, 23, 24, 25, 26})
+    void drawnDays(long first) {
+        for (int more = 0; more <= Integer.getInteger("pepperfield.seeds", 0); more++) {
+            playDrawnDay(first + 100L * more);
+        }
+    }
+
+    private static void playDrawnDay(long seed) {
+        Random random = new Random(seed);
+        int nodes = seed % 2 == 0 ? 3 : 5;
+        Region region =
+                region(seed, nodes, 70, RED, BLUE, random.nextBoolean() ? FLOOD : PATIENT_FLOOD);
+        int few = 1 + random.nextInt(nodes);
+        if (random.nextBoolean()) {
+            region.load.node = () -> random.nextInt(few);
+        }
+        region.world.lost = random.nextBoolean() ? 0.02 : 0;
+        for (int i = 0; i < 4; i++) {
+            double at = 28 + 8 * i + 4 * random.nextDouble();
+            int node = random.nextInt(nodes);
+            double forS = 0.1 + 5 * random.nextDouble();
+            int kind = random.nextInt(5);
+            region.world.at(at, () -> trouble(region, kind, node, forS));
+        }
+        region.world.run(70);
+        region.world.lost = 0;
+        region.world.run(85);
+        String day = "seed " + seed;
+        assertTrue(region.load.accepted(60, 70).get("red") > 0, day);
+        double mostS = 45;
+        for (String team : List.of("red", "blue")) {
+            for (Submission one : region.load.of(team)) {
+                assertTrue(one.tookS() <= mostS, () -> day + ": " + team + " at " + one.firstAt);
+            }
+        }
+        checkEnd(region, 85, day);
+    }
+
+    private static void trouble(Region region, int kind, int node, double forS) {
+        double until = region.world.now() + forS;
+        switch (kind) {
+            case 0 -> region.crash(node, forS);
+            case 1 -> region.freeze(node, until);
+            case 2 -> region.cuts.peers(node, until);
+            case 3 -> region.stateOutage(until);
+            default -> {
+                if (!region.leader().isEmpty()) {
+                    region.crash(region.leaderIndex(), Math.min(forS, 0.3));
+                }
+            }
+        }
+    }
+}
--- a/src/test/java/io/pepperfield/jobs/UserAnswersTraceTest.java
+++ b/src/test/java/io/pepperfield/jobs/UserAnswersTraceTest.java
@@ -80,6 +80,7 @@
                             }
                             return job.cpus() > 64 ? "fits nowhere" : null;
                         },
+                        SubmissionPolicy.UNLIMITED,
                         32,
                         8,
                         10,
--- a/src/test/java/io/pepperfield/node/DispatcherTest.java
+++ b/src/test/java/io/pepperfield/node/DispatcherTest.java
@@ -129,6 +129,60 @@
         assertEquals(List.of("stop run-000001/0"), said);
     }
 
+    /**
+     * The tasks of a machine that are stopped for a larger one go one after the other; what is
+     * small must not take the room of the first while the second is still there.
+     */
+    @Test
+    void roomThatIsBeingFreedForALargerTaskIsNotTakenBySmallOnesPieceByPiece() {
+        types.update(List.of(new MachineType("box", 8, 0, 32, 20, 1, 1, 0.4, 5, List.of("east"))));
+        report("m1", 1);
+        Job swarm = job("run-000001", "swarm", "blue", Rank.BEST_EFFORT, "img", 4);
+        start(swarm, 0, fleet.get("m1"));
+        start(swarm, 1, fleet.get("m1"));
+        report("m1", 2, running(0), running(1));
+        Job large =
+                new Job(
+                        new JobSpecBuilder()
+                                .id("run-000002")
+                                .team("blue")
+                                .rank(Rank.URGENT)
+                                .cpus(8)
+                                .image("img")
+                                .build(),
+                        0);
+        jobs.put(large.spec.id(), large);
+        said.clear();
+        dispatcher.flush();
+        assertEquals(
+                List.of("stop run-000001/0", "stop run-000001/1"), said.stream().sorted().toList());
+        ledger.remove(ledger.get(swarm, 0));
+        report("m1", 3, stopped(0), running(1));
+        swarm.requeue(0);
+        said.clear();
+        now += 0.2;
+        dispatcher.wake();
+        dispatcher.flush();
+        assertEquals(List.of(), said);
+        ledger.remove(ledger.get(swarm, 1));
+        report("m1", 4, stopped(1));
+        swarm.requeue(1);
+        now += 0.2;
+        dispatcher.wake();
+        dispatcher.flush();
+        assertEquals(List.of("start run-000002/0 on m1"), said);
+    }
+
+    private static Report.Line running(int task) {
+        return new Report.Line(
+                new TaskRef("run-000001", task), 1, Report.State.RUNNING, Report.Cause.NONE);
+    }
+
+    private static Report.Line stopped(int task) {
+        return new Report.Line(
+                new TaskRef("run-000001", task), 1, Report.State.ENDED, Report.Cause.STOPPED);
+    }
+
     /**
      * A swarm that waits too long must not have the fleet to itself: one of it comes first, then
      * what is guaranteed.
--- /dev/null
+++ b/src/test/java/io/pepperfield/standin/NetworkCuts.java
@@ -0,0 +1,61 @@
+package io.pepperfield.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Cuts between the hosts of a simulated region; what is sent meanwhile is held back. */
+public final class NetworkCuts {
+
+    private final SimWorld world;
+    private final SimMachines machines;
+    private final int nodeCount;
+
+    NetworkCuts(SimWorld world, SimMachines machines, int nodeCount) {
+        this.world = world;
+        this.machines = machines;
+        this.nodeCount = nodeCount;
+    }
+
+    /**
+     * A zone's machines and one controller inside are cut off from everything else, and go on with
+     * each other.
+     */
+    public void zone(String zone, int inside, double until) {
+        List<String> within =
+                new ArrayList<>(List.of("node-" + inside, "10.0.0." + (inside + 1) + ":"));
+        machines.all().stream()
+                .filter(w -> w.zone.equals(zone))
+                .forEach(w -> within.addAll(List.of(w.name, w.address)));
+        List<String> without = new ArrayList<>(List.of("10.2.0.1", "10.2.0.2", "users"));
+        machines.all().stream()
+                .filter(w -> !w.zone.equals(zone))
+                .forEach(w -> without.addAll(List.of(w.name, w.address)));
+        for (int other = 0; other < nodeCount; other++) {
+            if (other != inside) {
+                without.addAll(List.of("node-" + other, "10.0.0." + (other + 1) + ":"));
+            }
+        }
+        within.forEach(a -> without.forEach(b -> world.cut(a, b, until)));
+    }
+
+    /** Cut from the state service and the other controllers, but not from the workers. */
+    public void isolate(int index, double until) {
+        world.cut("node-" + index, "10.2.0.1", until);
+        for (int other = 0; other < nodeCount; other++) {
+            if (other != index) {
+                world.cut("node-" + index, "10.0.0." + (other + 1), until);
+                world.cut("node-" + other, "10.0.0." + (index + 1), until);
+            }
+        }
+    }
+
+    /** Cuts one controller from the others until then, and not from its users. */
+    public void peers(int index, double until) {
+        for (int other = 0; other < nodeCount; other++) {
+            if (other != index) {
+                world.cut("node-" + index, "10.0.0." + (other + 1) + ":8081", until);
+                world.cut("node-" + other, "10.0.0." + (index + 1) + ":8081", until);
+            }
+        }
+    }
+}
