--- a/src/main/java/io/pepperfield/admission/AdmissionLimits.java
+++ b/src/main/java/io/pepperfield/admission/AdmissionLimits.java
@@ -11,7 +11,6 @@
  *
  * @param fixedPerMinute what each controller may admit without anybody's word
  * @param dividedPerMinute what the leader hands out beyond the fixed shares of all controllers
- * @param evenPerMinute what each controller has when all have the same
  * @param durationS how long an allotment lasts, counted by its holder from the sending of its
  *     request
  * @param intervalS time between two requests of a controller
@@ -22,7 +21,6 @@
 record AdmissionLimits(
         int fixedPerMinute,
         int dividedPerMinute,
-        int evenPerMinute,
         double durationS,
         double intervalS,
         Map<String, Double> weights,
@@ -46,7 +44,6 @@
         return new AdmissionLimits(
                 fixed,
                 (int) Math.floor(perMinute) - fixed * deployment.size(),
-                (int) Math.floor(perMinute / deployment.size()),
                 DURATION * reportS,
                 INTERVAL * reportS,
                 weights(deployment.teams(), fairness.weights()),
--- a/src/main/java/io/pepperfield/admission/ClassAdmission.java
+++ b/src/main/java/io/pepperfield/admission/ClassAdmission.java
@@ -15,13 +15,13 @@
     private static final double BACKLOG_S = 10;
 
     final TokenBucket bucket;
+    final RetrySchedule retries = new RetrySchedule();
     final MinuteCounter admitted = new MinuteCounter();
     final MinuteCounter refused = new MinuteCounter();
 
     /** Its demand is not met by its share. */
     boolean limited;
 
-    private double nextTicketAt;
     private int firstSeen;
     private double firstSeenPerMinute;
     private int backlog;
@@ -77,19 +77,6 @@
                 + waiting * AdmissionLimits.SECONDS_PER_MINUTE / BACKLOG_S;
     }
 
-    /**
-     * When a job that is refused now may come back: one after the other, at the rate at which they
-     * are admitted.
-     */
-    double nextTicket(double now, double ratePerS) {
-        return Math.max(now, nextTicketAt) + (ratePerS > 0 ? 1 / ratePerS : 1e9);
-    }
-
-    /** That time has been given to somebody. */
-    void ticketGiven(double at) {
-        nextTicketAt = at;
-    }
-
     /** Nobody has asked for a while and nothing is counted. */
     boolean idle(double now) {
         return demandPerMinute() < 0.01 && admitted.total(now) == 0 && refused.total(now) == 0;
--- a/src/main/java/io/pepperfield/admission/SubmissionAdmission.java
+++ b/src/main/java/io/pepperfield/admission/SubmissionAdmission.java
@@ -50,10 +50,14 @@
     /** The holder's margin on an allotment's end, as on a grant's. */
     private static final double HOLDER_MARGIN = 0.9;
 
-    /** What a refusal of the state service leaves of the rate, at the least, and its recovery. */
+    /**
+     * Each interval with a refusal by the state service decreases the rate by a factor, down to a
+     * part of it; it recovers with time.
+     */
     private static final double LEAST_BACKOFF = 0.25;
 
-    private static final double RECOVERY_S = 20;
+    private static final double DECREASE = 0.7;
+    private static final double RECOVERY_S = 10;
 
     private final Loop loop;
     private final AdmissionLimits limits;
@@ -68,6 +72,7 @@
     private final OncePerText ignored = new OncePerText();
     private Allotment allotment;
     private double allotmentEndsAt = Double.NEGATIVE_INFINITY;
+    private int soon;
     private double rotatedAt;
     private double tickedAt;
     private double backoff = 1;
@@ -135,6 +140,10 @@
         if (!of.limited) {
             return total.takeIf(now, 0);
         }
+        if (total.isFull(now)) {
+            // Nobody else uses it: a moment later it would be lost.
+            return total.takeIf(now, 0);
+        }
         // What is saved up is for the others' bursts: a flood would always have used it up.
         double kept = Math.min(total.capacity() - 1, KEPT_FOR_OTHERS * total.capacity());
         double debt = returns ? of.bucket.capacity() : 0;
@@ -153,32 +162,45 @@
     }
 
     private Decision comeBack(ClassAdmission of, long fingerprint, Age before, double now) {
-        double due = refused.dueAt(fingerprint);
-        if (Double.isNaN(due) || due <= now || Double.isInfinite(due)) {
-            due = of.nextTicket(now, ratePerS(of));
-            if (due - now <= MOST_RETRY_AFTER_S) {
-                of.ticketGiven(due);
-            } else {
-                // So late nobody heeds: asked again then, it gets a time that can be kept.
-                due = Double.POSITIVE_INFINITY;
-            }
-        }
+        boolean lasting = of.limited && allotted();
+        double due = lasting ? ticket(of, fingerprint, now) : Double.POSITIVE_INFINITY;
         if (refused.remember(fingerprint, due)) {
             of.remembered(before);
         }
-        double afterS = Math.ceil(Math.min(MOST_RETRY_AFTER_S, due - now));
+        double afterS = lasting ? Math.min(MOST_RETRY_AFTER_S, due - now) : soonS();
         return new Decision.Refused(
                 "more is submitted than the share of its class and team",
-                (int) Math.max(1, afterS));
+                (int) Math.max(1, Math.ceil(afterS)));
     }
 
-    private double ratePerS(ClassAdmission of) {
-        if (!allotted()) {
-            // The fixed share is for the moments without a leader's word; who is told a time by it
-            // would stay away long after that has come.
-            return limits.evenPerMinute() / AdmissionLimits.SECONDS_PER_MINUTE;
+    /**
+     * When a job of a class that keeps to its share may come back: at the time that it has been
+     * told before, or after those that have been told one.
+     */
+    private double ticket(ClassAdmission of, long fingerprint, double now) {
+        double due = refused.dueAt(fingerprint);
+        if (due > now && Double.isFinite(due)) {
+            return due;
         }
-        return of.limited ? of.bucket.ratePerS() : total.ratePerS();
+        // A burst of many classes is over as soon as all of it could have been admitted, however
+        // small the share of each is until then.
+        double drained = now + (refused.size() + 1) / total.ratePerS();
+        due = Math.min(of.retries.next(now, of.bucket.ratePerS()), drained);
+        if (due - now > MOST_RETRY_AFTER_S) {
+            // So late nobody heeds: asked again then, it gets a time that can be kept.
+            return Double.POSITIVE_INFINITY;
+        }
+        of.retries.give(now, of.bucket.ratePerS());
+        return now + Math.ceil(due - now);
+    }
+
+    /**
+     * Without a leader's word, or for a class whose demand is about to be met, what is refused now
+     * fits once the next allotment is there; spread over that time.
+     */
+    private double soonS() {
+        soon = (soon + 1) % (int) Math.ceil(limits.durationS() + 1);
+        return 1 + soon;
     }
 
     /** A job was to be created and the state service refused it as beyond its rate. */
@@ -186,7 +208,7 @@
     public void throttled() {
         double now = loop.now();
         if (now - throttledAt >= limits.intervalS()) {
-            backoff = Math.max(LEAST_BACKOFF, backoff(now) / 2);
+            backoff = Math.max(LEAST_BACKOFF, backoff(now) * DECREASE);
             throttledAt = now;
             applyRates(now);
         }
--- a/src/main/java/io/pepperfield/admission/TokenBucket.java
+++ b/src/main/java/io/pepperfield/admission/TokenBucket.java
@@ -32,6 +32,12 @@
         return tokens + debt >= 1;
     }
 
+    /** Whether no more can be saved up. */
+    boolean isFull(double now) {
+        refill(now);
+        return tokens >= capacity && capacity >= 1;
+    }
+
     /** Takes a token where {@link #has} says that there is one. */
     boolean takeIf(double now, double debt) {
         if (!has(now, debt)) {
--- a/src/test/java/io/pepperfield/standin/LoopbackRegion.java
+++ b/src/test/java/io/pepperfield/standin/LoopbackRegion.java
@@ -142,6 +142,10 @@
                         name = "red"
                         cpus = 16
                         cpus_max = 32
+                        [[deployment.teams]]
+                        name = "guests"
+                        cpus = 0
+                        cpus_max = 0
                         [deployment.workers]
                         report_s = 0.5
                         lease_s = 4
@@ -296,6 +300,13 @@
         return (Outcome.Answered) future.join();
     }
 
+    /** The status of a controller's answer, or 0 where none comes. */
+    public int status(int node, String method, String path, byte[] body) {
+        CompletableFuture<Outcome> future = new CompletableFuture<>();
+        client.send("127.0.0.1", ports.get(node), 4, method, path, body, 2000, future::complete);
+        return future.join() instanceof Outcome.Answered answer ? answer.status() : 0;
+    }
+
     /** Asks again and again, as users do, until the answer is as wanted. */
     public JsonNode until(
             int node, String method, String path, byte[] body, Predicate<Outcome.Answered> wanted)
