--- /dev/null
+++ b/src/test/java/io/pepperfield/admission/QueueWaitPredictorTest.java
@@ -0,0 +1,63 @@
+package io.pepperfield.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.pepperfield.jobs.JobSpec.Rank;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** How long a team's queue is predicted to take. */
+class QueueWaitPredictorTest {
+
+    private final QueueWaitPredictor queues = new QueueWaitPredictor(0);
+    private double now;
+
+    /** A second in which so many tasks of the lowest rank begin and so many wait. */
+    private void second(int started, int waiting, double oldestS) {
+        for (int i = 0; i < started; i++) {
+            queues.started("guests", Rank.BEST_EFFORT);
+        }
+        queues.recount();
+        queues.waiting("guests", Rank.BEST_EFFORT, waiting, oldestS);
+        queues.counted(++now);
+    }
+
+    @Test
+    void theQueueIsDividedByTheRateAtWhichItsTasksBegin() {
+        for (int i = 0; i < 120; i++) {
+            second(5, 600, 100);
+        }
+        List<QueueWait> waits = queues.waitsFrom(60);
+        assertEquals(1, waits.size());
+        assertEquals(120, waits.get(0).waitS(), 1);
+    }
+
+    @Test
+    void whileMachinesBootNothingIsPredictedBeyondWhatTheOldestHasShown() {
+        second(0, 5000, 10);
+        assertEquals(40, queues.waitsFrom(1).get(0).waitS());
+        assertEquals(List.of(), queues.waitsFrom(60));
+    }
+
+    @Test
+    void aRankWaitsForThoseAboveItAndNotForThoseBelow() {
+        for (int i = 0; i < 60; i++) {
+            second(5, 600, 100);
+        }
+        queues.recount();
+        queues.waiting("guests", Rank.BEST_EFFORT, 600, 100);
+        queues.waiting("guests", Rank.URGENT, 1, 0.1);
+        queues.counted(++now);
+        assertEquals(
+                List.of(Rank.BEST_EFFORT),
+                queues.waitsFrom(1).stream().map(QueueWait::rank).toList());
+    }
+
+    @Test
+    void aQueueThatIsOverIsForgotten() {
+        second(0, 10, 100);
+        queues.recount();
+        queues.counted(++now);
+        assertEquals(List.of(), queues.waitsFrom(0));
+    }
+}
--- a/src/test/java/io/pepperfield/config/SettingsTest.java
+++ b/src/test/java/io/pepperfield/config/SettingsTest.java
@@ -153,4 +153,41 @@
                         "deployment.quota.sockets = 40, and 64 are needed before any worker reports"),
                 Shortage.of(new Settings.Quota(0.34, 200, 40), 128));
     }
+
+    @Test
+    void admissionIsOffAndItsSlipsAreRefusedWithPlaceAndRange() throws SettingsException {
+        assertFalse(Operators.DEFAULTS.enabled(Feature.ADMISSION));
+        Operators on =
+                xml(
+                        "<pepperfield><admission>on</admission><admission-share>0.4</admission-share>"
+                                + "<team-weight team=\"red\">3</team-weight></pepperfield>");
+        assertTrue(on.enabled(Feature.ADMISSION));
+        assertEquals(0.4, on.admission().acceptanceShare());
+        assertEquals(3, on.admission().weights().get("red"));
+        SettingsReader.parse("f.toml", GOOD, on);
+        for (String slip :
+                List.of(
+                        "<team-weight team=\"red\">-1</team-weight>",
+                        "<team-weight team=\"red\">NaN</team-weight>",
+                        "<team-weight team=\"red\">much</team-weight>",
+                        "<admission-band>0</admission-band>",
+                        "<admission-reserve>1.5</admission-reserve>",
+                        "<admission-waiting-limit-s>0.5</admission-waiting-limit-s>")) {
+            String why =
+                    assertThrows(
+                                    SettingsException.class,
+                                    () -> xml("<pepperfield>" + slip + "</pepperfield>"))
+                            .getMessage();
+            assertTrue(why.contains("want a number from"), why);
+            assertTrue(why.contains(slip.substring(0, slip.indexOf('>'))), why);
+        }
+        Operators unknown =
+                xml("<pepperfield><team-weight team=\"green\">2</team-weight></pepperfield>");
+        String why =
+                assertThrows(
+                                SettingsException.class,
+                                () -> SettingsReader.parse("f.toml", GOOD, unknown))
+                        .getMessage();
+        assertTrue(why.contains("<team-weight team=\"green\">") && why.contains("red"), why);
+    }
 }
