Admission: bursts are paced at the whole rate; freed room is kept from the lowest rank only

Change: what will be through within 30 s comes back at the whole rate, half of the rate is fixed shares, and freed room is kept from best-effort work alone.

--- a/src/main/java/io/pepperfield/admission/SubmissionAdmission.java
+++ b/src/main/java/io/pepperfield/admission/SubmissionAdmission.java
@@ -68,6 +68,7 @@
     private final Map<String, Integer> classesOfTeam = new HashMap<>();
     private final Map<TeamRank, QueueWait> waits = new HashMap<>();
     private final RefusedSubmissions refused = new RefusedSubmissions(MOST_REFUSED);
+    private final RetrySchedule burstRetries = new RetrySchedule();
     private final TokenBucket total;
     private final OncePerText ignored = new OncePerText();
     private Allotment allotment;
@@ -182,15 +183,17 @@
         if (due > now && Double.isFinite(due)) {
             return due;
         }
-        // A burst of many classes is over as soon as all of it could have been admitted, however
-        // small the share of each is until then.
-        double drained = now + (refused.size() + 1) / total.ratePerS();
-        due = Math.min(of.retries.next(now, of.bucket.ratePerS()), drained);
+        // A burst is over as soon as all of it could have been admitted, however small the share of
+        // each class is until then: its jobs come back one after the other at the whole rate.
+        boolean burst = refused.size() <= MOST_RETRY_AFTER_S * total.ratePerS();
+        RetrySchedule schedule = burst ? burstRetries : of.retries;
+        double ratePerS = burst ? total.ratePerS() : of.bucket.ratePerS();
+        due = schedule.next(now, ratePerS);
         if (due - now > MOST_RETRY_AFTER_S) {
             // So late nobody heeds: asked again then, it gets a time that can be kept.
             return Double.POSITIVE_INFINITY;
         }
-        of.retries.give(now, of.bucket.ratePerS());
+        schedule.give(now, ratePerS);
         return now + Math.ceil(due - now);
     }
 
--- a/src/main/java/io/pepperfield/config/AdmissionSettings.java
+++ b/src/main/java/io/pepperfield/config/AdmissionSettings.java
@@ -21,5 +21,5 @@
         Map<String, Double> weights) {
 
     public static final AdmissionSettings DEFAULTS =
-            new AdmissionSettings(0.5, 0.2, 0.25, 120, Map.of());
+            new AdmissionSettings(0.5, 0.5, 0.25, 120, Map.of());
 }
--- a/src/main/java/io/pepperfield/node/Dispatcher.java
+++ b/src/main/java/io/pepperfield/node/Dispatcher.java
@@ -188,10 +188,7 @@
         for (String id : chosen) {
             LOG.debug("stopping {} to free room", id);
             Attempt victim = victims.get(id);
-            preempted.stopped(
-                    victim.machine.name,
-                    victim.job.placed().rank(),
-                    cluster.loop().now() + cluster.reportS());
+            preempted.stopped(victim.machine.name, cluster.loop().now() + cluster.reportS());
             // At once: to save first would hold up what it is stopped for.
             starter.stop(victim, 0);
         }
@@ -340,8 +337,10 @@
                                             standing == null ? cluster.rooms(now, true) : standing)
                             && overdue.add(job.spec.team() + "/" + job.spec.workload()));
             request.promised(promised.containsKey(job));
-            if (!promised.containsKey(job) && !request.guaranteed()) {
-                request.avoid(preempted.keptFrom(job.placed().rank()));
+            if (job.placed().rank() == JobSpec.Rank.BEST_EFFORT
+                    && !promised.containsKey(job)
+                    && !request.guaranteed()) {
+                request.avoid(preempted.machines());
             }
             request.waited(now - job.readyAt());
             requests.add(request);
--- a/src/main/java/io/pepperfield/node/PreemptedRoom.java
+++ b/src/main/java/io/pepperfield/node/PreemptedRoom.java
@@ -1,41 +1,30 @@
 package io.pepperfield.node;
 
-import io.pepperfield.jobs.JobSpec;
-import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
 /**
  * Machines on which tasks are being stopped to make room. The tasks of one machine go one after the
- * other; what is small would take each piece of the room as it comes free, only to be stopped next,
- * again and again.
+ * other; a swarm of small ones of the lowest rank would take each piece of the room as it comes
+ * free, only to be stopped next, again and again.
  */
 final class PreemptedRoom {
 
-    /** Until when (loop time) each machine is kept from a rank and those below it. */
-    private final Map<JobSpec.Rank, Map<String, Double>> keptUntil =
-            new EnumMap<>(JobSpec.Rank.class);
+    /** Until when (loop time) each machine is kept from the lowest rank. */
+    private final Map<String, Double> keptUntil = new HashMap<>();
 
-    /** A task of that rank is being stopped there; its room is kept until then. */
-    void stopped(String machine, JobSpec.Rank rank, double until) {
-        keptUntil.computeIfAbsent(rank, r -> new HashMap<>()).merge(machine, until, Math::max);
+    /** A task is being stopped there; the machine's room is kept until then. */
+    void stopped(String machine, double until) {
+        keptUntil.merge(machine, until, Math::max);
     }
 
     void expire(double now) {
-        keptUntil.values().forEach(machines -> machines.values().removeIf(until -> until < now));
+        keptUntil.values().removeIf(until -> until < now);
     }
 
-    /** The machines that work of that rank must leave alone, unless something is stopped for it. */
-    Set<String> keptFrom(JobSpec.Rank rank) {
-        Set<String> machines = new HashSet<>();
-        keptUntil.forEach(
-                (stopped, kept) -> {
-                    if (rank.compareTo(stopped) >= 0) {
-                        machines.addAll(kept.keySet());
-                    }
-                });
-        return machines;
+    /** The machines that work of the lowest rank must leave alone. */
+    Set<String> machines() {
+        return keptUntil.keySet();
     }
 }
