--- a/src/test/java/io/pepperfield/admission/AllotmentIssuerTest.java
+++ b/src/test/java/io/pepperfield/admission/AllotmentIssuerTest.java
@@ -108,12 +108,25 @@
         assertNull(issuer.issue(new DemandReport("b", "p", 9, 0, 0, demand(0, 500)), 5.2));
     }
 
+    @Test
+    void aHolderThatIsGivenLessMayUseTheOldAllotmentUntilItShowsTheNew() {
+        ask("b", 200, 200, 4);
+        assertEquals(70, ask("b", 200, 200, 4.5).extraPerMinute());
+        ask("c", 200, 200, 4.6);
+        assertTrue(ask("b", 0, 0, 5).extraPerMinute() < 40);
+        // The answer may be lost.
+        assertEquals(0, ask("c", 200, 200, 5.1).extraPerMinute());
+        ask("b", 0, 0, 5.5);
+        assertTrue(ask("c", 200, 200, 5.6).extraPerMinute() > 30);
+    }
+
     @Test
     void aHolderOfAnotherLeadersAllotmentFreesNothing() {
-        ask("b", 200, 0, 4);
+        assertEquals(70, ask("b", 200, 0, 4).extraPerMinute());
+        ask("c", 200, 200, 4.1);
         // Its serial is high, but of an earlier token.
         issuer.issue(new DemandReport("b", "p", 50, TOKEN - 1, 99, demand(0, 0)), 4.2);
-        assertEquals(70, issuer.ledger().committed("b", 4.3), 1);
+        assertEquals(70, issuer.ledger().committed("b", 4.3));
     }
 
     @Test
--- a/src/test/java/io/pepperfield/standin/AdmissionLoad.java
+++ b/src/test/java/io/pepperfield/standin/AdmissionLoad.java
@@ -126,7 +126,7 @@
             job.accepted = true;
             job.answeredAt = world.now();
             job.waitsSince = world.now();
-            users.poll(job);
+            users.poll(job, true);
             return;
         }
         if (submission.toldAt > 0 && world.now() >= submission.toldAt) {
--- a/src/test/java/io/pepperfield/standin/SimUsers.java
+++ b/src/test/java/io/pepperfield/standin/SimUsers.java
@@ -74,7 +74,7 @@
                 () -> {
                     job.accepted = true;
                     job.waitsSince = world.now();
-                    poll(job);
+                    poll(job, false);
                     if (plan.cancelAt() < JobPlan.NEVER) {
                         world.at(Math.max(plan.cancelAt(), world.now()), () -> cancel(job));
                     }
@@ -155,7 +155,10 @@
                 });
     }
 
-    void poll(SimJob job) {
+    /**
+     * Users may ask at any time, also after the end; a crowd of them stops asking once it is told.
+     */
+    void poll(SimJob job, boolean untilOver) {
         ask(
                 job,
                 any(),
@@ -163,11 +166,14 @@
                 "/api/jobs/" + job.plan.id(),
                 null,
                 2000,
-                status ->
+                status -> {
+                    if (!untilOver || !job.over()) {
                         world.after(
                                 (2 + world.random.nextDouble())
                                         / (world.now() < stormUntil ? 8 : 1),
-                                () -> poll(job)));
+                                () -> poll(job, untilOver));
+                    }
+                });
     }
 
     /**
