--- a/src/main/java/io/pepperfield/admission/Admission.java
+++ b/src/main/java/io/pepperfield/admission/Admission.java
@@ -172,9 +172,4 @@
     public int perMinute() {
         return submissions.perMinute();
     }
-
-    /** Admissions per minute that all controllers may use together. */
-    public int allPerMinute() {
-        return limits.dividedPerMinute() + limits.fixedPerMinute() * settings.deployment().size();
-    }
 }
--- a/src/test/java/io/pepperfield/standin/AdmissionLoad.java
+++ b/src/test/java/io/pepperfield/standin/AdmissionLoad.java
@@ -32,11 +32,6 @@
         public final String workload;
         public final double firstAt;
         public double acceptedAt = Double.POSITIVE_INFINITY;
-        public int asked;
-        private double toldAt;
-
-        /** Whether it was refused when it came back at a time that it had been told. */
-        public int refusedWhenDue;
 
         Submission(Stream stream, double firstAt) {
             this.team = stream.team;
@@ -92,7 +87,6 @@
                 || Double.isFinite(submission.acceptedAt)) {
             return;
         }
-        submission.asked++;
         // The description must be there before a worker may ask for it.
         users.jobs.putIfAbsent(job.plan.id(), job);
         SimNode to = nodes.get(node.getAsInt());
@@ -129,11 +123,7 @@
             users.poll(job, true);
             return;
         }
-        if (submission.toldAt > 0 && world.now() >= submission.toldAt) {
-            submission.refusedWhenDue++;
-        }
         double wait = Math.max(1, Math.min(MOST_HEEDED_S, reply.retryAfterS()));
-        submission.toldAt = world.now() + wait;
         world.after(heedless ? 1 : wait, () -> ask(job, submission, heedless));
     }
 
