Admission: reasons of ignored allotments in a set, the usable rate computed in one place

Need: a class of its own kept four texts apart, two branches of the same outcome stood one after the other, and the controller's rate was computed twice. Change: a set, one branch, one method; a look-up in the dispatcher once instead of twice. Behaviour and tests stay.

--- a/src/main/java/io/pepperfield/admission/SubmissionAdmission.java
+++ b/src/main/java/io/pepperfield/admission/SubmissionAdmission.java
@@ -7,7 +7,9 @@
 import io.pepperfield.jobs.SubmissionPolicy;
 import io.pepperfield.loop.Loop;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.DoubleSupplier;
@@ -70,7 +72,10 @@
     private final RefusedSubmissions refused = new RefusedSubmissions(MOST_REFUSED);
     private final RetrySchedule burstRetries = new RetrySchedule();
     private final TokenBucket total;
-    private final OncePerText ignored = new OncePerText();
+
+    /** Why allotments have been ignored, each said once; there are few reasons. */
+    private final Set<String> ignored = new HashSet<>();
+
     private Allotment allotment;
     private double allotmentEndsAt = Double.NEGATIVE_INFINITY;
     private int soon;
@@ -138,11 +143,8 @@
      * take one of its class that is still to come.
      */
     private boolean take(ClassAdmission of, boolean returns, double now) {
-        if (!of.limited) {
-            return total.takeIf(now, 0);
-        }
-        if (total.isFull(now)) {
-            // Nobody else uses it: a moment later it would be lost.
+        // What nobody else uses would be lost a moment later.
+        if (!of.limited || total.isFull(now)) {
             return total.takeIf(now, 0);
         }
         // What is saved up is for the others' bursts: a flood would always have used it up.
@@ -234,7 +236,7 @@
         double endsAt = sentAt + offered.durationS() * HOLDER_MARGIN;
         String why = whyIgnored(offered, endsAt, leaderToken, now);
         if (why != null) {
-            if (ignored.first(why)) {
+            if (ignored.add(why)) {
                 LOG.warn("an allotment {} is ignored; not said again", why);
             }
             return;
@@ -277,7 +279,6 @@
     }
 
     private void applyRates(double now) {
-        int perMinute = limits.fixedPerMinute() + (allotted() ? allotment.extraPerMinute() : 0);
         SortedMap<WorkloadClass, ClassShare> shares =
                 allotted() ? allotment.classes() : sharesOfFixed();
         shares.keySet().forEach(known -> classAdmission(known, now));
@@ -289,7 +290,7 @@
             int classPerMinute = share == null ? 0 : share.perMinute();
             setRate(of.bucket, classPerMinute * factor, now);
         }
-        setRate(total, perMinute * factor, now);
+        setRate(total, usablePerMinute() * factor, now);
     }
 
     private static void setRate(TokenBucket bucket, double ratePerS, double now) {
@@ -383,6 +384,10 @@
     /** Admissions per minute that this controller may use now. */
     int perMinute() {
         expire(loop.now());
+        return usablePerMinute();
+    }
+
+    private int usablePerMinute() {
         return limits.fixedPerMinute() + (allotted() ? allotment.extraPerMinute() : 0);
     }
 
--- a/src/main/java/io/pepperfield/node/Dispatcher.java
+++ b/src/main/java/io/pepperfield/node/Dispatcher.java
@@ -336,9 +336,10 @@
                                     standing =
                                             standing == null ? cluster.rooms(now, true) : standing)
                             && overdue.add(job.spec.team() + "/" + job.spec.workload()));
-            request.promised(promised.containsKey(job));
+            boolean roomPromised = promised.containsKey(job);
+            request.promised(roomPromised);
             if (job.placed().rank() == JobSpec.Rank.BEST_EFFORT
-                    && !promised.containsKey(job)
+                    && !roomPromised
                     && !request.guaranteed()) {
                 request.avoid(preempted.machines());
             }
